--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -145,12 +145,24 @@
 		}
 		w.Shards[id] = s
 	}
+	return true
+}
+
+// KeepStopping forgets the wish to stop tasks whose claim is released. Until
+// then it stands, also for an exited task: its room is about to be free, and
+// stopping others for the same room would be in vain.
+func (w *Worker) KeepStopping(claims map[jobs.ID]*jobs.Job) {
 	for id := range w.Stopping {
-		if s, on := w.Shards[id]; !on || s.Phase == wire.ShardExited {
+		if claims[id] == nil {
 			delete(w.Stopping, id)
 		}
 	}
-	return true
+}
+
+// Leaves reports whether a claimed task is on its way off the machine.
+func (w *Worker) Leaves(id jobs.ID) bool {
+	s, on := w.Shards[id]
+	return w.Stopping[id] || on && s.Phase == wire.ShardExited
 }
 
 // NoteImage remembers that the machine holds an image.
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -65,6 +65,9 @@
 	return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeStanding
 }
 
+// Gang reports whether the job's tasks only run all at once.
+func (j *Job) Gang() bool { return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeGang }
+
 // Task returns a task's state.
 func (j *Job) Task(i int) Task {
 	if c, ok := j.Chunks[i/j.Record.Chunk]; ok {
@@ -262,8 +265,9 @@
 // Limits is what intake needs to know of a team.
 type Limits struct{ CPUsMax, GPUsMax float64 }
 
-// Check refuses a job that can never run: 422 to its user.
-func Check(w *wire.Work, lim Limits, known bool, rigs []wire.Rig) error {
+// Check refuses a job that can never run: 422 to its user. oneWrite is the
+// number of tasks that one write can claim.
+func Check(w *wire.Work, lim Limits, known bool, rigs []wire.Rig, oneWrite int) error {
 	if !known {
 		return Refusal("unknown team")
 	}
@@ -276,8 +280,11 @@
 	if !fits {
 		return Refusal("no allowed machine type fits a task")
 	}
+	if w.Shape == wire.ShapeGang && w.Shards > oneWrite {
+		return Refusal("more tasks at once than one write can claim")
+	}
 	n := 1.0
-	if w.Shape == wire.ShapeStanding {
+	if w.Shape != wire.ShapeArray {
 		n = float64(w.Shards)
 	}
 	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.Cards*n > lim.GPUsMax+epsilon {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -71,6 +71,7 @@
 	Job     *jobs.Job
 	Tasks   []int
 	Avoid   map[string]bool // machines that lately refused or failed it
+	Pressed bool            // has waited long enough to displace borrowed work
 	Blocked bool            // a write of this node about it is under way
 }
 
@@ -92,10 +93,16 @@
 	Stint uint64
 }
 
+// Eviction is a task to stop on one of this node's machines.
+type Eviction struct {
+	Resident
+	For string // the job that needs the room
+}
+
 // Output of a pass.
 type Output struct {
 	Claims []Claim
-	Evict  []Resident     // on this node's machines
+	Evict  []Eviction
 	Unmet  map[string]int // tasks without a place, by job
 	Why    map[string]string
 }
@@ -165,6 +172,9 @@
 	if placer == "" {
 		placer, picks = in.Leader, in.fit(d, tasks, "")
 	}
+	if d.Job.Gang() && (len(d.Job.Live) > 0 || len(picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
+		picks = nil // all at once or not at all
+	}
 	for i, m := range picks {
 		m.Free = m.Free.Sub(d.Job.Need)
 		team.Used = team.Used.Add(d.Job.Need)
@@ -293,8 +303,9 @@
 	return picks
 }
 
-// MayPreempt reports whether the protocol lets the job displace the resident.
-func (in *Input) mayPreempt(j *jobs.Job, r Resident) bool {
+// mayPreempt reports whether the protocol lets the job displace the resident.
+func (in *Input) mayPreempt(d *Demand, r Resident) bool {
+	j := d.Job
 	w, v := j.Record.Work, r.Job.Record.Work
 	if v == nil {
 		return false
@@ -303,7 +314,7 @@
 		return true
 	}
 	other := in.Teams[v.Crew]
-	return v.Crew != w.Crew && in.guaranteed(j) && other != nil && !other.WithinGuarantee(other.Used)
+	return d.Pressed && v.Crew != w.Crew && in.guaranteed(j) && other != nil && !other.WithinGuarantee(other.Used)
 }
 
 // makeRoom reserves room that is being freed for one task, or stops the fewest
@@ -322,7 +333,7 @@
 		}
 		var list []Resident
 		for _, r := range m.Tasks {
-			if !r.Stopping && in.mayPreempt(d.Job, r) {
+			if !r.Stopping && in.mayPreempt(d, r) {
 				list = append(list, r)
 			}
 		}
@@ -354,7 +365,7 @@
 		}
 		best.Freeing = best.Freeing.Add(v.Job.Need)
 		if best.Owner == in.Me {
-			out.Evict = append(out.Evict, v)
+			out.Evict = append(out.Evict, Eviction{v, d.Job.Ref})
 		}
 	}
 	best.Freeing = best.Freeing.Sub(d.Job.Need)
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -69,15 +69,18 @@
 		return nil
 	}
 	now := n.now()
+	for host, w := range n.workers {
+		w.KeepStopping(n.table.Hosts[host])
+	}
 	txns := n.releases(now)
 	txns = append(txns, n.finished()...)
 	machines := n.machines(now)
 	out := place.Pass(n.placeInput(machines, now))
 	n.noteUnmet(out, now)
 	for _, r := range out.Evict {
-		if w := n.workers[n.hostOf(r)]; w != nil {
+		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
 			w.Stopping[r.ID] = true
-			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host)
+			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
 	n.displace(machines)
@@ -127,6 +130,11 @@
 				d.Avoid[host] = true
 			}
 		}
+		// The cloud may still bring room for a guarantee; work that is stopped
+		// for it is lost.
+		if at, ok := n.unmetAt[ref]; ok {
+			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
+		}
 		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
 		if len(d.Tasks) > 0 {
 			in.Demands = append(in.Demands, d)
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -185,7 +185,8 @@
 		}
 		team, ok := n.set.Team(w.Crew)
 		status = 422
-		err = jobs.Check(&w, jobs.Limits{CPUsMax: team.CPUsMax, GPUsMax: team.GPUsMax}, ok, types)
+		err = jobs.Check(&w, jobs.Limits{CPUsMax: team.CPUsMax, GPUsMax: team.GPUsMax}, ok, types,
+			jobs.ChunkSize(n.set.Params.State.ValueKB))
 	}
 	if err != nil {
 		if ref != "" {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -244,7 +244,7 @@
 		m.Free = m.Total.Sub(n.table.HostNeed(host))
 		w := n.workers[host]
 		for id, j := range n.table.Hosts[host] {
-			stopping := j.Record.Phase != jobs.Open || w != nil && w.Stopping[id]
+			stopping := j.Record.Phase != jobs.Open || w != nil && w.Leaves(id)
 			m.Tasks = append(m.Tasks, place.Resident{ID: id, Job: j, Stopping: stopping})
 			if stopping {
 				m.Freeing = m.Freeing.Add(j.Need)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -105,6 +105,9 @@
 	// ClaimsPerPass bounds the placements computed in one pass, and with them
 	// the processor time that a pass takes.
 	ClaimsPerPass = 256
+	// GuaranteePreemptAfter is how long work within a guarantee waits before
+	// another team's borrowed work is stopped for it: about a machine's boot.
+	GuaranteePreemptAfter = 60 * time.Second
 	// TasksPerJob bounds the tasks of one job that a pass tries to place.
 	TasksPerJob = 64
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -66,6 +66,9 @@
 const (
 	ShapeArray    = "array"
 	ShapeStanding = "standing"
+	// ShapeGang is an array whose tasks only run all at once. The protocol's
+	// text does not describe it; see docs/questions.md.
+	ShapeGang = "gang"
 )
 
 // Job ranks, highest first.
@@ -188,7 +191,7 @@
 		return malformed("cohort is invalid")
 	case w.Crew == "" || len(w.Crew) > 100:
 		return malformed("crew is invalid")
-	case w.Shape != ShapeArray && w.Shape != ShapeStanding:
+	case w.Shape != ShapeArray && w.Shape != ShapeStanding && w.Shape != ShapeGang:
 		return malformed("shape %q is unknown", w.Shape)
 	case w.Rank != RankCritical && w.Rank != RankUrgent && w.Rank != RankNormal && w.Rank != RankLow:
 		return malformed("rank %q is unknown", w.Rank)
