--- /dev/null
+++ b/internal/fleet/worker_test.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+const lease = 40 * time.Second
+
+var t0 = time.Unix(1000, 0)
+
+// claimed returns a table with one job, its task 0 claimed on host h.
+func claimed(t *testing.T, stint, try uint64, phase jobs.Phase) map[jobs.ID]*jobs.Job {
+	t.Helper()
+	tab := jobs.NewTable(func() time.Time { return t0 })
+	w := wire.Work{Ref: "wk-1", Crew: "x", Shape: wire.ShapeArray, Shards: 1, CPUs: 1}
+	if err := tab.ApplyJob("wk-1", wire.MustMarshal(jobs.Record{Phase: phase, Tasks: 1, Chunk: 8, Work: &w})); err != nil {
+		t.Fatal(err)
+	}
+	chunk := jobs.ChunkRecord{Tasks: []jobs.Task{{State: jobs.Claimed, Try: try, Host: "h", Stint: stint}}}
+	if err := tab.ApplyChunk(jobs.ChunkKey("wk-1", 0), wire.MustMarshal(chunk)); err != nil {
+		t.Fatal(err)
+	}
+	return tab.Hosts["h"]
+}
+
+func report(stint, tally, baton uint64, shards ...wire.Shard) *wire.Checkin {
+	return &wire.Checkin{Host: "h", Address: "x:1", Stint: stint, Tally: tally, Baton: baton, Shards: shards}
+}
+
+func verbs(orders []wire.Order) string {
+	s := ""
+	for _, o := range orders {
+		s += o.Verb + " "
+	}
+	return s
+}
+
+func TestNothingIsReleasedBeforeTheWorkerShowsOurBaton(t *testing.T) {
+	claims := claimed(t, 1, 1, jobs.Open)
+	w := NewWorker("h")
+	exited := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseDone}
+	w.Observe(report(1, 1, 4, exited), 5, t0)
+	if p := w.Proofs(claims, t0, lease); len(p) != 0 {
+		t.Fatalf("released at an old baton: %v", p)
+	}
+	if o := w.Orders(nil, true); len(o) != 0 {
+		t.Fatalf("reaped at an old baton: %v", o)
+	}
+	w.Observe(report(1, 2, 5, exited), 5, t0)
+	p := w.Proofs(claims, t0, lease)
+	if len(p) != 1 || p[0].Kind != jobs.Complete {
+		t.Fatalf("not released at our baton: %v", p)
+	}
+}
+
+func TestAbsenceProvesNothingAndANewStintDoes(t *testing.T) {
+	claims := claimed(t, 1, 1, jobs.Open)
+	w := NewWorker("h")
+	w.Observe(report(1, 1, 5), 5, t0)
+	if p := w.Proofs(claims, t0.Add(time.Hour/100), lease); len(p) != 0 {
+		t.Fatalf("absence released a task: %v", p)
+	}
+	w.Observe(report(2, 2, 5), 5, t0)
+	if p := w.Proofs(claims, t0, lease); len(p) != 1 || p[0].Kind != jobs.Release {
+		t.Fatalf("a new stint at our baton released %v", p)
+	}
+}
+
+func TestALeaseEndsOnlyAfterOurLastAnswer(t *testing.T) {
+	claims := claimed(t, 1, 1, jobs.Open)
+	w := NewWorker("h")
+	w.Observe(report(1, 1, 4), 5, t0)
+	if w.LeaseOver(t0.Add(time.Hour), lease) {
+		t.Fatal("a lease that an old owner may renew was taken to have ended")
+	}
+	w.Observe(report(1, 2, 5), 5, t0.Add(time.Second))
+	w.Answered = t0.Add(10 * time.Second)
+	if w.LeaseOver(w.Answered.Add(lease), lease) {
+		t.Fatal("the lease ended without a margin for drift")
+	}
+	at := w.Answered.Add(lease + lease/100 + tuning.LeaseMargin)
+	if p := w.Proofs(claims, at, lease); len(p) != 1 || w.State != Expired {
+		t.Fatalf("an ended lease released %v in state %s", p, w.State)
+	}
+	if o := w.Orders(claims, true); len(o) != 0 {
+		t.Fatalf("an ended session got orders: %v", o)
+	}
+	// A late report of the ended session must not revive it.
+	w.Observe(report(1, 3, 5), 5, at)
+	if w.State != Expired {
+		t.Fatalf("a late report made the session %s", w.State)
+	}
+	w.Observe(report(2, 4, 5), 5, at)
+	if w.State != Proven {
+		t.Fatalf("a new session at our baton is %s", w.State)
+	}
+}
+
+func TestReapWaitsForTheStoredReleaseAndUnansweredStarts(t *testing.T) {
+	claims := claimed(t, 1, 1, jobs.Open)
+	w := NewWorker("h")
+	exited := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseError}
+	w.Observe(report(1, 1, 5, exited), 5, t0)
+	if o := verbs(w.Orders(claims, true)); o != "" {
+		t.Fatalf("with the claim stored: %s", o)
+	}
+	a := Attempt{jobs.ID{Ref: "wk-1", Task: 0}, 1}
+	w.Unanswered[a] = 1
+	if o := verbs(w.Orders(nil, true)); o != "" {
+		t.Fatalf("reaped while a start may still arrive: %s", o)
+	}
+	// A higher baton shown by the worker kills the late start.
+	w.RaiseBaton()
+	w.Observe(report(1, 2, 6, exited), 6, t0)
+	if o := verbs(w.Orders(nil, true)); o != "reap " {
+		t.Fatalf("after the release: %q", o)
+	}
+}
+
+func TestOrdersFollowTheStoredClaims(t *testing.T) {
+	run := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning}
+	for _, c := range []struct {
+		name   string
+		claims map[jobs.ID]*jobs.Job
+		shards []wire.Shard
+		start  bool
+		want   string
+	}{
+		{"a stored claim is started", claimed(t, 1, 1, jobs.Open), nil, true, "start "},
+		{"nothing starts without the state service", claimed(t, 1, 1, jobs.Open), nil, false, ""},
+		{"a claim of another session is not started", claimed(t, 2, 1, jobs.Open), nil, true, ""},
+		{"a cancelled job is not started", claimed(t, 1, 1, jobs.Cancelled), nil, true, ""},
+		{"a cancelled job is killed", claimed(t, 1, 1, jobs.Cancelled), []wire.Shard{run}, true, "kill "},
+		{"a running claim is left alone", claimed(t, 1, 1, jobs.Open), []wire.Shard{run}, true, ""},
+		{"what no claim covers is killed", nil, []wire.Shard{run}, true, "kill "},
+		{"an older attempt is killed first", claimed(t, 1, 2, jobs.Open), []wire.Shard{run}, true, "kill start "},
+	} {
+		w := NewWorker("h")
+		w.Observe(report(1, 1, 5, c.shards...), 5, t0)
+		if got := verbs(w.Orders(c.claims, c.start)); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Stopped tasks that had exited no longer counted as leaving, so that others
+// were stopped for the same room again and again.
+func TestAnExitedTaskLeavesUntilItsReleaseIsStored(t *testing.T) {
+	claims := claimed(t, 1, 1, jobs.Open)
+	id := jobs.ID{Ref: "wk-1", Task: 0}
+	w := NewWorker("h")
+	w.Stopping[id] = true
+	w.Observe(report(1, 1, 5, wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseStopped}), 5, t0)
+	w.KeepStopping(claims)
+	if !w.Leaves(id) {
+		t.Fatal("the task no longer leaves")
+	}
+	w.KeepStopping(nil)
+	if w.Stopping[id] {
+		t.Fatal("the wish outlived the claim")
+	}
+}
+
+func TestOldReportsChangeNothing(t *testing.T) {
+	w := NewWorker("h")
+	w.Observe(report(2, 9, 5, wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning}), 5, t0)
+	if w.Observe(report(2, 8, 5), 5, t0) || w.Observe(report(1, 99, 5), 5, t0) || len(w.Shards) != 1 {
+		t.Fatal("an older report was taken")
+	}
+}
--- /dev/null
+++ b/internal/store/cache_test.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"testing"
+
+	"wheatspur/wire"
+)
+
+func val(s string) wire.Raw { return wire.MustMarshal(s) }
+
+type seen map[string]string
+
+func (s seen) sink(key string, v wire.Raw, _ uint64) {
+	if v == nil {
+		delete(s, key)
+		return
+	}
+	var t string
+	if err := wire.Unmarshal(v, &t); err != nil {
+		panic(err)
+	}
+	s[key] = t
+}
+
+func TestCacheTakesEachChangeOnceAndInOrder(t *testing.T) {
+	got := seen{}
+	c := NewCache(got.sink)
+	c.Load([]wire.Pair{{Key: "a", V: val("1"), Stamp: 5}}, 10, 10)
+	if !c.Settled() || c.Stamp("a") != 5 {
+		t.Fatal("the load is not settled")
+	}
+	// Our own write is ahead of the watch.
+	c.Own([]wire.Change{{Set: "a", V: val("3")}}, 13)
+	c.Apply(wire.Events{Epoch: 12, Events: []wire.Event{{Set: "a", V: val("2"), Stamp: 12}, {Set: "b", V: val("x"), Stamp: 11}}})
+	if got["a"] != "3" || got["b"] != "x" || c.Rev() != 12 {
+		t.Fatalf("an older event has overwritten our own write: %v rev %d", got, c.Rev())
+	}
+	// A response of an older watch changes nothing.
+	c.Apply(wire.Events{Epoch: 11, Events: []wire.Event{{Set: "b", V: val("old"), Stamp: 11}}})
+	if got["b"] != "x" || c.Rev() != 12 {
+		t.Fatalf("a late response was applied: %v", got)
+	}
+}
+
+// A key that we dropped ourselves must not come back by an older event.
+func TestCacheOwnDropHoldsAgainstOlderEvents(t *testing.T) {
+	got := seen{}
+	c := NewCache(got.sink)
+	c.Load([]wire.Pair{{Key: "a", V: val("1"), Stamp: 5}}, 10, 10)
+	c.Own([]wire.Change{{Drop: "a"}}, 14)
+	c.Apply(wire.Events{Epoch: 13, Events: []wire.Event{{Set: "a", V: val("2"), Stamp: 12}}})
+	if _, ok := got["a"]; ok || c.Stamp("a") != 0 {
+		t.Fatal("a dropped key came back")
+	}
+	c.Apply(wire.Events{Epoch: 15, Events: []wire.Event{{Drop: "a", Stamp: 14}, {Set: "a", V: val("4"), Stamp: 15}}})
+	if got["a"] != "4" {
+		t.Fatal("a key set anew is missing")
+	}
+}
+
+// Pages of one read show different epochs: decisions wait until the watch has
+// caught up with the last page, or a team's key could be newer than the claims
+// that the cache holds.
+func TestCacheIsUnsettledUntilTheLastPagesEpoch(t *testing.T) {
+	got := seen{}
+	c := NewCache(got.sink)
+	c.Load([]wire.Pair{{Key: "a", V: val("1"), Stamp: 5}, {Key: "z", V: val("1"), Stamp: 12}}, 10, 12)
+	if c.Settled() {
+		t.Fatal("settled between two epochs")
+	}
+	c.Apply(wire.Events{Epoch: 12, Events: []wire.Event{{Set: "a", V: val("2"), Stamp: 12}, {Set: "z", V: val("1"), Stamp: 12}}})
+	if !c.Settled() || got["a"] != "2" {
+		t.Fatal("not settled after the watch has caught up")
+	}
+}
+
+func TestCacheReloadForgetsWhatIsGone(t *testing.T) {
+	got := seen{}
+	c := NewCache(got.sink)
+	c.Load([]wire.Pair{{Key: "a", V: val("1"), Stamp: 5}, {Key: "b", V: val("1"), Stamp: 6}}, 10, 10)
+	c.Load([]wire.Pair{{Key: "b", V: val("1"), Stamp: 6}}, 20, 20)
+	if _, ok := got["a"]; ok {
+		t.Fatal("a key that is gone stayed")
+	}
+	if got["b"] != "1" {
+		t.Fatal("a key that stands was lost")
+	}
+}
--- /dev/null
+++ b/internal/store/limiter_test.go
@@ -0,0 +1,94 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+)
+
+type fakeClock struct {
+	mu sync.Mutex
+	t  time.Time
+}
+
+func (c *fakeClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.t
+}
+
+func (c *fakeClock) add(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t = c.t.Add(d)
+}
+
+func TestLimiterKeepsToTheBudgetAndServesUrgentClassesFirst(t *testing.T) {
+	clk := &fakeClock{t: time.Unix(1000, 0)}
+	l := NewLimiter(2, 100, 4, clk.now)
+	ctx := context.Background()
+	for range 2 {
+		if err := l.Acquire(ctx, ClassRead, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := make(chan string, 2)
+	go func() {
+		if l.Acquire(ctx, ClassRead, 0) == nil {
+			got <- "read"
+		}
+	}()
+	waitQueued(t, l, 1)
+	go func() {
+		if l.Acquire(ctx, ClassClaim, 1) == nil {
+			got <- "claim"
+		}
+	}()
+	waitQueued(t, l, 2)
+	select {
+	case s := <-got:
+		t.Fatalf("%s went beyond the budget", s)
+	case <-time.After(30 * time.Millisecond):
+	}
+	clk.add(500 * time.Millisecond) // one request's worth
+	if s := <-got; s != "claim" {
+		t.Fatalf("%s went before the claim", s)
+	}
+	clk.add(500 * time.Millisecond)
+	if s := <-got; s != "read" {
+		t.Fatal(s)
+	}
+}
+
+func waitQueued(t *testing.T, l *Limiter, n int) {
+	t.Helper()
+	for range 200 {
+		l.mu.Lock()
+		k := l.ahead(classes - 1)
+		l.mu.Unlock()
+		if k == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d calls never queued", n)
+}
+
+func TestLimiterNeverMakesASessionWaitAndRefusesWhatDoesNotFit(t *testing.T) {
+	clk := &fakeClock{t: time.Unix(1000, 0)}
+	l := NewLimiter(1, 1, 1, clk.now)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for range 5 {
+		if err := l.Acquire(ctx, ClassLease, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	go func() { _ = l.Acquire(ctx, ClassIntake, 1) }()
+	waitQueued(t, l, 1)
+	if err := l.Acquire(ctx, ClassIntake, 1); !errors.Is(err, ErrBusy) {
+		t.Fatalf("a full buffer answered %v", err)
+	}
+}
