--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,187 @@
+package place
+
+import (
+	"testing"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/wire"
+)
+
+func job(ref, shape, rank string, tasks int, edit func(*wire.Work)) *jobs.Job {
+	w := &wire.Work{Ref: ref, Crew: "x", Shape: shape, Rank: rank, Shards: tasks, CPUs: 1, Cards: 1, RAMGB: 1, Bundle: "img", Windfall: true}
+	if edit != nil {
+		edit(w)
+	}
+	return &jobs.Job{Ref: ref, Record: jobs.Record{Phase: jobs.Open, Tasks: tasks, Chunk: 64, Work: w},
+		Need: jobs.Need(w), Team: w.Crew, Chunks: map[int][]jobs.Task{}, Live: map[int]jobs.Task{}}
+}
+
+func machine(name, owner, zone string, role Role, gpus float64) *Machine {
+	tot := jobs.Resources{CPUs: 8, GPUs: gpus, RAM: 64}
+	return &Machine{Name: name, Owner: owner, Zone: zone, Type: "g", Role: role, Open: true, Stint: 3, Total: tot, Free: tot, Images: map[string]bool{}}
+}
+
+func demand(j *jobs.Job) *Demand {
+	d := &Demand{Job: j, Avoid: map[string]bool{}}
+	for i := range j.Record.Tasks {
+		if j.Task(i).State == jobs.Pending {
+			d.Tasks = append(d.Tasks, i)
+		}
+	}
+	return d
+}
+
+func input(me string, machines []*Machine, js ...*jobs.Job) Input {
+	in := Input{Me: me, Leader: "L", Order: func(string) []string { return []string{"a", "b", "L"} }, Machines: machines,
+		Teams: map[string]*Team{"x": {}}}
+	for _, j := range js {
+		in.Demands = append(in.Demands, demand(j))
+	}
+	return in
+}
+
+func TestPlacementStaysWithinTheRole(t *testing.T) {
+	ms := func() []*Machine {
+		spot := machine("spot", "a", "z", Batch, 4)
+		spot.Spot = true
+		return []*Machine{machine("b", "a", "z", Batch, 4), machine("s", "a", "z", Service, 4), spot}
+	}
+	out := Pass(input("a", ms(), job("wk-1", wire.ShapeStanding, wire.RankCritical, 6, nil)))
+	if len(out.Claims) != 0 || out.Unmet["wk-1"] != 2 {
+		t.Fatalf("six replicas on four service cards, by the leader: claims %d unmet %d", len(out.Claims), out.Unmet["wk-1"])
+	}
+	out = Pass(input("L", ms(), job("wk-1", wire.ShapeStanding, wire.RankCritical, 6, nil)))
+	if len(out.Claims) != 4 {
+		t.Fatalf("the leader claims %d", len(out.Claims))
+	}
+	for _, c := range out.Claims {
+		if c.Host != "s" {
+			t.Fatalf("a service was placed on %s", c.Host)
+		}
+	}
+	noSpot := job("wk-2", wire.ShapeArray, wire.RankNormal, 4, func(w *wire.Work) { w.Windfall = false })
+	for _, c := range Pass(input("a", ms(), noSpot)).Claims {
+		if c.Host != "b" {
+			t.Fatalf("a job that may not use spot machines was placed on %s", c.Host)
+		}
+	}
+}
+
+func TestAJobGoesToTheFirstNodeThatHoldsItAndElseToTheLeader(t *testing.T) {
+	ms := func() []*Machine {
+		return []*Machine{machine("m1", "a", "z", Batch, 2), machine("m2", "b", "z", Batch, 4)}
+	}
+	j := func(n int) *jobs.Job { return job("wk-1", wire.ShapeArray, wire.RankNormal, n, nil) }
+	for _, c := range []struct {
+		me    string
+		tasks int
+		want  int
+	}{{"a", 2, 2}, {"b", 2, 0}, {"a", 4, 0}, {"b", 4, 4}, {"a", 6, 0}, {"b", 6, 0}, {"L", 6, 6}} {
+		if got := len(Pass(input(c.me, ms(), j(c.tasks))).Claims); got != c.want {
+			t.Errorf("%s claims %d of %d tasks, want %d", c.me, got, c.tasks, c.want)
+		}
+	}
+}
+
+func TestLeastFreeRoomAndHeldImages(t *testing.T) {
+	big, small := machine("big", "a", "z", Batch, 8), machine("small", "a", "z", Batch, 8)
+	small.Free = jobs.Resources{CPUs: 2, GPUs: 2, RAM: 8}
+	out := Pass(input("a", []*Machine{big, small}, job("wk-1", wire.ShapeArray, wire.RankNormal, 1, nil)))
+	if out.Claims[0].Host != "small" || out.Claims[0].Stint != 3 {
+		t.Fatalf("placed as %+v", out.Claims[0])
+	}
+	small.Free = jobs.Resources{CPUs: 2, GPUs: 2, RAM: 8}
+	big.Images["img"] = true
+	out = Pass(input("a", []*Machine{big, small}, job("wk-1", wire.ShapeArray, wire.RankNormal, 1, nil)))
+	if out.Claims[0].Host != "big" {
+		t.Fatal("the machine that holds the image was passed over")
+	}
+}
+
+func TestConstraintsCountAllLiveClaims(t *testing.T) {
+	ms := func() []*Machine {
+		return []*Machine{machine("m1", "L", "z1", Batch, 8), machine("m2", "L", "z2", Batch, 2)}
+	}
+	apart := job("wk-1", wire.ShapeArray, wire.RankNormal, 5, func(w *wire.Work) { w.Apart = true })
+	apart.Chunks[0] = []jobs.Task{{State: jobs.Claimed, Host: "m1", Stint: 3}, {}, {}, {}, {}}
+	apart.Live[0] = apart.Chunks[0][0]
+	zones := map[string]int{}
+	for _, c := range Pass(input("L", ms(), apart)).Claims {
+		zones[c.Host]++
+	}
+	if zones["m1"] != 2 || zones["m2"] != 2 {
+		t.Fatalf("apart: %v beside one live on m1, the cap is 3", zones)
+	}
+	together := job("wk-2", wire.ShapeArray, wire.RankNormal, 4, func(w *wire.Work) { w.Together = true })
+	together.Chunks[0] = []jobs.Task{{State: jobs.Claimed, Host: "m2", Stint: 3}, {}, {}, {}}
+	together.Live[0] = together.Chunks[0][0]
+	for _, c := range Pass(input("L", ms(), together)).Claims {
+		if c.Host != "m2" {
+			t.Fatalf("together with a task in z2 but placed on %s", c.Host)
+		}
+	}
+	// A live claim on a machine that is not known: its zone is not known either.
+	together.Live[0] = jobs.Task{State: jobs.Claimed, Host: "gone"}
+	if out := Pass(input("L", ms(), together)); len(out.Claims) != 0 {
+		t.Fatal("placed beside a task in an unknown zone")
+	}
+}
+
+func TestTeamLimitCountsClaimsOfThePassToo(t *testing.T) {
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 8)},
+		job("wk-1", wire.ShapeArray, wire.RankNormal, 3, nil), job("wk-2", wire.ShapeArray, wire.RankNormal, 3, nil))
+	in.Teams["x"].Max, in.Teams["x"].Used = jobs.Resources{GPUs: 5}, jobs.Resources{GPUs: 1}
+	if n := len(Pass(in).Claims); n != 4 {
+		t.Fatalf("%d claims beside one of five", n)
+	}
+}
+
+func TestGangsArePlacedWholeOrNotAtAll(t *testing.T) {
+	ms := []*Machine{machine("m", "a", "z", Batch, 2)}
+	if n := len(Pass(input("L", ms, job("wk-1", wire.ShapeGang, wire.RankNormal, 3, nil))).Claims); n != 0 {
+		t.Fatalf("%d of 3 tasks of a gang placed", n)
+	}
+	if n := len(Pass(input("a", ms, job("wk-1", wire.ShapeGang, wire.RankNormal, 2, nil))).Claims); n != 2 {
+		t.Fatalf("%d of 2 tasks of a gang placed", n)
+	}
+}
+
+func TestPreemptionFollowsTheProtocol(t *testing.T) {
+	low := job("wk-9", wire.ShapeArray, wire.RankNormal, 1, func(w *wire.Work) { w.Crew = "y" })
+	full := func() *Machine {
+		m := machine("m", "a", "z", Batch, 1)
+		m.Free = jobs.Resources{}
+		m.Tasks = []Resident{{ID: jobs.ID{Ref: "wk-9"}, Job: low}}
+		return m
+	}
+	run := func(rank string, pressed, borrowed bool) int {
+		in := input("a", []*Machine{full()}, job("wk-1", wire.ShapeArray, rank, 1, nil))
+		in.Demands[0].Pressed = pressed
+		in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+		in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 1}, Guaranteed: jobs.Resources{GPUs: 1}}
+		if borrowed {
+			in.Teams["y"].Used.GPUs = 2
+		}
+		return len(Pass(in).Evict)
+	}
+	for _, c := range []struct {
+		rank              string
+		pressed, borrowed bool
+		want              int
+	}{
+		{wire.RankUrgent, false, false, 1}, // higher rank
+		{wire.RankNormal, true, false, 0},  // same rank within the other's guarantee
+		{wire.RankNormal, false, true, 0},  // the cloud may still bring room
+		{wire.RankNormal, true, true, 1},   // borrowed work for a guarantee
+	} {
+		if got := run(c.rank, c.pressed, c.borrowed); got != c.want {
+			t.Errorf("%+v: %d stopped", c, got)
+		}
+	}
+	m := full()
+	m.Freeing = jobs.Resources{CPUs: 1, GPUs: 1, RAM: 1}
+	m.Tasks[0].Stopping = true
+	if out := Pass(input("a", []*Machine{m}, job("wk-1", wire.ShapeArray, wire.RankUrgent, 1, nil))); len(out.Evict) != 0 {
+		t.Error("a task was stopped for room that is being freed")
+	}
+}
