Count live machines in the splits; stop no service for a guarantee, nothing in vain

Cause: queued work that waited for booting batch machines read as a lack of batch machines, so role control took service machines under mixed pressure while boots were under way; services were stopped for other teams' guarantees, and again and again for a task whose zone rule forbade the room. Ruled out: late starts by the workers (claims were late or stopped, not starts).

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -313,6 +313,10 @@
 	if jobs.RankOrder(w.Rank) < jobs.RankOrder(v.Rank) {
 		return true
 	}
+	if r.Job.Service() {
+		// A running service is worth more to people than a start in time.
+		return false
+	}
 	other := in.Teams[v.Crew]
 	return d.Pressed && v.Crew != w.Crew && in.guaranteed(j) && other != nil && !other.WithinGuarantee(other.Used)
 }
@@ -322,10 +326,16 @@
 func (in *Input) makeRoom(d *Demand, out *Output) bool {
 	var best *Machine
 	var victims []Resident
+	w, zones := d.Job.Record.Work, Zones(d.Job, in.Machines)
 	for _, m := range in.Machines {
 		if !m.Open || d.Avoid[m.Name] || !Suits(d.Job, m) {
 			continue
 		}
+		if w.Apart && zones[m.Zone] >= ApartCap(d.Job.Record.Tasks) || w.Together && len(zones) > 0 && zones[m.Zone] == 0 {
+			// Guards against stopping tasks for room that the job may not use:
+			// they came back to it and were stopped again, every few seconds.
+			continue
+		}
 		room := m.Free.Add(m.Freeing)
 		if d.Job.Need.Fits(room) {
 			m.Freeing = m.Freeing.Sub(d.Job.Need)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -185,3 +185,30 @@
 		t.Error("a task was stopped for room that is being freed")
 	}
 }
+
+func TestNothingIsStoppedForRoomInAForbiddenZone(t *testing.T) {
+	low := job("wk-9", wire.ShapeArray, wire.RankLow, 1, nil)
+	m := machine("m", "a", "z1", Batch, 1)
+	m.Free = jobs.Resources{}
+	m.Tasks = []Resident{{ID: jobs.ID{Ref: "wk-9"}, Job: low}}
+	j := job("wk-1", wire.ShapeArray, wire.RankUrgent, 2, func(w *wire.Work) { w.Apart = true })
+	j.Chunks[0] = []jobs.Task{{State: jobs.Claimed, Host: "m", Stint: 3}, {}}
+	j.Live[0] = j.Chunks[0][0]
+	if out := Pass(input("a", []*Machine{m}, j)); len(out.Evict) != 0 {
+		t.Fatal("a task was stopped in the zone that the job's other task holds")
+	}
+}
+
+func TestAServiceIsNeverStoppedForAGuarantee(t *testing.T) {
+	svc := job("wk-9", wire.ShapeStanding, wire.RankCritical, 1, func(w *wire.Work) { w.Crew = "y" })
+	m := machine("m", "a", "z", Service, 1)
+	m.Free = jobs.Resources{}
+	m.Tasks = []Resident{{ID: jobs.ID{Ref: "wk-9"}, Job: svc}}
+	in := input("a", []*Machine{m}, job("wk-1", wire.ShapeStanding, wire.RankCritical, 1, nil))
+	in.Demands[0].Pressed = true
+	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+	in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 2}, Guaranteed: jobs.Resources{GPUs: 1}}
+	if out := Pass(in); len(out.Evict) != 0 {
+		t.Fatal("a running service was stopped for one of the same rank")
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -283,11 +283,21 @@
 			s.Complete = false
 		}
 	}
-	count := map[string]int{} // machines that take tasks, by type
+	count := map[string]int{}    // machines that take tasks, by type
+	coming := []jobs.Resources{} // room on batch machines of the type that still boot
 	for _, m := range machines {
 		if n.hosts[m.Name].Phase != fleet.In {
 			continue
 		}
+		if !m.Open && len(m.Tasks) == 0 {
+			// Only machines that are up count, and only they move. Counting
+			// those that boot made queued work that waits for them look like a
+			// lack of batch machines.
+			if m.Type == t.Label && m.Role == place.Batch {
+				coming = append(coming, m.Free)
+			}
+			continue
+		}
 		count[m.Type]++
 		if m.Type != t.Label {
 			continue
@@ -312,6 +322,14 @@
 		if j == nil || j.Record.Work == nil || !jobs.Allowed(j.Record.Work, t.Label) {
 			continue
 		}
+		for i := 0; !j.Service() && k > 0 && i < len(coming); {
+			if !j.Need.Fits(coming[i]) {
+				i++
+				continue
+			}
+			coming[i] = coming[i].Sub(j.Need)
+			k--
+		}
 		all := 0
 		for label, c := range count {
 			if jobs.Allowed(j.Record.Work, label) {
@@ -341,7 +359,7 @@
 		}
 		var service, batch []*place.Machine
 		for _, m := range machines {
-			if m.Type == t.Label && !m.Spot && n.hosts[m.Name].Phase == fleet.In {
+			if m.Type == t.Label && !m.Spot && n.hosts[m.Name].Phase == fleet.In && (m.Open || len(m.Tasks) > 0) {
 				if m.Role == place.Service {
 					service = append(service, m)
 				} else {
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -24,8 +24,11 @@
 	jobs   []string
 	teams  []string
 	what   string
+	notes  [][]any // log lines for when it is stored
 }
 
+func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
+
 // room reports whether n more changes of the given size fit.
 func (n *Node) room(t *txn, changes, bytes, guards int) bool {
 	ops := n.set.Params.State.TxnOps
@@ -215,7 +218,6 @@
 		if w := n.workers[host]; w != nil {
 			for _, r := range w.Proofs(claims, now, n.set.Lease()) {
 				add(r.ID, r.Kind)
-				n.log.Debug("task released", "task", r.ID, "host", host, "cause", r.Cause)
 			}
 		}
 	}
@@ -240,6 +242,9 @@
 		t.guards[key] = n.cache.Stamp(key)
 		t.guards[jobs.JobKey(c.job.Ref)] = n.cache.Stamp(jobs.JobKey(c.job.Ref))
 		n.putChunk(t, c, key, tasks)
+		for id, e := range c.events {
+			t.note("task released", "task", jobs.ID{Ref: c.job.Ref, Task: id}, "as", string(e.Kind), "host", c.job.Live[id].Host)
+		}
 	}
 	return out
 }
@@ -395,6 +400,9 @@
 			t.guards[fleet.HostKey(h)] = n.cache.Stamp(fleet.HostKey(h))
 		}
 		t.set(key, jobs.ChunkRecord{Tasks: tasks})
+		for id, e := range c.events {
+			t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.hosts[e.Host].Role))
+		}
 		if j.SpansChunks() {
 			rec := j.Record
 			rec.Serial++
@@ -431,6 +439,9 @@
 	defer n.mu.Unlock()
 	if err == nil {
 		n.cache.Own(t.then, epoch)
+		for _, l := range t.notes {
+			n.log.Debug(l[0].(string), l[1:]...)
+		}
 	}
 	for _, ref := range t.jobs {
 		delete(n.busyJob, ref)
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -79,11 +79,18 @@
 
 // observe enters a report and what follows from it; mu is held.
 func (n *Node) observe(w *fleet.Worker, r *wire.Checkin, now time.Time) {
+	before := make(map[jobs.ID]string, len(w.Shards))
+	for id, s := range w.Shards {
+		before[id] = s.Phase
+	}
 	if !w.Observe(r, n.member.Baton, now) {
 		return
 	}
 	for id, s := range w.Shards {
 		j := n.table.Jobs[id.Ref]
+		if before[id] != s.Phase {
+			n.log.Debug("task changes", "task", id, "try", s.Try, "phase", s.Phase, "cause", s.Cause, "host", w.Host)
+		}
 		if j == nil || j.Record.Work == nil {
 			continue
 		}
