A machine whose owner has just crashed is not silent

Cause: after a node's restart its status lists no machines, and the leader took the age of a machine's first report for the age of its last: it drained and returned every machine of the crashed nodes, with their services. Ruled out: lease ends (none), wrong releases (none).

--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"wheatspur/internal/config"
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
@@ -24,13 +25,13 @@
 		n.leading = leading{baton: n.member.Baton, listed: map[string]wire.Host{}, absent: map[string]int{},
 			hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			first: map[string]time.Time{}}
+			heard: map[string]time.Time{}, since: map[string]time.Time{}}
 		if old.baton > 0 && old.baton == n.member.Baton-1 && old.hired != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
 			n.leading.hired, n.leading.refused = old.hired, old.refused
-			n.leading.idle, n.leading.first = old.idle, old.first
+			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
 		}
@@ -150,6 +151,9 @@
 	var changes []hostChange
 	for _, h := range list {
 		seen[h.Ref] = true
+		if _, ok := l.listed[h.Ref]; !ok {
+			l.since[h.Ref] = now
+		}
 		l.listed[h.Ref] = h
 		delete(l.absent, h.Ref)
 		rec, known := n.hosts[h.Ref]
@@ -169,12 +173,20 @@
 			changes = append(changes, hostChange{h.Ref, &rec})
 			n.log.Info("machine joins", "host", h.Ref, "type", h.Rig, "zone", h.Plot, "spot", h.Windfall, "role", string(rec.Role))
 		}
-		if w := n.workers[h.Ref]; w == nil || w.Address == "" {
-			n.worker(h.Ref).Address = h.Address
+		if n.member.Owner(h.Ref) == n.self.Label && h.Phase == wire.HostRunning {
+			if w := n.worker(h.Ref); w.Address == "" {
+				w.Address = h.Address
+			}
 		}
 	}
+	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
 	for host := range l.listed {
-		if !seen[host] {
+		if seen[host] {
+			continue
+		}
+		// A list may be older than the one before: a new machine may be
+		// missing from it and yet be there.
+		if now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
 			l.absent[host]++
 		}
 	}
@@ -426,25 +438,20 @@
 		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
 			Open: m.Open, Claims: len(m.Tasks), Free: m.Free}
 		listed, isListed := l.listed[m.Name]
-		age, heard := up[m.Name]
-		if heard {
-			if _, ok := l.first[m.Name]; !ok {
-				l.first[m.Name] = now
-			}
-		}
-		_, wasUp := l.first[m.Name]
-		if len(m.Tasks) > 0 {
-			wasUp = true
-		}
-		u.Booting = !wasUp && rec.Phase == fleet.In && (!isListed || listed.Phase == wire.HostStarting || listed.HeldS < 1)
+		if age, ok := up[m.Name]; ok {
+			l.hear(m.Name, now.Add(-age))
+		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.Phase == wire.HostRunning) {
+			// Up, but not heard under this leader yet: its time begins now.
+			l.hear(m.Name, now)
+		}
+		at, wasUp := l.heard[m.Name]
+		quiet := now.Sub(at)
+		u.Booting = !wasUp && rec.Phase == fleet.In
 		if isListed {
 			u.Age = time.Duration(listed.HeldS*float64(time.Second)) + now.Sub(l.listAt)
 		}
-		if !heard && wasUp {
-			age = now.Sub(l.first[m.Name])
-		}
-		u.Silent = wasUp && !heard && !l.first[m.Name].IsZero() && now.Sub(l.first[m.Name]) > 2*lease || heard && age > 2*lease
-		u.Missing = l.absent[m.Name] >= tuning.GoneLists && (!heard || age > 2*n.set.Report())
+		u.Silent = wasUp && quiet > 2*lease
+		u.Missing = l.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > 2*n.set.Report()
 		if len(m.Tasks) > 0 || rec.Phase != fleet.In {
 			delete(l.idle, m.Name)
 		} else if _, ok := l.idle[m.Name]; !ok {
@@ -506,6 +513,13 @@
 	return in
 }
 
+// hear notes that a machine was up at a time.
+func (l *leading) hear(host string, at time.Time) {
+	if at.After(l.heard[host]) {
+		l.heard[host] = at
+	}
+}
+
 // lastHeard is how long ago each machine was heard by its owner.
 func (n *Node) lastHeard(now time.Time) map[string]time.Duration {
 	out := map[string]time.Duration{}
@@ -576,7 +590,7 @@
 				drops = append(drops, hostChange{host, nil})
 				delete(l.listed, host)
 				delete(l.absent, host)
-				delete(l.first, host)
+				delete(l.heard, host)
 				delete(l.idle, host)
 			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -92,7 +92,8 @@
 	decision map[string]roles.Decision
 	seenJobs map[string]bool
 	idle     map[string]time.Time // since when a machine has no claims
-	first    map[string]time.Time // when a machine was first seen up
+	heard    map[string]time.Time // when a machine was last heard by anybody
+	since    map[string]time.Time // when a machine was first listed
 	batchAvg float64
 	avgAt    time.Time
 	batch    fleet.Load // last typical loads
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -176,6 +176,9 @@
 	// OrdinaryBatchAfter is how long a task that may use spot machines waits
 	// before an ordinary one, several times as dear, is rented for it.
 	OrdinaryBatchAfter = 15 * time.Second
+	// ListLagFactor times the list's lag is how long after its first listing
+	// a machine's absence from a list starts to count; the lag at times doubles.
+	ListLagFactor = 3
 	// GoneLists is the number of lists in a row that must omit a machine that
 	// was listed before it is taken to be gone and returned for proof.
 	GoneLists = 2
