--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,7 +7,6 @@
 package place
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -41,41 +40,9 @@
 	Free                    jobs.Resources // not claimed
 	Freeing                 jobs.Resources // claimed by tasks that are being stopped
 	Images                  map[string]bool
-	FetchGBPerS             float64 // 0: not known
 	Tasks                   []Resident
 }
 
-// fetchBucket is the difference in expected fetch time, in seconds, below
-// which two machines count as equal and the least free room decides.
-const fetchBucket = 2.0
-
-// wait is the expected time until the machine has the job's image, in buckets:
-// nothing if it holds it, else the fetch behind those under way.
-func (m *Machine) wait(j *jobs.Job) float64 {
-	w := j.Record.Work
-	if m.Images[w.Bundle] {
-		return 0
-	}
-	rate := m.FetchGBPerS
-	if rate <= 0 {
-		rate = 1
-	}
-	gb, seen := w.ImageGB, map[string]bool{}
-	for _, r := range m.Tasks {
-		v := r.Job.Record.Work
-		if v == nil || m.Images[v.Bundle] || seen[v.Bundle] {
-			continue
-		}
-		seen[v.Bundle] = true
-		if v.Bundle == w.Bundle {
-			gb -= w.ImageGB / 2 // joins a fetch that is under way
-		} else {
-			gb += v.ImageGB
-		}
-	}
-	return math.Ceil(gb / rate / fetchBucket)
-}
-
 // Team is a team's limits and use.
 type Team struct {
 	Used, Max, Guaranteed jobs.Resources // 0 in Max or Guaranteed: none
@@ -241,8 +208,7 @@
 }
 
 // fit chooses a machine for each task, as many as fit, among those of one
-// node (or all): least free room left, among those with the shortest wait for
-// the image (an exception to the design; see docs/design.md).
+// node (or all): least free room left, machines that hold the image first.
 func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
 	w := d.Job.Record.Work
 	var cand []*Machine
@@ -301,9 +267,8 @@
 func (in *Input) greedy(d *Demand, tasks []int, cand []*Machine, zones map[string]int) []*Machine {
 	w := d.Job.Record.Work
 	free := make(map[*Machine]jobs.Resources, len(cand))
-	wait := make(map[*Machine]float64, len(cand))
 	for _, m := range cand {
-		free[m], wait[m] = m.Free, m.wait(d.Job)
+		free[m] = m.Free
 	}
 	used := map[string]int{}
 	for z, n := range zones {
@@ -320,7 +285,10 @@
 			if !d.Job.Need.Fits(free[m]) || w.Apart && used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 				continue
 			}
-			key := [2]float64{wait[m], free[m].Sub(d.Job.Need).Share(m.Total)}
+			key := [2]float64{1, free[m].Sub(d.Job.Need).Share(m.Total)}
+			if m.Images[w.Bundle] {
+				key[0] = 0
+			}
 			if best == nil || key[0] < bestKey[0] || key[0] == bestKey[0] && key[1] < bestKey[1] {
 				best, bestKey = m, key
 			}
