The node whose machines hold the image takes a job first

Cause: a job went to the first hashed node with room, though another node's machines held its image; fetches take 15 to 60 s.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -162,11 +162,22 @@
 		return
 	}
 	tasks = tasks[:quota]
-	placer, picks := "", []*Machine(nil)
+	// The first node whose machines hold all tasks, the fewest image fetches
+	// coming first: a fetch costs more than any other choice here.
+	placer, picks, fetches := "", []*Machine(nil), 0
 	for _, node := range in.Order(d.Job.Ref) {
-		if p := in.fit(d, tasks, node); len(p) == len(tasks) {
-			placer, picks = node, p
-			break
+		p := in.fit(d, tasks, node)
+		if len(p) < len(tasks) {
+			continue
+		}
+		k := 0
+		for _, m := range p {
+			if !m.Images[w.Bundle] {
+				k++
+			}
+		}
+		if placer == "" || k < fetches {
+			placer, picks, fetches = node, p, k
 		}
 	}
 	if placer == "" {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -83,6 +83,14 @@
 	}
 }
 
+func TestANodeWhoseMachinesHoldTheImageGoesFirst(t *testing.T) {
+	m1, m2 := machine("m1", "a", "z", Batch, 2), machine("m2", "b", "z", Batch, 4)
+	m2.Images["img"] = true
+	if n := len(Pass(input("b", []*Machine{m1, m2}, job("wk-1", wire.ShapeArray, wire.RankNormal, 2, nil))).Claims); n != 2 {
+		t.Fatalf("the node with the image claims %d of 2", n)
+	}
+}
+
 func TestLeastFreeRoomAndHeldImages(t *testing.T) {
 	big, small := machine("big", "a", "z", Batch, 8), machine("small", "a", "z", Batch, 8)
 	small.Free = jobs.Resources{CPUs: 2, GPUs: 2, RAM: 8}
