--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -18,6 +18,8 @@
 	WhySlowBoot = "slow boot"
 	WhyGone     = "gone from the cloud's list"
 	WhySilent   = "silent for longer than a lease"
+	WhyIdle     = "idle"
+	WhySpare    = "the others have room for its tasks"
 )
 
 // Kind is what one rental asks for.
@@ -35,6 +37,7 @@
 	Booting bool          // not up yet
 	Age     time.Duration // since it was rented or first listed
 	Idle    time.Duration // without claims
+	Movable bool          // its service tasks have room on machines that hold their images
 	Claims  int
 	Free    jobs.Resources
 	Suspect bool
@@ -66,6 +69,11 @@
 	Service Load
 	Batch   Load
 	Refused map[Kind]time.Time // when the cloud had none
+
+	// Spared says since when the plan could do without a busy machine; the
+	// plan keeps it up to date.
+	Spared map[string]time.Time
+	Moving bool // a machine is being drained of service tasks
 }
 
 // HirePlan is a number of machines to rent for a role.
@@ -275,7 +283,7 @@
 			ordinary[floor(u)]++
 		}
 	}
-	idle := []Unit{}
+	spare := []Unit{}
 	for _, u := range p.in.Units {
 		boot := config.Seconds(p.types[u.Kind.Rig].StartupS)
 		switch {
@@ -287,8 +295,9 @@
 			out = append(out, DrainPlan{u.Name, WhySilent})
 		case u.Suspect:
 			out = append(out, DrainPlan{u.Name, "tasks of several jobs failed"})
-		case u.Open && u.Claims == 0:
-			idle = append(idle, u)
+		case !u.Open:
+		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && !p.in.Moving:
+			spare = append(spare, u)
 		}
 	}
 	price := func(u Unit) float64 {
@@ -298,44 +307,72 @@
 		}
 		return t.Price
 	}
-	sort.Slice(idle, func(a, b int) bool {
-		if price(idle[a]) != price(idle[b]) {
-			return price(idle[a]) > price(idle[b])
+	// Idle ones first, then the emptiest of the dearest.
+	sort.Slice(spare, func(a, b int) bool {
+		x, y := spare[a], spare[b]
+		if (x.Claims == 0) != (y.Claims == 0) {
+			return x.Claims == 0
+		}
+		if price(x) != price(y) {
+			return price(x) > price(y)
 		}
-		return idle[a].Name < idle[b].Name
+		if x.Claims != y.Claims {
+			return x.Claims < y.Claims
+		}
+		return x.Name < y.Name
 	})
 	gone := map[place.Role]bool{}
-	for _, u := range idle {
-		limit := p.in.Op.IdleOrdinary
-		if u.Kind.Spot {
-			limit = p.in.Op.IdleSpot
-		}
-		if u.Idle < limit || unmet[u.Role] || gone[u.Role] || len(p.hires) > 0 {
+	spared := map[string]bool{}
+	for _, u := range spare {
+		if !u.Kind.Spot && ordinary[floor(u)] <= tuning.RoleFloor || !p.spares(u) {
 			continue
 		}
-		if !u.Kind.Spot && ordinary[floor(u)] <= tuning.RoleFloor {
-			continue
+		// A busy machine is spared for as long as an idle one must be idle.
+		spared[u.Name] = true
+		since, ok := p.in.Spared[u.Name]
+		if !ok {
+			since = p.in.Now
+			p.in.Spared[u.Name] = since
+		}
+		limit, idle, why := p.in.Op.IdleOrdinary, u.Idle, WhyIdle
+		if u.Kind.Spot {
+			limit = p.in.Op.IdleSpot
 		}
-		l, share := p.in.Batch, p.in.Op.BatchHeadroom
-		if u.Role == place.Service {
-			l, share = p.in.Service, p.in.Op.ServiceHeadroom
+		if u.Claims > 0 {
+			idle, why = p.in.Now.Sub(since), WhySpare
 		}
-		if !p.spares(u, l, share) {
+		if idle < limit || unmet[u.Role] || gone[u.Role] || len(p.hires) > 0 {
 			continue
 		}
 		gone[u.Role] = true // one of each role a plan
 		ordinary[floor(u)]--
-		out = append(out, DrainPlan{u.Name, "idle"})
+		out = append(out, DrainPlan{u.Name, why})
+	}
+	for name := range p.in.Spared {
+		if !spared[name] {
+			delete(p.in.Spared, name)
+		}
 	}
 	return out
 }
 
-// spares reports whether the headroom stands without the machine.
-func (p *planner) spares(u Unit, l Load, share float64) bool {
+// spares reports whether the role's headroom stands without the machine, with
+// the service tasks that would have to move. Batch tasks end where they are.
+func (p *planner) spares(u Unit) bool {
+	l, share := p.in.Batch, p.in.Op.BatchHeadroom
+	if u.Role == place.Service {
+		l, share = p.in.Service, p.in.Op.ServiceHeadroom
+	}
 	need := spare(l, share)
+	if u.Role == place.Service {
+		need += u.Claims
+	}
 	if need == 0 {
 		return true
 	}
+	if l.Work == nil {
+		return false
+	}
 	j := typical(l)
 	room := 0
 	for _, v := range p.in.Units {
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -25,13 +25,14 @@
 		n.leading = leading{baton: n.member.Baton, listed: map[string]wire.Host{}, absent: map[string]int{},
 			hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, since: map[string]time.Time{}}
+			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}}
 		if old.baton > 0 && old.baton == n.member.Baton-1 && old.hired != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
+			n.leading.spared = old.spared
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
 		}
@@ -380,7 +381,7 @@
 			}
 		}
 		victim := roles.Victim(service)
-		d := c.Evaluate(now, n.split(t, machines), func() bool { return victim != nil && fitElsewhere(machines, victim) })
+		d := c.Evaluate(now, n.split(t, machines), func() bool { return victim != nil && fitElsewhere(machines, victim, false) })
 		l.decision[t.Label] = d
 		var m *place.Machine
 		role := place.Batch
@@ -406,8 +407,8 @@
 }
 
 // fitElsewhere reports whether all service tasks of a machine have room on the
-// others at once.
-func fitElsewhere(machines []*place.Machine, victim *place.Machine) bool {
+// others at once; held: on machines that hold their images.
+func fitElsewhere(machines []*place.Machine, victim *place.Machine, held bool) bool {
 	copies := make([]*place.Machine, len(machines))
 	for i, m := range machines {
 		c := *m
@@ -418,7 +419,7 @@
 			continue
 		}
 		to := place.Elsewhere(copies, r.Job, r.ID.Task, victim.Name)
-		if to == nil {
+		if to == nil || held && !to.Images[r.Job.Record.Work.Bundle] {
 			return false
 		}
 		to.Free = to.Free.Sub(r.Job.Need)
@@ -428,7 +429,7 @@
 
 // planInput builds the capacity plan's input; mu is held.
 func (n *Node) planInput(l *leading, machines []*place.Machine, now time.Time) fleet.PlanInput {
-	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused}
+	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up := n.lastHeard(now)
 	batch := 0.0
@@ -473,6 +474,10 @@
 				l.batch.Need, l.batch.Work = r.Job.Need, wk
 			}
 		}
+		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && m.Role == place.Service {
+			in.Moving = true
+		}
+		u.Movable = m.Open && m.Role == place.Service && len(m.Tasks) > 0 && fitElsewhere(machines, m, true)
 		if rec.Phase == fleet.In {
 			if w := n.workers[m.Name]; m.Owner == n.self.Label && w != nil && len(w.Errors) >= tuning.HostErrorsMax {
 				u.Suspect = true
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -92,6 +92,7 @@
 	decision map[string]roles.Decision
 	seenJobs map[string]bool
 	idle     map[string]time.Time // since when a machine has no claims
+	spared   map[string]time.Time // see fleet.PlanInput
 	heard    map[string]time.Time // when a machine was last heard by anybody
 	since    map[string]time.Time // when a machine was first listed
 	batchAvg float64
