Headroom for waiting services too; a booting machine keeps the floor

Cause: the headroom counted running services only, so none was rented with the first burst; and the floor rule took a service machine for a batch role whose own machine was booting.

--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -78,7 +78,9 @@
 // Split is the ordinary machines of one type.
 type Split struct {
 	Type           string
-	Batch, Service int     // machines per role
+	Batch, Service int     // machines per role that are up
+	BatchComing    int     // batch machines that still boot; they keep the floor
+	ServiceComing  int     // service machines that still boot
 	Spot           int     // spot machines, which serve batch only and are never split
 	BatchWork      float64 // queued batch work in machine-seconds
 	ServiceBooked  float64 // service demand in machines
@@ -267,10 +269,10 @@
 func (c *Controller) propose(s Split) (Proposal, Gate) {
 	op := c.op
 	if s.Batch+s.Service >= 2*tuning.RoleFloor {
-		if s.Service < tuning.RoleFloor && s.Batch > tuning.RoleFloor {
+		if s.Service+s.ServiceComing < tuning.RoleFloor && s.Batch > tuning.RoleFloor {
 			return Proposal{ToService, Floor, s.Complete, s.Batch - 1, s.Service + 1}, Open
 		}
-		if s.Batch < tuning.RoleFloor && s.Service > tuning.RoleFloor && s.BatchWork > 0 {
+		if s.Batch+s.BatchComing < tuning.RoleFloor && s.Service > tuning.RoleFloor && s.BatchWork > 0 {
 			return Proposal{ToBatch, Floor, s.Complete, s.Batch + 1, s.Service - 1}, Open
 		}
 	}
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// A service machine was taken for the batch floor while the batch machine that
+// had been rented for it was booting.
+func TestABootingMachineKeepsTheFloor(t *testing.T) {
+	c, now := newController()
+	s := Split{Batch: 0, BatchComing: 1, Service: 3, ServiceBooked: 2.4, BatchWork: 10, Complete: true}
+	if d := step(c, now, 1, s, yes); d.Move != None || d.Proposal.Rule == Floor {
+		t.Fatalf("%+v", d)
+	}
+}
+
 func TestAdvisoryRecordsButMovesNothing(t *testing.T) {
 	op := config.DefaultOperator()
 	op.RoleAdvisory = true
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -309,6 +309,13 @@
 			if m.Type == t.Label && m.Role == place.Batch {
 				coming = append(coming, m.Free)
 			}
+			if m.Type == t.Label && !m.Spot {
+				if m.Role == place.Batch {
+					s.BatchComing++
+				} else {
+					s.ServiceComing++
+				}
+			}
 			continue
 		}
 		count[m.Type]++
@@ -513,6 +520,11 @@
 		if j == nil || n.why[ref] != place.NoRoom {
 			continue
 		}
+		if j.Service() {
+			// The headroom is for what will run, not only for what runs.
+			in.Service.Tasks += float64(n.unmet[ref])
+			in.Service.Need, in.Service.Work = j.Need, j.Record.Work
+		}
 		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
 	}
 	return in
