New machines fill the role floors first, then what waits

Cause: all machines of the first list became service machines, since the list's own new entries were not counted; the floor rule then flipped machines that had just got services.

--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -170,7 +170,7 @@
 				n.log.Info("machine failed", "host", h.Ref)
 			}
 		case !known:
-			rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Phase: fleet.In, Role: n.firstRole(l, h)}
+			rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Phase: fleet.In, Role: n.firstRole(l, h, changes)}
 			changes = append(changes, hostChange{h.Ref, &rec})
 			n.log.Info("machine joins", "host", h.Ref, "type", h.Rig, "zone", h.Plot, "spot", h.Windfall, "role", string(rec.Role))
 		}
@@ -201,8 +201,8 @@
 }
 
 // firstRole is the role of a machine that is new to the store: what it was
-// rented for, else what its type has fewer of.
-func (n *Node) firstRole(l *leading, h wire.Host) place.Role {
+// rented for; else the role floors, then what waits, then the smaller role.
+func (n *Node) firstRole(l *leading, h wire.Host, joining []hostChange) place.Role {
 	if h.Windfall {
 		return place.Batch
 	}
@@ -210,12 +210,28 @@
 		return r.role
 	}
 	count := map[place.Role]int{}
-	for _, r := range n.hosts {
+	add := func(r fleet.Record) {
 		if r.Rig == h.Rig && !r.Spot && r.Phase == fleet.In {
 			count[r.Role]++
 		}
 	}
-	if count[place.Service] <= count[place.Batch] {
+	for _, r := range n.hosts {
+		add(r)
+	}
+	for _, c := range joining {
+		add(*c.rec)
+	}
+	waiting := false
+	for ref := range n.unmet {
+		j := n.table.Open[ref]
+		waiting = waiting || j != nil && j.Service()
+	}
+	switch {
+	case count[place.Service] < tuning.RoleFloor:
+		return place.Service
+	case count[place.Batch] < tuning.RoleFloor:
+		return place.Batch
+	case waiting || count[place.Service] <= count[place.Batch]:
 		return place.Service
 	}
 	return place.Batch
