--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -83,6 +83,8 @@
 	Demands    []*Demand
 	Teams      map[string]*Team
 	Now        time.Time
+
+	held int // rank from which borrowed room is kept for a guarantee; see one
 }
 
 // Claim is a placement for this node to store.
@@ -130,12 +132,16 @@
 	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need))
 }
 
+// noRank is beyond the lowest rank.
+const noRank = 1 << 10
+
 // NoRoom is why most tasks wait.
 const NoRoom = "no machine has room"
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
 	out := Output{Unmet: map[string]int{}, Why: map[string]string{}}
+	in.held = noRank
 	before := less(&in)
 	sort.Slice(in.Demands, func(a, b int) bool { return before(in.Demands[a], in.Demands[b]) })
 	sort.Slice(in.Machines, func(a, b int) bool { return in.Machines[a].Name < in.Machines[b].Name })
@@ -152,6 +158,13 @@
 		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = len(d.Tasks), "its team is not in the settings"
 		return
 	}
+	guaranteed := in.guaranteed(d.Job)
+	if !guaranteed && jobs.RankOrder(w.Rank) >= in.held {
+		// Guards against borrowed work taking back the room that was freed for
+		// a guarantee: it was stopped and placed again many times a minute.
+		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = len(d.Tasks), "room is kept for another team's guarantee"
+		return
+	}
 	tasks := d.Tasks
 	quota := 0
 	for use := *team; quota < len(tasks) && use.allows(d.Job.Need); quota++ {
@@ -195,6 +208,9 @@
 	}
 	if rest := len(d.Tasks) - len(picks); rest > 0 {
 		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = rest, NoRoom
+		if d.Pressed && guaranteed && len(tasks) > len(picks) {
+			in.held = min(in.held, jobs.RankOrder(w.Rank))
+		}
 		for range len(tasks) - len(picks) {
 			if !in.makeRoom(d, out) {
 				break
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -220,3 +220,17 @@
 		t.Fatal("a running service was stopped for one of the same rank")
 	}
 }
+
+func TestRoomFreedForAGuaranteeIsNotTakenBack(t *testing.T) {
+	mine := job("wk-1", wire.ShapeArray, wire.RankNormal, 2, nil)
+	theirs := job("wk-2", wire.ShapeArray, wire.RankNormal, 1, func(w *wire.Work) { w.Crew, w.CPUs = "y", 0.5 })
+	m := machine("m", "a", "z", Batch, 1)
+	m.Free = jobs.Resources{CPUs: 0.5, GPUs: 1, RAM: 64} // too small for mine, freed for it
+	in := input("a", []*Machine{m}, mine, theirs)
+	in.Demands[0].Pressed = true
+	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+	in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 2}, Guaranteed: jobs.Resources{GPUs: 1}}
+	if out := Pass(in); len(out.Claims) != 0 {
+		t.Fatal("borrowed work took the room that a guarantee waits for")
+	}
+}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -236,7 +236,7 @@
 		n.cache.Own(then, epoch)
 		wake(n.kick)
 		n.mu.Unlock()
-		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards)
+		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "reckon_s", w.ReckonS, "due_s", due(w))
 		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
 		// A lost answer is settled by reading again.
@@ -298,3 +298,11 @@
 	}
 	n.later(c, 503, "the cancellation can't be stored now")
 }
+
+// due is a job's deadline for the log, 0 if it has none.
+func due(w *wire.Work) float64 {
+	if w.DueS == nil {
+		return 0
+	}
+	return *w.DueS
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -106,8 +106,9 @@
 	// the processor time that a pass takes.
 	ClaimsPerPass = 256
 	// GuaranteePreemptAfter is how long work within a guarantee waits before
-	// another team's borrowed work is stopped for it: about a machine's boot.
-	GuaranteePreemptAfter = 60 * time.Second
+	// another team's borrowed work is stopped for it: by then the cloud has had
+	// time for two boots.
+	GuaranteePreemptAfter = 120 * time.Second
 	// TasksPerJob bounds the tasks of one job that a pass tries to place.
 	TasksPerJob = 64
 )
