--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -152,7 +152,7 @@
 	var changes []hostChange
 	for _, h := range list {
 		seen[h.Ref] = true
-		if _, ok := l.listed[h.Ref]; !ok {
+		if _, ok := l.since[h.Ref]; !ok {
 			l.since[h.Ref] = now
 		}
 		l.listed[h.Ref] = h
@@ -181,13 +181,16 @@
 		}
 	}
 	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
-	for host := range l.listed {
+	for host, rec := range n.hosts {
 		if seen[host] {
 			continue
 		}
-		// A list may be older than the one before: a new machine may be
-		// missing from it and yet be there.
-		if now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
+		// A stored machine was listed once, perhaps to a former leader. A list
+		// may be older than that: a new machine may be missing from it.
+		if _, ok := l.since[host]; !ok {
+			l.since[host] = now
+		}
+		if rec.Phase == fleet.Returned || now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
 			l.absent[host]++
 		}
 	}
@@ -618,12 +621,12 @@
 			if len(n.table.Hosts[host]) > 0 {
 				continue // its owner releases them first
 			}
-			_, listed := l.listed[host]
-			if !listed || l.absent[host] >= tuning.GoneLists {
+			if l.absent[host] >= tuning.GoneLists {
 				drops = append(drops, hostChange{host, nil})
 				delete(l.listed, host)
 				delete(l.absent, host)
 				delete(l.heard, host)
+				delete(l.since, host)
 				delete(l.idle, host)
 			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
