--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,10 +7,12 @@
 package place
 
 import (
+	"math"
 	"sort"
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/wire"
 )
 
 // Role of a machine.
@@ -40,7 +42,47 @@
 	Free                    jobs.Resources // not claimed
 	Freeing                 jobs.Resources // claimed by tasks that are being stopped
 	Images                  map[string]bool
+	FetchGBPerS             float64 // 0: not known
 	Tasks                   []Resident
+
+	placed []*wire.Work // jobs placed in this pass
+}
+
+// fetchBucket is the difference in expected fetch time, in seconds, below
+// which two machines count as equal and the least free room decides.
+const fetchBucket = 2.0
+
+// wait is the expected time until the machine has the job's image, in buckets:
+// nothing if it holds it, else the fetch together with those under way, which
+// share the machine's rate.
+func (m *Machine) wait(j *jobs.Job) float64 {
+	w := j.Record.Work
+	if m.Images[w.Bundle] {
+		return 0
+	}
+	rate := m.FetchGBPerS
+	if rate <= 0 {
+		rate = 1
+	}
+	gb, seen := w.ImageGB, map[string]bool{}
+	note := func(v *wire.Work) {
+		if v == nil || m.Images[v.Bundle] || seen[v.Bundle] {
+			return
+		}
+		seen[v.Bundle] = true
+		if v.Bundle == w.Bundle {
+			gb -= w.ImageGB / 2 // joins a fetch that is under way
+		} else {
+			gb += v.ImageGB
+		}
+	}
+	for _, r := range m.Tasks {
+		note(r.Job.Record.Work)
+	}
+	for _, v := range m.placed {
+		note(v)
+	}
+	return math.Ceil(gb / rate / fetchBucket)
 }
 
 // Team is a team's limits and use.
@@ -175,19 +217,17 @@
 		return
 	}
 	tasks = tasks[:quota]
-	// The first node whose machines hold all tasks, the fewest image fetches
-	// coming first: a fetch costs more than any other choice here.
-	placer, picks, fetches := "", []*Machine(nil), 0
+	// The first node whose machines hold all tasks, the shortest waits for the
+	// image coming first: a fetch costs more than any other choice here.
+	placer, picks, fetches := "", []*Machine(nil), 0.0
 	for _, node := range in.Order(d.Job.Ref) {
 		p := in.fit(d, tasks, node)
 		if len(p) < len(tasks) {
 			continue
 		}
-		k := 0
+		k := 0.0
 		for _, m := range p {
-			if !m.Images[w.Bundle] {
-				k++
-			}
+			k += m.wait(d.Job)
 		}
 		if placer == "" || k < fetches {
 			placer, picks, fetches = node, p, k
@@ -201,6 +241,7 @@
 	}
 	for i, m := range picks {
 		m.Free = m.Free.Sub(d.Job.Need)
+		m.placed = append(m.placed, w)
 		team.Used = team.Used.Add(d.Job.Need)
 		if placer == in.Me && !d.Blocked {
 			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Stint})
@@ -235,7 +276,8 @@
 }
 
 // fit chooses a machine for each task, as many as fit, among those of one
-// node (or all): least free room left, machines that hold the image first.
+// node (or all): least free room left, among those with the shortest wait for
+// the image.
 func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
 	w := d.Job.Record.Work
 	var cand []*Machine
@@ -294,8 +336,9 @@
 func (in *Input) greedy(d *Demand, tasks []int, cand []*Machine, zones map[string]int) []*Machine {
 	w := d.Job.Record.Work
 	free := make(map[*Machine]jobs.Resources, len(cand))
+	wait := make(map[*Machine]float64, len(cand))
 	for _, m := range cand {
-		free[m] = m.Free
+		free[m], wait[m] = m.Free, m.wait(d.Job)
 	}
 	used := map[string]int{}
 	for z, n := range zones {
@@ -312,10 +355,7 @@
 			if !d.Job.Need.Fits(free[m]) || w.Apart && used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 				continue
 			}
-			key := [2]float64{1, free[m].Sub(d.Job.Need).Share(m.Total)}
-			if m.Images[w.Bundle] {
-				key[0] = 0
-			}
+			key := [2]float64{wait[m], free[m].Sub(d.Job.Need).Share(m.Total)}
 			if best == nil || key[0] < bestKey[0] || key[0] == bestKey[0] && key[1] < bestKey[1] {
 				best, bestKey = m, key
 			}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -8,7 +8,7 @@
 )
 
 func job(ref, shape, rank string, tasks int, edit func(*wire.Work)) *jobs.Job {
-	w := &wire.Work{Ref: ref, Crew: "x", Shape: shape, Rank: rank, Shards: tasks, CPUs: 1, Cards: 1, RAMGB: 1, Bundle: "img", Windfall: true}
+	w := &wire.Work{Ref: ref, Crew: "x", Shape: shape, Rank: rank, Shards: tasks, CPUs: 1, Cards: 1, RAMGB: 1, Bundle: "img", ImageGB: 5, Windfall: true}
 	if edit != nil {
 		edit(w)
 	}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -236,7 +236,7 @@
 		n.cache.Own(then, epoch)
 		wake(n.kick)
 		n.mu.Unlock()
-		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "reckon_s", w.ReckonS, "due_s", due(w))
+		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w))
 		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
 		// A lost answer is settled by reading again.
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -246,7 +246,7 @@
 	for host, rec := range n.hosts {
 		t := n.rigs[rec.Rig]
 		m := &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
-			Owner: n.member.Owner(host), Images: map[string]bool{},
+			Owner: n.member.Owner(host), Images: map[string]bool{}, FetchGBPerS: t.FetchGBPerS,
 			Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}}
 		m.Free = m.Total.Sub(n.table.HostNeed(host))
 		w := n.workers[host]
