--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+label = "n0"
+bind = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+new_field = "ignored"
+[[siblings]]
+label = "n1"
+endpoint = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:2"
+[params]
+count = 2
+[[params.teams]]
+name = "x"
+gpus = 4.0
+[params.workers]
+report_s = 3.0
+lease_s = 30.0
+cancel_s = 60.0
+[params.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 12
+[params.cloud]
+rps = 4.0
+list_lag_s = 4.0
+[params.limits]
+cpu_share = 0.2
+mem_mb = 128.0
+max_connections = 500
+`
+
+func TestSettingsAreCheckedAndTheFieldIsNamed(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.Siblings[0].Label != "n1" || s.Lease() != 30*time.Second {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for from, c := range map[string][2]string{
+		`label = "n0"`:               {``, "label"},
+		`bind = "10.0.0.1:8080"`:     {`bind = "nowhere"`, "bind"},
+		`state = "10.2.0.1:2"`:       {``, "endpoints.state"},
+		`label = "n1"`:               {`label = "n0"`, "siblings[0].label"},
+		`endpoint = "10.0.0.2:8081"`: {``, "siblings[0].endpoint"},
+		`name = "x"`:                 {`name = "x y"`, "params.teams[0].name"},
+		`gpus = 4.0`:                 {`gpus = -1.0`, "params.teams[0]"},
+		`cancel_s = 60.0`:            {`cancel_s = 20.0`, "params.workers.cancel_s"},
+		`rps = 100.0`:                {`rps = 0.0`, "params.state.rps"},
+		`txn_ops = 12`:               {`txn_ops = "many"`, "txn_ops"},
+		`mem_mb = 128.0`:             {`mem_mb = `, "line"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, from, c[0], 1)))
+		if err == nil || !strings.Contains(err.Error(), c[1]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: %v", c[0], from, err)
+		}
+	}
+}
+
+// Workers' leases that a node renews without reading the state service must
+// end before a cancellation is due.
+func TestAnswerBoundLeavesRoomForTheLease(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b := s.AnswerBound(); b <= 0 || b+s.Lease() >= 60*time.Second {
+		t.Fatalf("bound %v", b)
+	}
+	s.Params.Workers.CancelS = 31
+	if s.AnswerBound() != 0 {
+		t.Fatal("a bound below zero")
+	}
+}
+
+func TestPropertiesAreChecked(t *testing.T) {
+	o, err := ParseOperator([]byte("# comment\nroles.shrink = 0.4\nroles.cooldown: 20s\nroles.advisory=true\nlog.level=debug\n"))
+	if err != nil || o.RoleShrink != 0.4 || o.RoleCooldown != 20*time.Second || !o.RoleAdvisory || o.LogLevel != "debug" {
+		t.Fatalf("%+v %v", o, err)
+	}
+	for text, key := range map[string]string{
+		"no.such.key=1":           "no.such.key",
+		"roles.shrink=2":          "roles.shrink",
+		"roles.shrink=0.4x":       "roles.shrink",
+		"roles.cooldown=20":       "roles.cooldown",
+		"roles.advisory=maybe":    "roles.advisory",
+		"log.level=loud":          "log.level",
+		"roles.confirmations=1.5": "roles.confirmations",
+		"roles.evidence.max=5s":   "roles.evidence.max",
+		"roles.expand=0.4":        "roles.shrink",
+		"retry.after=0":           "retry.after",
+	} {
+		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	for name := range keys {
+		if !strings.Contains(OperatorHelp(), name) {
+			t.Errorf("%s is not in the help", name)
+		}
+	}
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	if _, err := Load(t.TempDir()+"/none.toml", ""); err == nil || !strings.Contains(err.Error(), "none.toml") {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+func valid() map[string]any {
+	return map[string]any{"ref": "wk-000412", "cohort": "train", "crew": "vision", "shape": "array", "rank": "urgent",
+		"shards": 16, "cpus": 8.0, "cards": 1.0, "ram_gb": 64, "bundle": "img-07", "image_gb": 6.2, "rigs": []string{"g8"},
+		"plot": nil, "together": true, "apart": false, "windfall": true, "reckon_s": 240.0, "stake_s": 30.0, "stash_s": 4.0,
+		"due_s": 900.0, "field_of_tomorrow": map[string]any{"x": 1}}
+}
+
+func TestDecodeWork(t *testing.T) {
+	w, err := DecodeWork(MustMarshal(valid()))
+	if err != nil || w.Shards != 16 || w.RAMGB != 64 || w.Plot != nil || *w.DueS != 900 {
+		t.Fatalf("%+v %v", w, err)
+	}
+	for _, null := range []string{"rigs", "plot", "due_s"} {
+		m := valid()
+		delete(m, null)
+		if _, err := DecodeWork(MustMarshal(m)); err != nil {
+			t.Errorf("without %s: %v", null, err)
+		}
+	}
+	for _, f := range requiredWork {
+		for _, v := range []any{nil, []int{1}} {
+			m := valid()
+			m[f] = v
+			if _, err := DecodeWork(MustMarshal(m)); !errors.Is(err, ErrMalformed) {
+				t.Errorf("%s = %v: %v", f, v, err)
+			}
+		}
+		m := valid()
+		delete(m, f)
+		if _, err := DecodeWork(MustMarshal(m)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("without %s: %v", f, err)
+		}
+	}
+	for f, v := range map[string]any{"ref": "job-1", "shape": "heap", "rank": "high", "shards": 0, "cpus": -1.0, "due_s": -5.0, "plot": ""} {
+		m := valid()
+		m[f] = v
+		if _, err := DecodeWork(MustMarshal(m)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s = %v was taken", f, v)
+		}
+	}
+	m := valid()
+	m["shards"] = MaxShards + 1
+	if _, err := DecodeWork(MustMarshal(m)); err == nil {
+		t.Error("too many shards were taken")
+	}
+	for _, b := range [][]byte{nil, {0xf6}, []byte("{}"), MustMarshal([]int{1}), append(MustMarshal(valid()), 0)} {
+		if _, err := DecodeWork(b); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%x was taken", b)
+		}
+	}
+}
+
+func FuzzDecodeWork(f *testing.F) {
+	f.Add(MustMarshal(valid()))
+	f.Add([]byte{0xa1, 0x63, 'r', 'e', 'f', 0x00})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		w, err := DecodeWork(b)
+		if err != nil {
+			return
+		}
+		again, err := DecodeWork(MustMarshal(w))
+		if err != nil || again.Ref != w.Ref || again.Shards != w.Shards {
+			t.Fatalf("what was taken is refused when encoded again: %v", err)
+		}
+	})
+}
+
+func FuzzCheckin(f *testing.F) {
+	f.Add(MustMarshal(Checkin{Host: "host-1", Stint: 1, Shards: []Shard{{Shard: "wk-1/0", Try: 1, Phase: ShardRunning}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var c Checkin
+		if Unmarshal(b, &c) == nil {
+			MustMarshal(c)
+		}
+	})
+}
+
+func ExampleDecodeWork() {
+	body := MustMarshal(Work{Ref: "wk-000412", Cohort: "train", Crew: "vision", Shape: ShapeArray, Rank: RankNormal,
+		Shards: 4, CPUs: 8, Cards: 1, RAMGB: 64, Bundle: "img-07", ImageGB: 6.2})
+	w, err := DecodeWork(body)
+	fmt.Println(w.Ref, w.Shards, err)
+	// Output: wk-000412 4 <nil>
+}
+
+func ExampleUnmarshal() {
+	body := MustMarshal(Status{Ref: "wk-000412", Phase: PhaseRunning, Done: 3, Running: 13})
+	var st Status
+	if err := Unmarshal(body, &st); err != nil {
+		fmt.Println(err)
+	}
+	fmt.Println(st.Phase, st.Done)
+	// Output: running 3
+}
