--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -540,8 +540,9 @@
 			continue
 		}
 		if j.Service() {
-			// The headroom is for what will run, not only for what runs.
-			in.Service.Tasks += float64(n.unmet[ref])
+			// The headroom is for what will run too, and larger while it waits:
+			// some machines take several times as long to boot.
+			in.Service.Tasks += tuning.BootHedge * float64(n.unmet[ref])
 			in.Service.Need, in.Service.Work = j.Need, j.Record.Work
 		}
 		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -190,6 +190,10 @@
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
+	// BootHedge is how much more a service task that waits counts for the
+	// headroom than one that runs: a spare machine for every 20 tasks or so
+	// covers one slow boot, and costs a minute's price if all boot in time.
+	BootHedge = 3.0
 	// BatchHeadroom is the spare batch capacity kept, as a share of the mean
 	// of what batch holds.
 	BatchHeadroom = 0.25
