--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+)
+
+// metrics are gathered when they are asked for; only the counts of answers
+// are kept on the way.
+type metrics struct {
+	reg     *prometheus.Registry
+	answers *prometheus.CounterVec
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("wheatspur_"+name, help, labels, nil)
+}
+
+var (
+	descBaton    = desc("baton", "Token of the membership this node knows.")
+	descLeader   = desc("leader", "1 if this node leads.")
+	descState    = desc("state_service", "1 if the state service was read lately.")
+	descJobs     = desc("jobs_open", "Jobs that are not over.")
+	descTasks    = desc("tasks", "Tasks of open jobs.", "state")
+	descUnmet    = desc("tasks_without_place", "Tasks without a place in the last pass.")
+	descHosts    = desc("machines", "Machines by type, kind, role and phase.", "type", "kind", "role", "phase")
+	descSplit    = desc("split_load", "Load of a role, as the leader last priced it.", "type", "role")
+	descEvidence = desc("split_evidence_open", "1 while the evidence window is open.", "type")
+)
+
+func newMetrics(n *Node) *metrics {
+	m := &metrics{reg: prometheus.NewRegistry(), answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheatspur_answers_total", Help: "Answers by kind of request and status."}, []string{"request", "status"})}
+	m.reg.MustRegister(m.answers, nodeCollector{n})
+	return m
+}
+
+// nodeCollector reads a node's state when metrics are gathered.
+type nodeCollector struct{ n *Node }
+
+func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descBaton, descLeader, descState, descJobs, descTasks, descUnmet, descHosts, descSplit, descEvidence} {
+		ch <- d
+	}
+}
+
+func (c nodeCollector) Collect(ch chan<- prometheus.Metric) {
+	n := c.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	if n.member != nil {
+		gauge(descBaton, float64(n.member.Baton))
+	}
+	leads := n.leads()
+	gauge(descLeader, flag(leads))
+	gauge(descState, flag(n.hasState()))
+	gauge(descJobs, float64(len(n.table.Open)))
+	var tasks [3]int
+	for _, j := range n.table.Open {
+		for s, k := range j.Counts {
+			tasks[s] += k
+		}
+	}
+	for s, k := range tasks {
+		gauge(descTasks, float64(k), jobs.State(s).String())
+	}
+	unmet := 0
+	for _, k := range n.unmet {
+		unmet += k
+	}
+	gauge(descUnmet, float64(unmet))
+	type group struct {
+		rig, kind, role string
+		phase           fleet.Phase
+	}
+	hosts := map[group]int{}
+	for _, h := range n.hosts {
+		kind := "ordinary"
+		if h.Spot {
+			kind = "spot"
+		}
+		hosts[group{h.Rig, kind, string(h.Role), h.Phase}]++
+	}
+	for g, k := range hosts {
+		gauge(descHosts, float64(k), g.rig, g.kind, g.role, string(g.phase))
+	}
+	if leads {
+		for rig, d := range n.leading.decision {
+			gauge(descSplit, d.BatchLoad, rig, "batch")
+			gauge(descSplit, d.ServiceLoad, rig, "service")
+			gauge(descEvidence, flag(d.EvidenceOpen), rig)
+		}
+	}
+}
+
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// count notes an answer.
+func (m *metrics) count(request string, status int) {
+	m.answers.WithLabelValues(request, strconv.Itoa(status)).Inc()
+}
+
+func (n *Node) serveMetrics(c *fasthttp.RequestCtx) {
+	families, err := n.metrics.reg.Gather()
+	if err != nil {
+		refuse(c, 500, "metrics can't be gathered")
+		n.log.Error("metrics can't be gathered", "err", err)
+		return
+	}
+	var b bytes.Buffer
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(&b, f); err != nil {
+			n.log.Error("metrics can't be written", "err", err)
+			return
+		}
+	}
+	c.SetContentType(string(expfmt.NewFormat(expfmt.TypeTextPlain)))
+	c.SetBody(b.Bytes())
+}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -50,6 +50,8 @@
 	cloud fleet.Cloud
 	call  caller
 
+	metrics *metrics
+
 	mu       sync.Mutex // guards all below
 	cache    *store.Cache
 	table    *jobs.Table
@@ -127,6 +129,7 @@
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 	}
 	n.self.Label = set.Label
+	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
 	n.cache = store.NewCache(n.sink)
 	n.sync = store.NewSyncer(svc, jobs.Root, &n.mu, n.cache, n.changed, set.Operator.PollQueue, now, log)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -469,3 +470,21 @@
 		t.Fatalf("poll of an unknown job: %d", code)
 	}
 }
+
+func TestOperatorsSeeStateAndMetrics(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.submit(n, service("wk-1", 1))
+	w.passAll()
+	_, _, c := ask(n, "GET", "/status", nil)
+	if body := string(c.Response.Body()); !strings.Contains(body, "leader a") || !strings.Contains(body, "waiting wk-1 tasks 1 because "+place.NoRoom) {
+		t.Fatalf("status:\n%s", body)
+	}
+	_, _, c = ask(n, "GET", "/metrics", nil)
+	body := string(c.Response.Body())
+	for _, want := range []string{"wheatspur_leader 1", "wheatspur_tasks_without_place 1", `wheatspur_answers_total{request="submission",status="201"} 1`} {
+		if !strings.Contains(body, want) {
+			t.Errorf("metrics lack %s:\n%s", want, body)
+		}
+	}
+}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -44,10 +44,15 @@
 }
 
 func (n *Node) serveUser(c *fasthttp.RequestCtx) {
+	n.metrics.count(n.routeUser(c), c.Response.StatusCode())
+}
+
+// routeUser serves a request and returns its kind, for the metrics.
+func (n *Node) routeUser(c *fasthttp.RequestCtx) string {
 	path, method := string(c.Path()), string(c.Method())
 	want := ""
 	switch {
-	case path == "/up", path == "/status":
+	case path == "/up", path == "/status", path == "/metrics":
 		want = "GET"
 	case path == "/work", path == "/checkin":
 		want = "POST"
@@ -59,12 +64,12 @@
 	}
 	if want == "" {
 		refuse(c, 404, "no such path")
-		return
+		return "other"
 	}
 	if method != want {
 		c.Response.Header.Set("Allow", want)
 		refuse(c, 405, "method not allowed")
-		return
+		return "other"
 	}
 	switch path {
 	case "/up":
@@ -75,11 +80,22 @@
 		}
 	case "/status":
 		n.serveStatus(c)
+	case "/metrics":
+		n.serveMetrics(c)
 	case "/checkin":
 		n.checkin(c)
+		return "report"
+	case "/work":
+		n.serveWork(c, path)
+		return "submission"
 	default:
 		n.serveWork(c, path)
+		if want == "POST" {
+			return "cancellation"
+		}
+		return "poll"
 	}
+	return "operator"
 }
 
 // serveWork serves a user's request here, or passes it on to a sibling that
