--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -118,7 +118,10 @@
 		p.types[t.Label] = t
 	}
 	for _, u := range in.Units {
-		if !u.Suspect && !u.Silent && !u.Missing && (u.Open || u.Booting) {
+		// A machine beyond the usual boot time may yet come, or never: what
+		// counts on it waits for the time in which another would boot.
+		late := u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
+		if !u.Suspect && !u.Silent && !u.Missing && !late && (u.Open || u.Booting) {
 			p.bins = append(p.bins, &bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
@@ -160,6 +163,8 @@
 	return out
 }
 
+func (p *planner) boot(u Unit) time.Duration { return config.Seconds(p.types[u.Kind.Rig].StartupS) }
+
 func total(t wire.Rig) jobs.Resources {
 	return jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
 }
@@ -285,9 +290,8 @@
 	}
 	spare := []Unit{}
 	for _, u := range p.in.Units {
-		boot := config.Seconds(p.types[u.Kind.Rig].StartupS)
 		switch {
-		case u.Booting && u.Age > max(time.Duration(tuning.SlowBootFactor*float64(boot)), tuning.SlowBootMin):
+		case u.Booting && u.Age > max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin):
 			out = append(out, DrainPlan{u.Name, WhySlowBoot})
 		case u.Missing:
 			out = append(out, DrainPlan{u.Name, WhyGone})
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// Tasks waited two and a half boots for a machine that never came up.
+func TestALateBootIsReplacedBeforeItIsGivenUp(t *testing.T) {
+	in := input()
+	in.Wants = []Want{want(wire.ShapeStanding, 3)}
+	late := unit("late", place.Service, false)
+	late.Open, late.Booting, late.Age = false, true, 59*time.Second
+	in.Units = []Unit{late}
+	if out := Plan(in); len(out.Hires) != 0 {
+		t.Fatalf("replaced within the usual time: %+v", out.Hires)
+	}
+	in.Units[0].Age = 61 * time.Second
+	if out := Plan(in); len(out.Hires) != 1 || len(out.Drains) != 0 {
+		t.Fatalf("a late boot: %+v", out)
+	}
+}
+
 func TestReturnsWhatIsOfNoUseAndKeepsFloorsAndHeadroom(t *testing.T) {
 	in := input()
 	slow := Unit{Name: "slow", Kind: Kind{"big", "z1", true}, Role: place.Batch, Booting: true, Age: 101 * time.Second}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -169,6 +169,9 @@
 	SlowBootFactor = 2.5
 	// SlowBootMin is the least such time.
 	SlowBootMin = 20 * time.Second
+	// LateBootFactor times a type's boot time is when a machine no longer
+	// counts as coming: the end of the usual range.
+	LateBootFactor = 1.5
 	// IdleSpot and IdleOrdinary are how long an unneeded machine stays before
 	// it is returned; a deleted machine costs at least 60 s, and a new one a boot.
 	IdleSpot     = 25 * time.Second
