--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -55,6 +55,7 @@
 // Load is what a role holds now, for its headroom.
 type Load struct {
 	Tasks float64        // tasks held, a mean over time for batch
+	Least int            // tasks that the headroom holds at least
 	Need  jobs.Resources // of a typical task
 	Work  *wire.Work     // a typical job
 }
@@ -255,10 +256,10 @@
 
 // spare is the number of typical tasks that a role's headroom holds.
 func spare(l Load, share float64) int {
-	if l.Work == nil || l.Tasks <= 0 {
+	if l.Work == nil || share <= 0 {
 		return 0
 	}
-	return int(math.Ceil(l.Tasks * share))
+	return max(int(math.Ceil(l.Tasks*share)), l.Least)
 }
 
 // typical makes a job that stands for a load.
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -33,6 +34,7 @@
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.spared = old.spared
+			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
 		}
@@ -290,6 +292,14 @@
 			continue
 		}
 		l.seenJobs[ref] = true
+		if !j.Service() {
+			size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
+			if l.batchSize == 0 {
+				l.batchSize = size
+			}
+			l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
+			l.batchSeen = now
+		}
 		if !j.Service() || now.Sub(j.Seen) > tuning.RoleStep {
 			continue
 		}
@@ -527,7 +537,10 @@
 		l.batchAvg += (batch - l.batchAvg) * a
 	}
 	l.avgAt = now
-	l.batch.Tasks = l.batchAvg
+	l.batch.Tasks, l.batch.Least = l.batchAvg, 0
+	if now.Sub(l.batchSeen) < tuning.BatchHeadroomHold {
+		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
+	}
 	in.Batch, in.Service = l.batch, service
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -83,24 +83,26 @@
 
 // leading is the leader's memory; it starts empty with each leadership.
 type leading struct {
-	baton    uint64
-	counter  int
-	listed   map[string]wire.Host
-	listAt   time.Time
-	absent   map[string]int // lists in a row that omitted a machine listed before
-	hired    map[string]hired
-	refused  map[fleet.Kind]time.Time
-	control  map[string]*roles.Controller
-	decision map[string]roles.Decision
-	seenJobs map[string]bool
-	idle     map[string]time.Time // since when a machine has no claims
-	spared   map[string]time.Time // see fleet.PlanInput
-	heard    map[string]time.Time // when a machine was last heard by anybody
-	since    map[string]time.Time // when a machine was first listed
-	batchAvg float64
-	avgAt    time.Time
-	batch    fleet.Load // last typical loads
-	service  fleet.Load
+	baton     uint64
+	counter   int
+	listed    map[string]wire.Host
+	listAt    time.Time
+	absent    map[string]int // lists in a row that omitted a machine listed before
+	hired     map[string]hired
+	refused   map[fleet.Kind]time.Time
+	control   map[string]*roles.Controller
+	decision  map[string]roles.Decision
+	seenJobs  map[string]bool
+	idle      map[string]time.Time // since when a machine has no claims
+	spared    map[string]time.Time // see fleet.PlanInput
+	heard     map[string]time.Time // when a machine was last heard by anybody
+	since     map[string]time.Time // when a machine was first listed
+	batchAvg  float64
+	batchSize float64   // mean number of tasks of arriving arrays
+	batchSeen time.Time // when the last one arrived
+	avgAt     time.Time
+	batch     fleet.Load // last typical loads
+	service   fleet.Load
 }
 
 type hired struct {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -199,6 +199,14 @@
 	// BatchHeadroom is the spare batch capacity kept, as a share of the mean
 	// of what batch holds.
 	BatchHeadroom = 0.25
+	// BatchHeadroomJobs is the least headroom for batch, in arrays of the mean
+	// size: arrays arrive whole, and most are smaller than this. The headroom
+	// is of spot machines only, which are cheap.
+	BatchHeadroomJobs = 1.5
+	// BatchSizeAlpha is the weight of a new array in that mean.
+	BatchSizeAlpha = 0.1
+	// BatchHeadroomHold is how long after the last array this headroom stays.
+	BatchHeadroomHold = 60 * time.Second
 	// BatchWindow is the horizon over which that mean is taken.
 	BatchWindow = 60 * time.Second
 )
