The tightest deadline that can be kept goes first

Cause: under the first backlog arrays were placed by age; short ones with tight deadlines waited behind long ones with time to spare, and jobs that were late beyond hope before those that were not. Ruled out: capacity (the same machines, in another order).

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -151,7 +151,9 @@
 	Why    map[string]string
 }
 
-// Less orders demands: rank, then work within its team's guarantee, then age.
+// less orders demands: rank, then work within its team's guarantee, then the
+// latest start that keeps the deadline; what can't keep it any more, and what
+// has none, by age after that.
 func less(in *Input) func(a, b *Demand) bool {
 	return func(a, b *Demand) bool {
 		wa, wb := a.Job.Record.Work, b.Job.Record.Work
@@ -162,13 +164,32 @@
 		if ga != gb {
 			return ga
 		}
-		if a.Job.Record.At != b.Job.Record.At {
-			return a.Job.Record.At < b.Job.Record.At
+		if la, lb := in.latest(a.Job), in.latest(b.Job); la != lb {
+			return la < lb
 		}
 		return a.Job.Ref < b.Job.Ref
 	}
 }
 
+// latest is when a job's tasks must start to keep its deadline, in Unix
+// milliseconds.
+func (in *Input) latest(j *jobs.Job) int64 {
+	w := j.Record.Work
+	if w.DueS == nil {
+		return j.Record.At + noDeadline
+	}
+	due := j.Record.At + int64(*w.DueS*1000)
+	run := int64(w.ReckonS * 1000)
+	if in.Now.UnixMilli()+run/2 > due {
+		// Even a run of half the estimate would be late.
+		return j.Record.At + noDeadline
+	}
+	return due - run
+}
+
+// noDeadline puts a job behind all that have a deadline to keep, by age.
+const noDeadline = int64(1) << 50
+
 func (in *Input) guaranteed(j *jobs.Job) bool {
 	t := in.Teams[j.Record.Work.Crew]
 	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need))
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"wheatspur/internal/jobs"
 	"wheatspur/wire"
@@ -234,3 +235,25 @@
 		t.Fatal("borrowed work took the room that a guarantee waits for")
 	}
 }
+
+func TestTheTightestDeadlineThatCanBeKeptGoesFirst(t *testing.T) {
+	due := func(s float64) func(*wire.Work) {
+		return func(w *wire.Work) { w.DueS, w.ReckonS = &s, 20 }
+	}
+	loose, tight, lost := job("wk-1", wire.ShapeArray, wire.RankNormal, 1, due(300)),
+		job("wk-2", wire.ShapeArray, wire.RankNormal, 1, due(100)), job("wk-3", wire.ShapeArray, wire.RankNormal, 1, due(60))
+	for i, want := range []string{"wk-2", "wk-1", "wk-3"} {
+		left := []*jobs.Job{loose, tight, lost}
+		switch i {
+		case 1:
+			left = []*jobs.Job{loose, lost}
+		case 2:
+			left = []*jobs.Job{lost}
+		}
+		in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, left...)
+		in.Now = time.UnixMilli(0).Add(55 * time.Second)
+		if out := Pass(in); len(out.Claims) != 1 || out.Claims[0].Job.Ref != want {
+			t.Fatalf("step %d: %+v", i, out.Claims)
+		}
+	}
+}
