--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -34,7 +34,6 @@
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.spared = old.spared
-			n.leading.services = old.services
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
@@ -304,7 +303,6 @@
 		if !j.Service() || now.Sub(j.Seen) > tuning.RoleStep {
 			continue
 		}
-		l.services = append(l.services, batchOf{now, j.Record.Tasks})
 		for _, t := range n.types {
 			if jobs.Allowed(j.Record.Work, t.Label) {
 				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
@@ -312,9 +310,6 @@
 			}
 		}
 	}
-	for len(l.services) > 0 && now.Sub(l.services[0].at) > tuning.SurgeWindow {
-		l.services = l.services[1:]
-	}
 	for ref := range l.seenJobs {
 		if n.table.Open[ref] == nil {
 			delete(l.seenJobs, ref)
@@ -546,7 +541,6 @@
 	if now.Sub(l.batchSeen) < tuning.BatchHeadroomHold {
 		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
 	}
-	service.Least = n.surge(l)
 	in.Batch, in.Service = l.batch, service
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
@@ -576,23 +570,6 @@
 	}
 }
 
-// surge is the number of service tasks that would arrive, at the present rate,
-// while another machine boots and fetches.
-func (n *Node) surge(l *leading) int {
-	tasks := 0
-	for _, s := range l.services {
-		tasks += s.tasks
-	}
-	boot := math.Inf(1)
-	for _, t := range n.types {
-		boot = min(boot, t.StartupS)
-	}
-	if tasks == 0 || math.IsInf(boot, 1) {
-		return 0
-	}
-	return int(math.Ceil(float64(tasks) / tuning.SurgeWindow.Seconds() * (boot + tuning.SurgeFetch.Seconds())))
-}
-
 // lastHeard is how long ago each machine was heard by its owner.
 func (n *Node) lastHeard(now time.Time) map[string]time.Duration {
 	out := map[string]time.Duration{}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -99,19 +99,12 @@
 	since     map[string]time.Time // when a machine was first listed
 	batchAvg  float64
 	batchSize float64   // mean number of tasks of arriving arrays
-	services  []batchOf // service arrivals of the last while
 	batchSeen time.Time // when the last one arrived
 	avgAt     time.Time
 	batch     fleet.Load // last typical loads
 	service   fleet.Load
 }
 
-// batchOf is a number of tasks that arrived at a time.
-type batchOf struct {
-	at    time.Time
-	tasks int
-}
-
 type hired struct {
 	kind fleet.Kind
 	role place.Role
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -192,11 +192,6 @@
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
-	// SurgeWindow is the horizon of the rate of service arrivals from which the
-	// least service headroom follows.
-	SurgeWindow = 45 * time.Second
-	// SurgeFetch is the time to fetch an image that is added to a boot there.
-	SurgeFetch = 20 * time.Second
 	// BootHedge is how much more a service task that waits counts for the
 	// headroom than one that runs: a spare machine for every 20 tasks or so
 	// covers one slow boot, and costs a minute's price if all boot in time.
