--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -132,7 +132,7 @@
 			if p.pack(w.Job, true) {
 				continue
 			}
-			if !p.hire(w.Job, p.ordinary(w), "tasks without a place") {
+			if !p.hire(w.Job, w.Waiting, "tasks without a place") {
 				break
 			}
 		}
@@ -201,32 +201,9 @@
 	return true
 }
 
-// ordinary reports whether ordinary machines, several times as dear, may be
-// rented for tasks that may use spot ones: when only that keeps the deadline
-// and can still keep it, or when they have waited for very long.
-func (p *planner) ordinary(w Want) bool {
-	if w.Waiting < tuning.OrdinaryBatchAfter {
-		return false
-	}
-	wk := w.Job.Record.Work
-	if wk.DueS == nil || w.Waiting > tuning.OrdinaryBatchAtLast {
-		return true
-	}
-	boot := 0.0
-	for _, t := range p.in.Types {
-		if jobs.Allowed(wk, t.Label) && (boot == 0 || t.StartupS < boot) {
-			boot = t.StartupS
-		}
-	}
-	start := config.Seconds(boot) + tuning.OrdinaryBatchFetch
-	due := time.UnixMilli(w.Job.Record.At).Add(config.Seconds(*wk.DueS))
-	slack := due.Sub(p.in.Now) - config.Seconds(wk.ReckonS)
-	return slack > start*3/4 && slack < start+tuning.OrdinaryBatchSlack
-}
-
 // hire plans one more machine for a task: the cheapest for each task it holds,
 // in the zone with the fewest machines of the role.
-func (p *planner) hire(j *jobs.Job, ordinary bool, why string) bool {
+func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) bool {
 	role := roleOf(j)
 	var best Kind
 	cost, crowd := math.Inf(1), 0
@@ -245,7 +222,7 @@
 				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
 					continue
 				}
-				if !spot && role == place.Batch && j.Record.Work.Windfall && !ordinary {
+				if !spot && role == place.Batch && j.Record.Work.Windfall && waiting < tuning.OrdinaryBatchAfter {
 					continue
 				}
 				price := t.Price
@@ -295,7 +272,7 @@
 func (p *planner) headroom(role place.Role, l Load, share float64) {
 	for range spare(l, share) {
 		j := typical(l)
-		if !p.pack(j, false) && !p.hire(j, false, "headroom") {
+		if !p.pack(j, false) && !p.hire(j, 0, "headroom") {
 			return
 		}
 	}
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -62,31 +62,6 @@
 	}
 }
 
-// Ordinary machines for batch cost a fifth of a day's money; most of them came
-// too late for the deadline, or for jobs that had time to wait.
-func TestOrdinaryMachinesForBatchOnlyWhereTheyKeepADeadline(t *testing.T) {
-	for _, c := range []struct {
-		left float64 // seconds until the job is due
-		want bool
-	}{{400, false}, {140, true}, {60, false}} {
-		in := input()
-		w := want(wire.ShapeArray, 1)
-		due := 500.0
-		w.Job.Record.Work.DueS, w.Job.Record.Work.ReckonS = &due, 60
-		w.Job.Record.At = t0.UnixMilli() - int64((due-c.left)*1000)
-		w.Waiting = tuning.OrdinaryBatchAfter
-		in.Wants = []Want{w}
-		for _, ty := range types {
-			for _, z := range ty.Plots {
-				in.Refused[Kind{ty.Label, z, true}] = t0
-			}
-		}
-		if got := len(Plan(in).Hires) > 0; got != c.want {
-			t.Errorf("due in %g s: hired %v", c.left, got)
-		}
-	}
-}
-
 func TestServicesGetOrdinaryMachinesOfTheirRole(t *testing.T) {
 	in := input()
 	in.Wants = []Want{want(wire.ShapeStanding, 3)}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -177,16 +177,8 @@
 	IdleSpot     = 25 * time.Second
 	IdleOrdinary = 30 * time.Second
 	// OrdinaryBatchAfter is how long a task that may use spot machines waits
-	// before an ordinary one, several times as dear, may be rented for it:
-	// until the spot machines have been asked for.
-	OrdinaryBatchAfter = 10 * time.Second
-	// OrdinaryBatchAtLast is when it is rented whatever the deadline.
-	OrdinaryBatchAtLast = 120 * time.Second
-	// OrdinaryBatchFetch is the time for the image after the boot, and
-	// OrdinaryBatchSlack the time to spare beyond both, above which a deadline
-	// can wait for spot machines to come free.
-	OrdinaryBatchFetch = 20 * time.Second
-	OrdinaryBatchSlack = 30 * time.Second
+	// before an ordinary one, several times as dear, is rented for it.
+	OrdinaryBatchAfter = 15 * time.Second
 	// ListLagFactor times the list's lag is how long after its first listing
 	// a machine's absence from a list starts to count; the lag at times doubles.
 	ListLagFactor = 3
