--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -175,7 +175,7 @@
 	// IdleSpot and IdleOrdinary are how long an unneeded machine stays before
 	// it is returned; a deleted machine costs at least 60 s, and a new one a boot.
 	IdleSpot     = 25 * time.Second
-	IdleOrdinary = 15 * time.Second
+	IdleOrdinary = 30 * time.Second
 	// OrdinaryBatchAfter is how long a task that may use spot machines waits
 	// before an ordinary one, several times as dear, is rented for it.
 	OrdinaryBatchAfter = 15 * time.Second
