--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -12,14 +12,12 @@
 	"wheatspur/wire"
 )
 
-// Reasons for renting, draining and giving back. A machine that is gone, silent
-// or never came up goes back though claims stand: its return proves that its
-// tasks are gone.
+// Reasons for giving back a machine that holds nothing any more, or never came
+// up: its return proves that its tasks are gone.
 const (
 	WhySlowBoot = "slow boot"
 	WhyGone     = "gone from the cloud's list"
 	WhySilent   = "silent for longer than a lease"
-	WhyWaiting  = "tasks without a place"
 	WhyIdle     = "idle"
 	WhySpare    = "the others have room for its tasks"
 )
@@ -134,7 +132,7 @@
 			if p.pack(w.Job, true) {
 				continue
 			}
-			if !p.hire(w.Job, w.Waiting, WhyWaiting) {
+			if !p.hire(w.Job, w.Waiting, "tasks without a place") {
 				break
 			}
 		}
@@ -203,14 +201,10 @@
 	return true
 }
 
-// soonest outweighs every price, so that the start decides and prices break ties.
-const soonest = 1e6
-
 // hire plans one more machine for a task: the cheapest for each task it holds,
 // in the zone with the fewest machines of the role.
 func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) bool {
 	role := roleOf(j)
-	urgent := role == place.Service && why == WhyWaiting
 	var best Kind
 	cost, crowd := math.Inf(1), 0
 	for _, t := range p.in.Types {
@@ -236,11 +230,6 @@
 					price = t.SpotPrice
 				}
 				c, n := price/math.Floor(fit+1e-6), p.crowd(z, role)
-				if urgent {
-					// People wait for a service: the soonest start counts first.
-					ready := t.StartupS + j.Record.Work.ImageGB/max(t.FetchGBPerS, 1e-3)
-					c += soonest * math.Floor(ready/tuning.ReadyBucket.Seconds())
-				}
 				if c < cost-1e-9 || c < cost+1e-9 && n < crowd {
 					best, cost, crowd = k, c, n
 				}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -169,9 +169,6 @@
 	SlowBootFactor = 2.5
 	// SlowBootMin is the least such time.
 	SlowBootMin = 20 * time.Second
-	// ReadyBucket is the difference in boot and fetch time below which two
-	// types count as equally soon for a service that waits.
-	ReadyBucket = 20 * time.Second
 	// LateBootFactor times a type's boot time is when a machine no longer
 	// counts as coming: the end of the usual range.
 	LateBootFactor = 1.5
