--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wheatspur/internal/store"
+	"wheatspur/internal/httpc"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -45,10 +45,7 @@
 
 // NewCloudClient returns a client that keeps to its share of the cloud's rate.
 func NewCloudClient(addr string, rps float64, now func() time.Time) *CloudClient {
-	return &CloudClient{addr: addr, rps: rps, now: now, allow: rps, last: now(), hc: &fasthttp.HostClient{
-		Addr: addr, Dial: store.Dial, MaxConns: 6, RetryIfErr: store.NoRetry, MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize: 4 << 20, NoDefaultUserAgentHeader: true,
-	}}
+	return &CloudClient{addr: addr, rps: rps, now: now, allow: rps, last: now(), hc: httpc.Host(addr, tuning.CloudConns)}
 }
 
 // permit takes one call from the budget, or refuses at once.
@@ -69,29 +66,25 @@
 	if !c.permit() {
 		return fmt.Errorf("%w: call budget is spent", ErrCloud)
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.addr + path)
+	var body []byte
 	if in != nil {
-		req.Header.SetContentType(wire.ContentType)
-		req.SetBody(wire.MustMarshal(in))
+		body = wire.MustMarshal(in)
 	}
-	if err := c.hc.DoTimeout(req, resp, tuning.CloudCallTimeout); err != nil {
+	status, answer, err := httpc.Do(c.hc, method, c.addr, path, body, tuning.CloudCallTimeout)
+	if err != nil {
 		return fmt.Errorf("%w: %v", ErrCloud, err)
 	}
-	if resp.StatusCode() != 200 {
+	if status != 200 {
 		var f wire.Failure
-		if wire.Unmarshal(resp.Body(), &f) == nil && f.Error == "no capacity" {
+		if wire.Unmarshal(answer, &f) == nil && f.Error == "no capacity" {
 			return ErrNoCapacity
 		}
-		return fmt.Errorf("%w: status %d %s", ErrCloud, resp.StatusCode(), f.Error)
+		return fmt.Errorf("%w: status %d %s", ErrCloud, status, f.Error)
 	}
 	if out == nil {
 		return nil
 	}
-	if err := wire.Unmarshal(resp.Body(), out); err != nil {
+	if err := wire.Unmarshal(answer, out); err != nil {
 		return fmt.Errorf("%w: %v", ErrCloud, err)
 	}
 	return nil
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,8 +13,8 @@
 	flatbuffers "github.com/google/flatbuffers/go"
 	"github.com/valyala/fasthttp"
 
+	"wheatspur/internal/httpc"
 	"wheatspur/internal/peer/fb"
-	"wheatspur/internal/store"
 	"wheatspur/internal/tuning"
 )
 
@@ -141,10 +141,7 @@
 
 // NewClient returns a client of the sibling at addr.
 func NewClient(addr string) *Client {
-	return &Client{addr: addr, hc: &fasthttp.HostClient{
-		Addr: addr, Dial: store.Dial, MaxConns: tuning.PeerConns, RetryIfErr: store.NoRetry, MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true,
-	}}
+	return &Client{addr: addr, hc: httpc.Host(addr, tuning.PeerConns)}
 }
 
 // Request is a user's request that is passed on.
@@ -231,17 +228,9 @@
 }
 
 func (c *Client) post(path string, body []byte, timeout time.Duration) ([]byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("http://" + c.addr + path)
-	req.SetBody(body)
-	if err := c.hc.DoTimeout(req, resp, timeout); err != nil {
-		return nil, err
+	status, answer, err := httpc.Do(c.hc, "POST", c.addr, path, body, timeout)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("sibling: status %d", status)
 	}
-	if resp.StatusCode() != 200 {
-		return nil, fmt.Errorf("sibling: status %d", resp.StatusCode())
-	}
-	return append([]byte(nil), resp.Body()...), nil
+	return answer, err
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"sort"
 	"time"
 
-	"wheatspur/internal/config"
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
@@ -19,7 +17,7 @@
 	"wheatspur/wire"
 )
 
-// lead returns the leader's memory for the present baton; mu is held.
+// leadMemory returns the leader's memory for the present baton; mu is held.
 func (n *Node) leadMemory() *leading {
 	if n.leading.baton != n.member.Baton {
 		old := n.leading
@@ -43,55 +41,6 @@
 }
 
 // runCloud reads the machine types and the machine list while leading.
-func (n *Node) runCloud(ctx context.Context) error {
-	var types time.Time
-	for ctx.Err() == nil {
-		n.mu.Lock()
-		lead := n.leads()
-		known := len(n.types) > 0
-		n.mu.Unlock()
-		if !lead {
-			sleep(ctx, tuning.TickEvery)
-			continue
-		}
-		if !known || n.now().Sub(types) > tuning.TypesEvery {
-			if err := n.readTypes(ctx); err != nil {
-				n.log.Info("machine types not read", "err", err)
-			} else {
-				types = n.now()
-			}
-		}
-		if list, err := n.cloud.List(); err != nil {
-			n.log.Info("machine list not read", "err", err)
-		} else {
-			n.enterList(ctx, list)
-		}
-		sleep(ctx, tuning.ListEvery)
-	}
-	return nil
-}
-
-func (n *Node) readTypes(ctx context.Context) error {
-	list, err := n.cloud.Types()
-	if err != nil {
-		return err
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Label < list[b].Label })
-	n.mu.Lock()
-	same := len(list) == len(n.types)
-	for i := 0; same && i < len(list); i++ {
-		a, b := list[i], n.types[i]
-		a.SpotPrice = b.SpotPrice // moves all the time
-		same = fmt.Sprint(a) == fmt.Sprint(b)
-	}
-	guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(typesKey)}
-	n.mu.Unlock()
-	if same {
-		return nil
-	}
-	return n.write(ctx, guards, []wire.Change{{Set: typesKey, V: wire.MustMarshal(wire.Rigs{Rigs: list})}})
-}
-
 // write runs a guarded write of the leader and enters it.
 func (n *Node) write(ctx context.Context, guards []wire.Guard, then []wire.Change) error {
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
@@ -111,137 +60,10 @@
 }
 
 // hostChange is one change of a machine's record.
-type hostChange struct {
-	host string
-	rec  *fleet.Record // nil: drop
-}
-
 // writeHosts stores changes of machine records, each guarded by its stamp.
-func (n *Node) writeHosts(ctx context.Context, list []hostChange) {
-	for len(list) > 0 {
-		k := min(len(list), n.set.Params.State.TxnOps)
-		n.mu.Lock()
-		guards := []wire.Guard{n.cache.Guard(member.Key)}
-		var then []wire.Change
-		for _, c := range list[:k] {
-			key := fleet.HostKey(c.host)
-			guards = append(guards, n.cache.Guard(key))
-			if c.rec == nil {
-				then = append(then, wire.Change{Drop: key})
-			} else {
-				then = append(then, wire.Change{Set: key, V: wire.MustMarshal(c.rec)})
-			}
-		}
-		n.mu.Unlock()
-		if err := n.write(ctx, guards, then); err != nil {
-			n.log.Info("machine records not stored", "machines", k, "err", err)
-		}
-		list = list[k:]
-	}
-}
-
 // enterList compares the cloud's list with the stored machines.
-func (n *Node) enterList(ctx context.Context, list []wire.Host) {
-	n.mu.Lock()
-	if !n.leads() {
-		n.mu.Unlock()
-		return
-	}
-	l := n.leadMemory()
-	now := n.now()
-	l.listAt = now
-	seen := map[string]bool{}
-	var changes []hostChange
-	for _, h := range list {
-		seen[h.Ref] = true
-		if _, ok := l.since[h.Ref]; !ok {
-			l.since[h.Ref] = now
-		}
-		l.listed[h.Ref] = h
-		delete(l.absent, h.Ref)
-		rec, known := n.hosts[h.Ref]
-		switch {
-		case h.Phase == wire.HostFailed:
-			if !known {
-				// Its record is dropped already; the entry stays until deleted.
-				rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Role: place.Batch}
-			}
-			if next, err := rec.Phase.Next(fleet.Gone); err == nil && rec.Phase != fleet.Returned {
-				rec.Phase, rec.Why = next, "listed as failed"
-				changes = append(changes, hostChange{h.Ref, &rec})
-				n.log.Info("machine failed", "host", h.Ref)
-			}
-		case !known:
-			rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Phase: fleet.In, Role: n.firstRole(l, h, changes)}
-			changes = append(changes, hostChange{h.Ref, &rec})
-			n.log.Info("machine joins", "host", h.Ref, "type", h.Rig, "zone", h.Plot, "spot", h.Windfall, "role", string(rec.Role))
-		}
-		if n.member.Owner(h.Ref) == n.self.Label && h.Phase == wire.HostRunning {
-			if w := n.worker(h.Ref); w.Address == "" {
-				w.Address = h.Address
-			}
-		}
-	}
-	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
-	for host, rec := range n.hosts {
-		if seen[host] {
-			continue
-		}
-		// A stored machine was listed once, perhaps to a former leader. A list
-		// may be older than that: a new machine may be missing from it.
-		if _, ok := l.since[host]; !ok {
-			l.since[host] = now
-		}
-		if rec.Phase == fleet.Returned || now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
-			l.absent[host]++
-		}
-	}
-	for host := range l.hired {
-		if seen[host] {
-			delete(l.hired, host)
-		}
-	}
-	n.mu.Unlock()
-	n.writeHosts(ctx, changes)
-}
-
 // firstRole is the role of a machine that is new to the store: what it was
 // rented for; else the role floors, then what waits, then the smaller role.
-func (n *Node) firstRole(l *leading, h wire.Host, joining []hostChange) place.Role {
-	if h.Windfall {
-		return place.Batch
-	}
-	if r, ok := l.hired[h.Ref]; ok {
-		return r.role
-	}
-	count := map[place.Role]int{}
-	add := func(r fleet.Record) {
-		if r.Rig == h.Rig && !r.Spot && r.Phase == fleet.In {
-			count[r.Role]++
-		}
-	}
-	for _, r := range n.hosts {
-		add(r)
-	}
-	for _, c := range joining {
-		add(*c.rec)
-	}
-	waiting := false
-	for ref := range n.unmet {
-		j := n.table.Open[ref]
-		waiting = waiting || j != nil && j.Service()
-	}
-	switch {
-	case count[place.Service] < tuning.RoleFloor:
-		return place.Service
-	case count[place.Batch] < tuning.RoleFloor:
-		return place.Batch
-	case waiting || count[place.Service] <= count[place.Batch]:
-		return place.Service
-	}
-	return place.Batch
-}
-
 // runLead plans capacity and moves roles while leading.
 func (n *Node) runLead(ctx context.Context) error {
 	var stepped time.Time
@@ -593,114 +415,9 @@
 }
 
 // drainChanges stores that machines take no more tasks; mu is held.
-func (n *Node) drainChanges(drains []fleet.DrainPlan) []hostChange {
-	var out []hostChange
-	for _, d := range drains {
-		rec, ok := n.hosts[d.Name]
-		if !ok {
-			continue
-		}
-		next, err := rec.Phase.Next(fleet.Drain)
-		if err != nil {
-			continue
-		}
-		rec.Phase, rec.Why = next, d.Why
-		out = append(out, hostChange{d.Name, &rec})
-		n.log.Info("machine drains", "host", d.Name, "why", d.Why)
-	}
-	return out
-}
-
 // toReturn lists drained machines to give back, and records to drop; mu is
 // held. A machine goes back when it is empty, or when it is dead: then its
 // return is the proof that its tasks are gone.
-func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []hostChange) {
-	for host, rec := range n.hosts {
-		switch rec.Phase {
-		case fleet.Draining:
-			if n.cache.Rev() < n.cache.Stamp(fleet.HostKey(host)) {
-				continue // claims stored before the drain may not be seen yet
-			}
-			open := 0
-			for _, j := range n.table.Hosts[host] {
-				if j.Record.Phase == jobs.Open {
-					open++
-				}
-			}
-			dead := rec.Why == fleet.WhyGone || rec.Why == fleet.WhySilent || rec.Why == fleet.WhySlowBoot
-			if open == 0 || dead {
-				returns = append(returns, host)
-			}
-		case fleet.Returned:
-			if len(n.table.Hosts[host]) > 0 {
-				continue // its owner releases them first
-			}
-			if l.absent[host] >= tuning.GoneLists {
-				drops = append(drops, hostChange{host, nil})
-				delete(l.listed, host)
-				delete(l.absent, host)
-				delete(l.heard, host)
-				delete(l.since, host)
-				delete(l.idle, host)
-			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
-				returns = append(returns, host) // stays listed until deleted
-			}
-		}
-	}
-	sort.Strings(returns)
-	if len(returns) > tuning.ReturnMax {
-		returns = returns[:tuning.ReturnMax]
-	}
-	return returns, drops
-}
-
 // giveBack returns machines to the cloud and stores that they are gone.
-func (n *Node) giveBack(ctx context.Context, hosts []string) {
-	if err := n.cloud.Return(hosts); err != nil {
-		n.log.Info("machines not returned", "hosts", hosts, "err", err)
-		return
-	}
-	n.log.Info("machines returned", "hosts", hosts)
-	n.mu.Lock()
-	var changes []hostChange
-	for _, h := range hosts {
-		rec, ok := n.hosts[h]
-		if !ok || rec.Phase == fleet.Returned {
-			continue
-		}
-		if next, err := rec.Phase.Next(fleet.Gone); err == nil {
-			rec.Phase = next
-			changes = append(changes, hostChange{h, &rec})
-		}
-	}
-	n.mu.Unlock()
-	n.writeHosts(ctx, changes)
-}
-
 // hire rents machines. A request's name holds the baton, which only one leader
 // ever has, and a counter: no name is used twice.
-func (n *Node) hire(ctx context.Context, h fleet.HirePlan) {
-	n.mu.Lock()
-	if !n.leads() || ctx.Err() != nil {
-		n.mu.Unlock()
-		return
-	}
-	l := n.leadMemory()
-	l.counter++
-	name := fmt.Sprintf("%s-%d-%d", n.self.Label, l.baton, l.counter)
-	n.mu.Unlock()
-	number := min(h.Number, tuning.HireMax)
-	names, err := n.cloud.Hire(wire.Hire{Hire: name, Rig: h.Kind.Rig, Plot: h.Kind.Zone, Windfall: h.Kind.Spot, Number: number})
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l = n.leadMemory()
-	now := n.now()
-	if errors.Is(err, fleet.ErrNoCapacity) || err == nil && len(names) < number {
-		l.refused[h.Kind] = now
-	}
-	n.log.Info("machines rented", "request", name, "type", h.Kind.Rig, "zone", h.Kind.Zone, "spot", h.Kind.Spot,
-		"role", string(h.Role), "asked", number, "got", len(names), "why", h.Why, "err", err)
-	for _, host := range names {
-		l.hired[host] = hired{h.Kind, h.Role, now}
-	}
-}
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -1,15 +1,15 @@
 package server
 
 import (
-	"errors"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"wheatspur/internal/fleet"
+	"wheatspur/internal/httpc"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
-	"wheatspur/internal/store"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -127,33 +127,21 @@
 
 type workerCaller struct{ hc *fasthttp.Client }
 
-func newWorkerCaller() *workerCaller {
-	return &workerCaller{hc: &fasthttp.Client{
-		Dial: store.Dial, MaxConnsPerHost: 2, MaxIdleConnDuration: 5 * time.Second,
-		RetryIfErr: store.NoRetry, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20,
-		NoDefaultUserAgentHeader: true,
-	}}
-}
+func newWorkerCaller() *workerCaller { return &workerCaller{httpc.Many(tuning.WorkerConns)} }
 
 func (w *workerCaller) commands(address string, cmd wire.Commands) (int, *wire.Checkin, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("http://" + address + "/commands")
-	req.Header.SetContentType(wire.ContentType)
-	req.SetBody(wire.MustMarshal(cmd))
-	if err := w.hc.DoTimeout(req, resp, tuning.WorkerCallTimeout); err != nil {
+	status, body, err := httpc.Do(w.hc, "POST", address, "/commands", wire.MustMarshal(cmd), tuning.WorkerCallTimeout)
+	if err != nil {
 		return 0, nil, err
 	}
-	var r wire.Checkin
-	if s := resp.StatusCode(); s != 200 && s != 409 {
-		return s, nil, errors.New("worker refused")
+	if status != 200 && status != 409 {
+		return status, nil, fmt.Errorf("worker answered %d", status)
 	}
-	if err := wire.Unmarshal(resp.Body(), &r); err != nil {
+	var r wire.Checkin
+	if err := wire.Unmarshal(body, &r); err != nil {
 		return 0, nil, err
 	}
-	return resp.StatusCode(), &r, nil
+	return status, &r, nil
 }
 
 // direct sends a worker what it should not wait a report interval for: starts,
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wheatspur/internal/httpc"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -49,46 +49,26 @@
 	lim  *Limiter
 }
 
-// Dial connects over IPv4 with a bound.
-func Dial(addr string) (net.Conn, error) {
-	return net.DialTimeout("tcp4", addr, time.Second)
-}
-
-// NoRetry keeps the HTTP client from repeating a request by itself: a repeat
-// must be a decision of the caller, who knows what a lost answer means.
-func NoRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
-
 // NewClient returns a client of the service at addr.
 func NewClient(addr string, lim *Limiter) *Client {
-	return &Client{addr: addr, lim: lim, hc: &fasthttp.HostClient{
-		Addr: addr, Dial: Dial, MaxConns: 48,
-		MaxIdleConnDuration: 30 * time.Second, RetryIfErr: NoRetry, MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize: 64 << 20, NoDefaultUserAgentHeader: true,
-	}}
+	return &Client{addr: addr, lim: lim, hc: httpc.Host(addr, tuning.StateConns)}
 }
 
 // call sends one request; out may be nil.
 func (c *Client) call(method, path string, in, out any, timeout time.Duration) (int, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.addr + path)
+	var body []byte
 	if in != nil {
-		b, err := wire.Marshal(in)
-		if err != nil {
+		var err error
+		if body, err = wire.Marshal(in); err != nil {
 			return 0, fmt.Errorf("%w: %v", ErrBad, err)
 		}
-		req.Header.SetContentType(wire.ContentType)
-		req.SetBody(b)
 	}
-	if err := c.hc.DoTimeout(req, resp, timeout); err != nil {
-		if errors.Is(err, fasthttp.ErrNoFreeConns) {
-			return 0, ErrRefused
-		}
+	status, answer, err := httpc.Do(c.hc, method, c.addr, path, body, timeout)
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return 0, ErrRefused
+	} else if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrLost, err)
 	}
-	status := resp.StatusCode()
 	switch status {
 	case 429:
 		c.lim.Penalise()
@@ -97,7 +77,7 @@
 		return status, ErrRefused
 	}
 	if out != nil && (status == 200 || status == 409 || status == 400) {
-		if err := wire.Unmarshal(resp.Body(), out); err != nil && status != 400 {
+		if err := wire.Unmarshal(answer, out); err != nil && status != 400 {
 			return status, fmt.Errorf("%w: %v", ErrLost, err)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -211,6 +211,23 @@
 	BatchWindow = 60 * time.Second
 )
 
+// Calls to others.
+const (
+	// DialTimeout bounds a connection attempt; a machine behind a cut says
+	// nothing.
+	DialTimeout = 1 * time.Second
+	// MaxResponse is the largest response read, in bytes; a watch response has
+	// no limit of its own.
+	MaxResponse = 64 << 20
+	// StateConns and CloudConns bound the connections to the services.
+	StateConns = 48
+	CloudConns = 6
+	// WorkerConns bounds the connections to one worker, and WorkerIdle how
+	// long they stay open: direct calls are rare.
+	WorkerConns = 2
+	WorkerIdle  = 5 * time.Second
+)
+
 // Front ends.
 const (
 	// ReadTimeout bounds the reading of one request.
