--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -114,6 +114,7 @@
 	Tasks   []int
 	Avoid   map[string]bool // machines that lately refused or failed it
 	Pressed bool            // has waited long enough to displace borrowed work
+	Served  bool            // tasks were stopped for it lately; their room comes
 	Blocked bool            // a write of this node about it is under way
 }
 
@@ -151,8 +152,8 @@
 	Why    map[string]string
 }
 
-// less orders demands: rank, then work within its team's guarantee, then the
-// latest start that keeps the deadline; what can't keep it any more, and what
+// less orders demands: rank, then work within its team's guarantee, pressed
+// work first, then the latest start that keeps the deadline; what can't keep it any more, and what
 // has none, by age after that.
 func less(in *Input) func(a, b *Demand) bool {
 	return func(a, b *Demand) bool {
@@ -164,6 +165,11 @@
 		if ga != gb {
 			return ga
 		}
+		if ga && a.Pressed != b.Pressed {
+			// What others were stopped for takes the room that they leave:
+			// it went to the next in line, and more were stopped.
+			return a.Pressed
+		}
 		if la, lb := in.latest(a.Job), in.latest(b.Job); la != lb {
 			return la < lb
 		}
@@ -429,6 +435,9 @@
 			m.Freeing = m.Freeing.Sub(d.Job.Need)
 			return true
 		}
+		if d.Served {
+			continue
+		}
 		var list []Resident
 		for _, r := range m.Tasks {
 			if !r.Stopping && in.mayPreempt(d, r) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -257,3 +257,23 @@
 		}
 	}
 }
+
+// Of two jobs within their guarantees the one that others were stopped for
+// takes the room; the other once did, and more were stopped.
+func TestPressedWorkTakesTheRoomThatWasFreedForIt(t *testing.T) {
+	a, b := job("wk-1", wire.ShapeArray, wire.RankNormal, 1, nil), job("wk-2", wire.ShapeArray, wire.RankNormal, 1, nil)
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, a, b)
+	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+	in.Demands[1].Pressed = true
+	if out := Pass(in); len(out.Claims) != 1 || out.Claims[0].Job != b {
+		t.Fatalf("%+v", out.Claims)
+	}
+	low := job("wk-9", wire.ShapeArray, wire.RankLow, 1, nil)
+	m := machine("m", "a", "z", Batch, 1)
+	m.Free, m.Tasks = jobs.Resources{}, []Resident{{ID: jobs.ID{Ref: "wk-9"}, Job: low}}
+	in = input("a", []*Machine{m}, job("wk-1", wire.ShapeArray, wire.RankUrgent, 1, nil))
+	in.Demands[0].Served = true
+	if out := Pass(in); len(out.Evict) != 0 {
+		t.Fatal("more was stopped for a job before the first stop could help it")
+	}
+}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -69,6 +69,7 @@
 	busyJob  map[string]bool // a write about the job is under way
 	busyTeam map[string]bool
 	notUntil map[string]time.Time // jobs that lost a race, by when to try again
+	served   map[string]time.Time // jobs that others were stopped for, by when
 	unmet    map[string]int       // tasks without a place, by job, of the last pass
 	why      map[string]string
 	unmetAt  map[string]time.Time
@@ -126,7 +127,8 @@
 		session: member.NoLease, sessions: map[string]member.Node{}, hosts: map[string]fleet.Record{},
 		rigs: map[string]wire.Rig{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
-		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
+		served: map[string]time.Time{},
+		unmet:  map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
 		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 	}
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -75,6 +75,11 @@
 	for host, w := range n.workers {
 		w.KeepStopping(n.table.Hosts[host])
 	}
+	for ref, at := range n.served {
+		if now.Sub(at) > tuning.PreemptPause {
+			delete(n.served, ref)
+		}
+	}
 	for ref, at := range n.notUntil {
 		if now.After(at) {
 			delete(n.notUntil, ref)
@@ -88,6 +93,7 @@
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
 			w.Stopping[r.ID] = true
+			n.served[r.For] = now
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
@@ -143,6 +149,7 @@
 		if at, ok := n.unmetAt[ref]; ok {
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
+		d.Served = now.Sub(n.served[ref]) < tuning.PreemptPause
 		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
 		if len(d.Tasks) > 0 {
 			in.Demands = append(in.Demands, d)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -108,6 +108,9 @@
 	// another team's borrowed work is stopped for it: by then the cloud has had
 	// time for two boots.
 	GuaranteePreemptAfter = 120 * time.Second
+	// PreemptPause is how long a node waits, after it stopped tasks for a job,
+	// before it stops more for it: a stop, its report and the next claim.
+	PreemptPause = 8 * time.Second
 	// TasksPerJob bounds the tasks of one job that a pass tries to place.
 	TasksPerJob = 64
 )
