--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -282,11 +282,15 @@
 // ones whose loss leaves the headroom and the role floors.
 func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
 	var out []DrainPlan
-	ordinary := map[Kind]int{}
-	floor := func(u Unit) Kind { return Kind{Rig: u.Kind.Rig, Zone: string(u.Role)} }
+	type roleOfRig struct {
+		rig  string
+		role place.Role
+	}
+	holds := map[roleOfRig]int{} // machines that keep a role's floor
+	floor := func(u Unit) roleOfRig { return roleOfRig{u.Kind.Rig, u.Role} }
 	for _, u := range p.in.Units {
-		if !u.Kind.Spot {
-			ordinary[floor(u)]++
+		if u.Open && !u.Suspect && !u.Silent && !u.Missing {
+			holds[floor(u)]++
 		}
 	}
 	spare := []Unit{}
@@ -329,7 +333,7 @@
 	gone := map[place.Role]bool{}
 	spared := map[string]bool{}
 	for _, u := range spare {
-		if !u.Kind.Spot && ordinary[floor(u)] <= tuning.RoleFloor || !p.spares(u) {
+		if holds[floor(u)] <= tuning.RoleFloor || !p.spares(u) {
 			continue
 		}
 		// A busy machine is spared for as long as an idle one must be idle.
@@ -350,7 +354,7 @@
 			continue
 		}
 		gone[u.Role] = true // one of each role a plan
-		ordinary[floor(u)]--
+		holds[floor(u)]--
 		out = append(out, DrainPlan{u.Name, why})
 	}
 	for name := range p.in.Spared {
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -81,7 +81,7 @@
 	Batch, Service int     // machines per role that are up
 	BatchComing    int     // batch machines that still boot; they keep the floor
 	ServiceComing  int     // service machines that still boot
-	Spot           int     // spot machines, which serve batch only and are never split
+	Spot           int     // spot machines: batch only, never split, count for the batch floor
 	BatchWork      float64 // queued batch work in machine-seconds
 	ServiceBooked  float64 // service demand in machines
 	Complete       bool    // demand evidence is complete
@@ -272,14 +272,14 @@
 		if s.Service+s.ServiceComing < tuning.RoleFloor && s.Batch > tuning.RoleFloor {
 			return Proposal{ToService, Floor, s.Complete, s.Batch - 1, s.Service + 1}, Open
 		}
-		if s.Batch+s.BatchComing < tuning.RoleFloor && s.Service > tuning.RoleFloor && s.BatchWork > 0 {
+		if s.Batch+s.BatchComing+s.Spot < tuning.RoleFloor && s.Service > tuning.RoleFloor && s.BatchWork > 0 {
 			return Proposal{ToBatch, Floor, s.Complete, s.Batch + 1, s.Service - 1}, Open
 		}
 	}
 	bl, sl := s.batchLoad(s.Batch, op.RoleStartTarget), s.serviceLoad(s.Service, op.RoleUsable)
 	worst := max(bl, sl)
 	gate := NoGain
-	if s.Batch > tuning.RoleFloor {
+	if s.Batch > 0 && s.Batch+s.Spot > tuning.RoleFloor {
 		nb, ns := s.batchLoad(s.Batch-1, op.RoleStartTarget), s.serviceLoad(s.Service+1, op.RoleUsable)
 		if drop(worst, nb, ns) >= op.RoleMargin {
 			if nb <= op.RoleShrink {
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+func TestSpotMachinesKeepTheBatchFloor(t *testing.T) {
+	c, now := newController()
+	s := Split{Batch: 0, Spot: 1, Service: 3, ServiceBooked: 2.4, BatchWork: 1, Complete: true}
+	if d := step(c, now, 1, s, yes); d.Move != None {
+		t.Fatalf("a service machine was taken beside a spot machine: %+v", d)
+	}
+	s = Split{Batch: 1, Spot: 2, Service: 2, ServiceBooked: 2, Complete: true}
+	if d := step(c, now, 3, s, yes); d.Move != ToService {
+		t.Fatalf("the last ordinary batch machine beside spot ones stays: %+v", d)
+	}
+	s = Split{Batch: 1, Service: 2, ServiceBooked: 2, Complete: true}
+	if d := step(c, now, 6, s, yes); d.Move != None || d.Gate != AtFloor {
+		t.Fatalf("the last batch machine of all moved: %+v", d)
+	}
+}
+
 func TestAdvisoryRecordsButMovesNothing(t *testing.T) {
 	op := config.DefaultOperator()
 	op.RoleAdvisory = true
