--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,11 +15,16 @@
 	Key        = jobs.Root + "member"
 	LeadKey    = jobs.Root + "lead"
 	NodePrefix = jobs.Root + "node/"
+	DeafPrefix = jobs.Root + "deaf/"
 )
 
 // NodeKey is the key of a node's session, attached to its lease.
 func NodeKey(label string) string { return NodePrefix + label }
 
+// DeafKey is the key by which a node tells that it hears no worker, attached
+// to its lease.
+func DeafKey(label string) string { return DeafPrefix + label }
+
 // Node is one incarnation of a controller; a restarted node is another.
 type Node struct {
 	Label       string `cbor:"l"`
@@ -31,6 +36,17 @@
 	Baton  uint64 `cbor:"b"`
 	Leader Node   `cbor:"d"`
 	Nodes  []Node `cbor:"n"`
+	// Deaf members hear no worker and own no machines.
+	Deaf []string `cbor:"f,omitempty"`
+}
+
+func (r *Record) deaf(label string) bool {
+	for _, l := range r.Deaf {
+		if l == label {
+			return true
+		}
+	}
+	return false
 }
 
 // Has reports whether a node is a member.
@@ -48,6 +64,9 @@
 func (r *Record) Owner(host string) string {
 	best, top := "", uint64(0)
 	for _, n := range r.Nodes {
+		if r.deaf(n.Label) {
+			continue
+		}
 		if w := weight(host, n.Label); best == "" || w > top || w == top && n.Label < best {
 			best, top = n.Label, w
 		}
@@ -123,6 +142,7 @@
 type View struct {
 	Self     Node
 	Sessions map[string]Node // stored sessions by label
+	Deaf     map[string]bool // nodes that hear no worker
 	Lead     *Node           // holder of the lead key, nil if none
 	Member   *Record         // nil before the first
 }
@@ -150,6 +170,14 @@
 		want.Nodes = append(want.Nodes, n)
 	}
 	sort.Slice(want.Nodes, func(a, b int) bool { return want.Nodes[a].Label < want.Nodes[b].Label })
+	for _, n := range want.Nodes {
+		if v.Deaf[n.Label] {
+			want.Deaf = append(want.Deaf, n.Label)
+		}
+	}
+	if len(want.Deaf) == len(want.Nodes) {
+		want.Deaf = nil // somebody must own the machines
+	}
 	if v.Member != nil {
 		if same(*v.Member, want) {
 			return Action{}
@@ -160,9 +188,14 @@
 }
 
 func same(a, b Record) bool {
-	if a.Leader != b.Leader || len(a.Nodes) != len(b.Nodes) {
+	if a.Leader != b.Leader || len(a.Nodes) != len(b.Nodes) || len(a.Deaf) != len(b.Deaf) {
 		return false
 	}
+	for i := range a.Deaf {
+		if a.Deaf[i] != b.Deaf[i] {
+			return false
+		}
+	}
 	for i := range a.Nodes {
 		if a.Nodes[i] != b.Nodes[i] {
 			return false
@@ -171,6 +204,24 @@
 	return true
 }
 
+// Ears is what a node knows of its own hearing.
+type Ears struct {
+	Deaf         bool // it has said so
+	Heard        int  // machines of its own that were heard lately
+	Silent       int  // machines of its own with tasks that were not
+	SiblingsHear bool // a sibling hears its machines
+	Answered     bool // while deaf: a worker answers a probe, or there is none to ask
+}
+
+// Next decides whether the node is deaf. One silent machine may be its own
+// trouble; all of several, while a sibling hears its own, are the node's.
+func (e Ears) Next() bool {
+	if e.Deaf {
+		return !e.Answered
+	}
+	return e.Heard == 0 && e.Silent >= 2 && e.SiblingsHear
+}
+
 // DecodeNode reads a session or the lead key.
 func DecodeNode(raw wire.Raw) (*Node, error) {
 	var n Node
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -85,3 +85,35 @@
 		}
 	}
 }
+
+// A node that was cut from the workers alone kept its machines: their workers
+// were sent back to it by its siblings until their leases ran out.
+func TestADeafNodeOwnsNothingUntilItHearsAgain(t *testing.T) {
+	if (Ears{Silent: 1, SiblingsHear: true}).Next() || (Ears{Silent: 5}).Next() || (Ears{Silent: 5, Heard: 1, SiblingsHear: true}).Next() {
+		t.Fatal("deaf without evidence")
+	}
+	if !(Ears{Silent: 2, SiblingsHear: true}).Next() || !(Ears{Deaf: true}).Next() || (Ears{Deaf: true, Answered: true}).Next() {
+		t.Fatal("deafness is not noticed, or does not end")
+	}
+	a, b := n("a", 1), n("b", 2)
+	v := View{Self: a, Sessions: map[string]Node{"a": a, "b": b}, Lead: &a}
+	v.Member = Decide(v).Write
+	v.Deaf = map[string]bool{"b": true}
+	rec := Decide(v).Write
+	if rec == nil || rec.Baton != v.Member.Baton+1 || !rec.Has(b) {
+		t.Fatalf("%+v", rec)
+	}
+	for i := range 50 {
+		if o := rec.Owner(fmt.Sprint("host-", i)); o != "a" {
+			t.Fatalf("a machine is owned by %s", o)
+		}
+	}
+	v.Member = rec
+	if act := Decide(v); act.Write != nil {
+		t.Fatalf("written again: %+v", act.Write)
+	}
+	v.Deaf["a"] = true
+	if rec = Decide(v).Write; rec == nil || len(rec.Deaf) != 0 {
+		t.Fatalf("all are deaf and %+v", rec)
+	}
+}
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -185,6 +185,8 @@
 	return 0, nil, store.ErrLost
 }
 
+func (deaf) show(string) error { return store.ErrLost }
+
 const (
 	lease  = 30 * time.Second
 	cancel = 60 * time.Second
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -59,6 +59,10 @@
 	session  member.SessionState
 	self     member.Node
 	sessions map[string]member.Node
+	deaf     map[string]bool // nodes that say that they hear no worker
+	probes   []string        // workers' addresses to ask while we are deaf
+	probed   time.Time       // when one of them last answered
+	deafAt   time.Time
 	lead     *member.Node
 	member   *member.Record
 	hosts    map[string]fleet.Record
@@ -127,8 +131,8 @@
 		session: member.NoLease, sessions: map[string]member.Node{}, hosts: map[string]fleet.Record{},
 		rigs: map[string]wire.Rig{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
-		served: map[string]time.Time{},
-		unmet:  map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
+		served: map[string]time.Time{}, deaf: map[string]bool{},
+		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
 		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 	}
@@ -167,6 +171,7 @@
 	g.Go(func() error { return n.sync.Run(ctx) })
 	g.Go(func() error { return n.sync.Barriers(ctx) })
 	g.Go(func() error { return n.runMember(ctx) })
+	g.Go(func() error { return n.runProbes(ctx) })
 	g.Go(func() error { return n.runPass(ctx) })
 	g.Go(func() error { return n.runCloud(ctx) })
 	g.Go(func() error { return n.runLead(ctx) })
@@ -244,6 +249,13 @@
 			n.sessions[label] = *m
 		}
 		return err
+	case strings.HasPrefix(key, member.DeafPrefix):
+		label := strings.TrimPrefix(key, member.DeafPrefix)
+		if v == nil {
+			delete(n.deaf, label)
+		} else {
+			n.deaf[label] = true
+		}
 	case key == member.LeadKey:
 		n.lead = nil
 		if v == nil {
@@ -420,8 +432,18 @@
 		guards = []wire.Guard{n.cache.Guard(key)}
 		change = wire.Change{Set: key, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
 	} else {
-		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Lead: n.lead, Member: n.member})
+		now := n.now()
+		deaf := n.ears(now).Next()
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Deaf: n.deaf, Lead: n.lead, Member: n.member})
 		switch {
+		case deaf != n.deaf[n.self.Label]:
+			guards = []wire.Guard{n.cache.Guard(key)}
+			change = wire.Change{Drop: member.DeafKey(n.self.Label)}
+			if deaf {
+				change = wire.Change{Set: member.DeafKey(n.self.Label), V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+				n.startProbing(now)
+			}
+			n.log.Info("hearing of workers changes", "deaf", deaf)
 		case a.TakeLead:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
 			change = wire.Change{Set: member.LeadKey, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
@@ -453,6 +475,73 @@
 	return nil
 }
 
+// ears sums up whether this node hears its workers; mu is held.
+func (n *Node) ears(now time.Time) member.Ears {
+	e := member.Ears{Deaf: n.deaf[n.self.Label]}
+	if n.member == nil || !n.entitled() {
+		return e
+	}
+	if e.Deaf {
+		if now.Sub(n.deafAt) > tuning.DeafAtLeast {
+			e.Answered = len(n.probes) == 0 || n.probed.After(n.deafAt)
+		}
+		return e
+	}
+	silent := time.Duration(tuning.SilentReports * float64(n.set.Report()))
+	for host, w := range n.workers {
+		if n.member.Owner(host) != n.self.Label || w.Heard.IsZero() {
+			continue
+		}
+		if now.Sub(w.Heard) < silent {
+			e.Heard++
+		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silent {
+			e.Silent++
+		}
+	}
+	for _, s := range n.siblings {
+		for _, h := range s.status.Hosts {
+			if n.freshSibling(s) && h.Age >= 0 && h.Age < silent {
+				e.SiblingsHear = true
+			}
+		}
+	}
+	return e
+}
+
+// startProbing remembers workers to ask until one answers; mu is held.
+func (n *Node) startProbing(now time.Time) {
+	n.probes, n.deafAt, n.probed = nil, now, time.Time{}
+	for _, w := range n.workers {
+		if w.Address != "" && len(n.probes) < tuning.DeafProbes {
+			n.probes = append(n.probes, w.Address)
+		}
+	}
+}
+
+// runProbes asks workers, while this node is deaf, whether it hears again.
+func (n *Node) runProbes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, n.set.Report())
+		n.mu.Lock()
+		var ask []string
+		if n.deaf[n.self.Label] {
+			ask = n.probes
+		}
+		n.mu.Unlock()
+		for _, address := range ask {
+			if n.call.show(address) != nil {
+				continue
+			}
+			n.mu.Lock()
+			n.probed = n.now()
+			n.mu.Unlock()
+			wake(n.mkick)
+			break
+		}
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -123,6 +123,7 @@
 // caller sends direct commands to workers.
 type caller interface {
 	commands(address string, cmd wire.Commands) (int, *wire.Checkin, error)
+	show(address string) error
 }
 
 type workerCaller struct{ hc *fasthttp.Client }
@@ -144,6 +145,14 @@
 	return status, &r, nil
 }
 
+func (w *workerCaller) show(address string) error {
+	status, _, err := httpc.Do(w.hc, "GET", address, "/show", nil, tuning.WorkerCallTimeout)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("worker answered %d", status)
+	}
+	return err
+}
+
 // direct sends a worker what it should not wait a report interval for: starts,
 // kills, and our baton if it has not shown it; mu is held.
 func (n *Node) direct(w *fleet.Worker, now time.Time) {
