--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -75,6 +75,10 @@
 	// plan keeps it up to date.
 	Spared map[string]time.Time
 	Moving bool // a machine is being drained of service tasks
+
+	// Active says which roles have had work lately; the others need neither
+	// floor nor headroom.
+	Active map[place.Role]bool
 }
 
 // HirePlan is a number of machines to rent for a role.
@@ -270,6 +274,9 @@
 }
 
 func (p *planner) headroom(role place.Role, l Load, share float64) {
+	if !p.in.Active[role] {
+		return
+	}
 	for range spare(l, share) {
 		j := typical(l)
 		if !p.pack(j, false) && !p.hire(j, 0, "headroom") {
@@ -333,7 +340,7 @@
 	gone := map[place.Role]bool{}
 	spared := map[string]bool{}
 	for _, u := range spare {
-		if holds[floor(u)] <= tuning.RoleFloor || !p.spares(u) {
+		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !p.spares(u)) || u.Claims > 0 && !p.spares(u) {
 			continue
 		}
 		// A busy machine is spared for as long as an idle one must be idle.
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -24,7 +24,8 @@
 func input() PlanInput {
 	op := config.DefaultOperator()
 	op.ServiceHeadroom, op.BatchHeadroom = 0, 0
-	return PlanInput{Now: t0, Op: op, Types: types, Refused: map[Kind]time.Time{}, Spared: map[string]time.Time{}}
+	return PlanInput{Now: t0, Op: op, Types: types, Refused: map[Kind]time.Time{}, Spared: map[string]time.Time{},
+		Active: map[place.Role]bool{place.Batch: true, place.Service: true}}
 }
 
 func unit(name string, role place.Role, spot bool) Unit {
@@ -144,3 +145,19 @@
 		t.Fatalf("beside another that is being drained: %v", d)
 	}
 }
+
+// With nothing to do for long the floors kept two machines rented for ever.
+func TestRolesWithoutWorkKeepNothing(t *testing.T) {
+	in := input()
+	in.Op.BatchHeadroom = 0.25
+	in.Units = []Unit{unit("s1", place.Service, false), unit("b1", place.Batch, false)}
+	w := want(wire.ShapeArray, 1)
+	in.Batch = Load{Tasks: 0.01, Need: w.Job.Need, Work: w.Job.Record.Work}
+	if d := Plan(in).Drains; len(d) != 0 {
+		t.Fatalf("the floors were given back: %v", d)
+	}
+	in.Active = nil
+	if out := Plan(in); len(out.Drains) != 2 || len(out.Hires) != 0 {
+		t.Fatalf("without work: %+v", out)
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -22,7 +22,7 @@
 	if n.leading.baton != n.member.Baton {
 		old := n.leading
 		n.leading = leading{baton: n.member.Baton, listed: map[string]wire.Host{}, absent: map[string]int{},
-			hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
+			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
 			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}}
 		if old.baton > 0 && old.baton == n.member.Baton-1 && old.hired != nil {
@@ -31,7 +31,7 @@
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
-			n.leading.spared = old.spared
+			n.leading.spared, n.leading.active = old.spared, old.active
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
@@ -364,6 +364,20 @@
 		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
 	}
 	in.Batch, in.Service = l.batch, service
+	for _, j := range n.table.Open {
+		if j.Service() {
+			l.active[place.Service] = now
+		} else {
+			l.active[place.Batch] = now
+		}
+	}
+	in.Active = map[place.Role]bool{}
+	for _, role := range []place.Role{place.Batch, place.Service} {
+		if _, ok := l.active[role]; !ok {
+			l.active[role] = now // a new leader does not know
+		}
+		in.Active[role] = now.Sub(l.active[role]) < tuning.RoleLapse
+	}
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
 		refs = append(refs, ref)
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -98,10 +98,11 @@
 	control   map[string]*roles.Controller
 	decision  map[string]roles.Decision
 	seenJobs  map[string]bool
-	idle      map[string]time.Time // since when a machine has no claims
-	spared    map[string]time.Time // see fleet.PlanInput
-	heard     map[string]time.Time // when a machine was last heard by anybody
-	since     map[string]time.Time // when a machine was first listed
+	idle      map[string]time.Time     // since when a machine has no claims
+	spared    map[string]time.Time     // see fleet.PlanInput
+	heard     map[string]time.Time     // when a machine was last heard by anybody
+	since     map[string]time.Time     // when a machine was first listed
+	active    map[place.Role]time.Time // when a role last had an open job
 	batchAvg  float64
 	batchSize float64   // mean number of tasks of arriving arrays
 	batchSeen time.Time // when the last one arrived
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -152,6 +152,9 @@
 	RoleUsable = 0.8
 	// RoleFloor is the number of machines each role keeps.
 	RoleFloor = 1
+	// RoleLapse is how long after its last open job a role needs neither floor
+	// nor headroom: a machine without work costs as much as one with it.
+	RoleLapse = 25 * time.Second
 	// RoleStartTarget is the start-time target of batch work where the
 	// settings state none (ours).
 	RoleStartTarget = 15 * time.Second
