--- /dev/null
+++ b/internal/fleet/cloud.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// Outcomes of a call to the cloud.
+var (
+	// ErrNoCapacity: no machine of this type, zone and kind.
+	ErrNoCapacity = errors.New("no capacity")
+	// ErrCloud: refused, in trouble, or no answer.
+	ErrCloud = errors.New("cloud does not answer")
+)
+
+// Cloud is what the leader needs of the cloud.
+type Cloud interface {
+	Types() ([]wire.Rig, error)
+	Hire(h wire.Hire) ([]string, error)
+	Return(hosts []string) error
+	List() ([]wire.Host, error)
+}
+
+// CloudClient is the HTTP client of the cloud.
+type CloudClient struct {
+	addr string
+	hc   *fasthttp.HostClient
+	rps  float64
+	now  func() time.Time
+
+	mu    sync.Mutex
+	allow float64
+	last  time.Time
+}
+
+// NewCloudClient returns a client that keeps to its share of the cloud's rate.
+func NewCloudClient(addr string, rps float64, now func() time.Time) *CloudClient {
+	return &CloudClient{addr: addr, rps: rps, now: now, allow: rps, last: now(), hc: &fasthttp.HostClient{
+		Addr: addr, Dial: store.Dial, MaxConns: 6, RetryIfErr: store.NoRetry, MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize: 4 << 20, NoDefaultUserAgentHeader: true,
+	}}
+}
+
+// permit takes one call from the budget, or refuses at once.
+func (c *CloudClient) permit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.allow = min(c.allow+now.Sub(c.last).Seconds()*c.rps, c.rps)
+	c.last = now
+	if c.allow < 1 {
+		return false
+	}
+	c.allow--
+	return true
+}
+
+func (c *CloudClient) call(method, path string, in, out any) error {
+	if !c.permit() {
+		return fmt.Errorf("%w: call budget is spent", ErrCloud)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + path)
+	if in != nil {
+		req.Header.SetContentType(wire.ContentType)
+		req.SetBody(wire.MustMarshal(in))
+	}
+	if err := c.hc.DoTimeout(req, resp, tuning.CloudCallTimeout); err != nil {
+		return fmt.Errorf("%w: %v", ErrCloud, err)
+	}
+	if resp.StatusCode() != 200 {
+		var f wire.Failure
+		if wire.Unmarshal(resp.Body(), &f) == nil && f.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("%w: status %d %s", ErrCloud, resp.StatusCode(), f.Error)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := wire.Unmarshal(resp.Body(), out); err != nil {
+		return fmt.Errorf("%w: %v", ErrCloud, err)
+	}
+	return nil
+}
+
+// Types reads the machine types.
+func (c *CloudClient) Types() ([]wire.Rig, error) {
+	var out wire.Rigs
+	err := c.call("GET", "/machine_types", nil, &out)
+	return out.Rigs, err
+}
+
+// Hire rents machines.
+func (c *CloudClient) Hire(h wire.Hire) ([]string, error) {
+	var out wire.HostNames
+	err := c.call("POST", "/hosts", h, &out)
+	return out.Hosts, err
+}
+
+// Return gives machines back; when it succeeds they are gone.
+func (c *CloudClient) Return(hosts []string) error {
+	return c.call("POST", "/hosts/return", wire.HostNames{Hosts: hosts}, nil)
+}
+
+// List reads the whole machine list.
+func (c *CloudClient) List() ([]wire.Host, error) {
+	var all []wire.Host
+	after := ""
+	for {
+		path := "/hosts?page=" + strconv.Itoa(500)
+		if after != "" {
+			path += "&after=" + url.QueryEscape(after)
+		}
+		var page wire.HostPage
+		if err := c.call("GET", path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Hosts...)
+		if !page.Truncated || len(page.Hosts) == 0 {
+			return all, nil
+		}
+		after = page.Hosts[len(page.Hosts)-1].Ref
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,350 @@
+package fleet
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// Reasons for giving back a machine that holds nothing any more, or never came
+// up: its return proves that its tasks are gone.
+const (
+	WhySlowBoot = "slow boot"
+	WhyGone     = "gone from the cloud's list"
+	WhySilent   = "silent for longer than a lease"
+)
+
+// Kind is what one rental asks for.
+type Kind struct {
+	Rig, Zone string
+	Spot      bool
+}
+
+// Unit is a machine in the plan.
+type Unit struct {
+	Name    string
+	Kind    Kind
+	Role    place.Role
+	Open    bool          // takes tasks now
+	Booting bool          // not up yet
+	Age     time.Duration // since it was rented or first listed
+	Idle    time.Duration // without claims
+	Claims  int
+	Free    jobs.Resources
+	Suspect bool
+	Silent  bool // up before, not heard for longer than a lease
+	Missing bool // was listed, is no more
+}
+
+// Want is a number of like tasks without a place.
+type Want struct {
+	Job     *jobs.Job
+	Count   int
+	Waiting time.Duration
+}
+
+// Load is what a role holds now, for its headroom.
+type Load struct {
+	Tasks float64        // tasks held, a mean over time for batch
+	Need  jobs.Resources // of a typical task
+	Work  *wire.Work     // a typical job
+}
+
+// PlanInput is what the capacity plan is made from.
+type PlanInput struct {
+	Now     time.Time
+	Op      config.Operator
+	Types   []wire.Rig
+	Units   []Unit
+	Wants   []Want
+	Service Load
+	Batch   Load
+	Refused map[Kind]time.Time // when the cloud had none
+}
+
+// HirePlan is a number of machines to rent for a role.
+type HirePlan struct {
+	Kind   Kind
+	Role   place.Role
+	Number int
+	Why    string
+}
+
+// DrainPlan is a machine to give back once it is empty.
+type DrainPlan struct {
+	Name string
+	Why  string
+}
+
+// PlanOutput is what to rent and to give back.
+type PlanOutput struct {
+	Hires  []HirePlan
+	Drains []DrainPlan
+}
+
+type bin struct {
+	kind Kind
+	role place.Role
+	free jobs.Resources
+	open bool
+	name string
+}
+
+type planner struct {
+	in    PlanInput
+	types map[string]wire.Rig
+	bins  []*bin
+	hires map[HirePlan]int
+}
+
+// Plan decides what to rent and what to give back. It is pure.
+func Plan(in PlanInput) PlanOutput {
+	p := &planner{in: in, types: map[string]wire.Rig{}, hires: map[HirePlan]int{}}
+	for _, t := range in.Types {
+		p.types[t.Label] = t
+	}
+	for _, u := range in.Units {
+		if !u.Suspect && !u.Silent && !u.Missing && (u.Open || u.Booting) {
+			p.bins = append(p.bins, &bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
+		}
+	}
+	unmet := map[place.Role]bool{}
+	for _, w := range in.Wants {
+		for range w.Count {
+			if p.pack(w.Job, true) {
+				continue
+			}
+			if !p.hire(w.Job, w.Waiting, "tasks without a place") {
+				break
+			}
+		}
+		if w.Job.Service() {
+			unmet[place.Service] = true
+		} else {
+			unmet[place.Batch] = true
+		}
+	}
+	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
+	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
+
+	var out PlanOutput
+	for h, n := range p.hires {
+		h.Number = n
+		out.Hires = append(out.Hires, h)
+	}
+	sort.Slice(out.Hires, func(a, b int) bool {
+		x, y := out.Hires[a], out.Hires[b]
+		if x.Role != y.Role {
+			return x.Role == place.Service
+		}
+		if x.Kind.Zone != y.Kind.Zone {
+			return x.Kind.Zone < y.Kind.Zone
+		}
+		return x.Kind.Rig < y.Kind.Rig
+	})
+	out.Drains = p.drains(unmet)
+	return out
+}
+
+func total(t wire.Rig) jobs.Resources {
+	return jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
+}
+
+// suits reports whether the job may use machines of the kind in the role.
+func suits(j *jobs.Job, k Kind, role place.Role) bool {
+	return place.Suits(j, &place.Machine{Type: k.Rig, Zone: k.Zone, Spot: k.Spot, Role: role})
+}
+
+func roleOf(j *jobs.Job) place.Role {
+	if j.Service() {
+		return place.Service
+	}
+	return place.Batch
+}
+
+// pack puts one task into a bin; coming: only machines that take no tasks yet,
+// since those that do have been tried.
+func (p *planner) pack(j *jobs.Job, coming bool) bool {
+	var best *bin
+	for _, b := range p.bins {
+		if coming && b.open || !suits(j, b.kind, b.role) || !j.Need.Fits(b.free) {
+			continue
+		}
+		if best == nil || b.free.GPUs < best.free.GPUs {
+			best = b
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.free = best.free.Sub(j.Need)
+	return true
+}
+
+// hire plans one more machine for a task: the cheapest for each task it holds,
+// in the zone with the fewest machines of the role.
+func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) bool {
+	role := roleOf(j)
+	var best Kind
+	cost, crowd := math.Inf(1), 0
+	for _, t := range p.in.Types {
+		tot := total(t)
+		if !j.Need.Fits(tot) {
+			continue
+		}
+		fit := 1 / max(j.Need.Share(tot), 1e-9)
+		for _, z := range t.Plots {
+			for _, spot := range []bool{false, true} {
+				k := Kind{t.Label, z, spot}
+				if !suits(j, k, role) {
+					continue
+				}
+				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
+					continue
+				}
+				if !spot && role == place.Batch && j.Record.Work.Windfall && waiting < tuning.OrdinaryBatchAfter {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				c, n := price/math.Floor(fit+1e-6), p.crowd(z, role)
+				if c < cost-1e-9 || c < cost+1e-9 && n < crowd {
+					best, cost, crowd = k, c, n
+				}
+			}
+		}
+	}
+	if math.IsInf(cost, 1) {
+		return false
+	}
+	p.hires[HirePlan{Kind: best, Role: role, Why: why}]++
+	p.bins = append(p.bins, &bin{kind: best, role: role, free: total(p.types[best.Rig]).Sub(j.Need)})
+	return true
+}
+
+func (p *planner) crowd(zone string, role place.Role) int {
+	n := 0
+	for _, b := range p.bins {
+		if b.kind.Zone == zone && b.role == role {
+			n++
+		}
+	}
+	return n
+}
+
+// spare is the number of typical tasks that a role's headroom holds.
+func spare(l Load, share float64) int {
+	if l.Work == nil || l.Tasks <= 0 {
+		return 0
+	}
+	return int(math.Ceil(l.Tasks * share))
+}
+
+// typical makes a job that stands for a load.
+func typical(l Load) *jobs.Job {
+	w := *l.Work
+	w.Plot = nil
+	return &jobs.Job{Record: jobs.Record{Phase: jobs.Open, Work: &w}, Need: l.Need}
+}
+
+func (p *planner) headroom(role place.Role, l Load, share float64) {
+	for range spare(l, share) {
+		j := typical(l)
+		if !p.pack(j, false) && !p.hire(j, 0, "headroom") {
+			return
+		}
+	}
+}
+
+// drains chooses machines to give back: those that are of no use, and idle
+// ones whose loss leaves the headroom and the role floors.
+func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
+	var out []DrainPlan
+	ordinary := map[Kind]int{}
+	floor := func(u Unit) Kind { return Kind{Rig: u.Kind.Rig, Zone: string(u.Role)} }
+	for _, u := range p.in.Units {
+		if !u.Kind.Spot {
+			ordinary[floor(u)]++
+		}
+	}
+	idle := []Unit{}
+	for _, u := range p.in.Units {
+		boot := config.Seconds(p.types[u.Kind.Rig].StartupS)
+		switch {
+		case u.Booting && u.Age > max(time.Duration(tuning.SlowBootFactor*float64(boot)), tuning.SlowBootMin):
+			out = append(out, DrainPlan{u.Name, WhySlowBoot})
+		case u.Missing:
+			out = append(out, DrainPlan{u.Name, WhyGone})
+		case u.Silent:
+			out = append(out, DrainPlan{u.Name, WhySilent})
+		case u.Suspect:
+			out = append(out, DrainPlan{u.Name, "tasks of several jobs failed"})
+		case u.Open && u.Claims == 0:
+			idle = append(idle, u)
+		}
+	}
+	price := func(u Unit) float64 {
+		t := p.types[u.Kind.Rig]
+		if u.Kind.Spot {
+			return t.SpotPrice
+		}
+		return t.Price
+	}
+	sort.Slice(idle, func(a, b int) bool {
+		if price(idle[a]) != price(idle[b]) {
+			return price(idle[a]) > price(idle[b])
+		}
+		return idle[a].Name < idle[b].Name
+	})
+	gone := map[place.Role]bool{}
+	for _, u := range idle {
+		limit := p.in.Op.IdleOrdinary
+		if u.Kind.Spot {
+			limit = p.in.Op.IdleSpot
+		}
+		if u.Idle < limit || unmet[u.Role] || gone[u.Role] || len(p.hires) > 0 {
+			continue
+		}
+		if !u.Kind.Spot && ordinary[floor(u)] <= tuning.RoleFloor {
+			continue
+		}
+		l, share := p.in.Batch, p.in.Op.BatchHeadroom
+		if u.Role == place.Service {
+			l, share = p.in.Service, p.in.Op.ServiceHeadroom
+		}
+		if !p.spares(u, l, share) {
+			continue
+		}
+		gone[u.Role] = true // one of each role a plan
+		ordinary[floor(u)]--
+		out = append(out, DrainPlan{u.Name, "idle"})
+	}
+	return out
+}
+
+// spares reports whether the headroom stands without the machine.
+func (p *planner) spares(u Unit, l Load, share float64) bool {
+	need := spare(l, share)
+	if need == 0 {
+		return true
+	}
+	j := typical(l)
+	room := 0
+	for _, v := range p.in.Units {
+		if v.Name == u.Name || !(v.Open || v.Booting) || v.Suspect || v.Silent || v.Missing || !suits(j, v.Kind, v.Role) {
+			continue
+		}
+		for f := v.Free; j.Need.Fits(f) && room < need; f = f.Sub(j.Need) {
+			room++
+		}
+	}
+	return room >= need
+}
--- /dev/null
+++ b/internal/fleet/worker.go
@@ -0,0 +1,307 @@
+// Package fleet holds machines: the sessions of their workers, their stored
+// records, the cloud's client and the leader's capacity plan.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// SessionState is what the owner of a machine knows of its worker's session.
+type SessionState string
+
+// States of a worker's session, as its owner sees it.
+const (
+	// Unproven: no report of the current session has shown our baton yet; a
+	// former owner's commands may still be under way.
+	Unproven SessionState = "unproven"
+	// Proven: a report of the current session has shown our baton, so that all
+	// commands under lower batons are dead.
+	Proven SessionState = "proven"
+	// Expired: the worker's lease has surely ended; everything in the session
+	// is gone.
+	Expired SessionState = "expired"
+)
+
+// SessionEvent changes a session's state.
+type SessionEvent string
+
+// Events of a worker's session.
+const (
+	BatonRaised SessionEvent = "baton raised" // our membership has changed
+	BatonShown  SessionEvent = "baton shown"  // a newer report shows our baton
+	NewStint    SessionEvent = "new stint"
+	LeaseEnded  SessionEvent = "lease ended"
+)
+
+// Next is the one function that changes a worker session's state.
+func (s SessionState) Next(e SessionEvent) SessionState {
+	switch {
+	case e == NewStint:
+		return Unproven
+	case s == Expired:
+		return Expired // only a new stint leaves it
+	case e == BatonRaised:
+		return Unproven
+	case e == BatonShown:
+		return Proven
+	case e == LeaseEnded && s == Proven:
+		return Expired
+	}
+	return s
+}
+
+// Attempt is one try of a task.
+type Attempt struct {
+	ID  jobs.ID
+	Try uint64
+}
+
+// Worker is the owner's view of one machine's worker.
+type Worker struct {
+	Host     string
+	Address  string
+	Rig      string
+	Plot     string
+	Spot     bool
+	State    SessionState
+	Stint    uint64
+	Tally    uint64
+	Baton    uint64 // highest that the worker has shown
+	Shards   map[jobs.ID]wire.Shard
+	Heard    time.Time        // arrival of the last message
+	First    time.Time        // arrival of the first message
+	Answered time.Time        // arrival of the last report that we answered with 200
+	ProvenAt time.Time        // arrival of the message that proved the session
+	TakenAt  time.Time        // when the cloud takes the machine; zero: no notice
+	Stopping map[jobs.ID]bool // tasks that we want off this machine
+
+	// Direct starts that were sent and not answered, at this baton and stint.
+	// They may yet be carried out.
+	Unanswered map[Attempt]int
+
+	Images  []string              // seen here, newest last
+	Errors  map[string]bool       // jobs whose tasks failed here since the last success
+	Refused time.Time             // last refusal for want of room
+	Sent    map[Attempt]time.Time // direct starts and kills, by when
+	Called  time.Time             // last direct call
+	Calling bool                  // a direct call is under way
+}
+
+// NewWorker returns the view of a machine that has not been heard.
+func NewWorker(host string) *Worker {
+	return &Worker{Host: host, State: Unproven, Shards: map[jobs.ID]wire.Shard{}, Stopping: map[jobs.ID]bool{},
+		Unanswered: map[Attempt]int{}, Errors: map[string]bool{}, Sent: map[Attempt]time.Time{}}
+}
+
+// RaiseBaton notes that our membership has changed.
+func (w *Worker) RaiseBaton() { w.State = w.State.Next(BatonRaised) }
+
+// Observe enters a report that arrived now, if it is newer than what is known.
+// baton is the one of our membership.
+func (w *Worker) Observe(r *wire.Checkin, baton uint64, now time.Time) bool {
+	if w.First.IsZero() {
+		w.First = now
+	}
+	if r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Tally {
+		return false
+	}
+	if r.Stint > w.Stint {
+		// Guards against taking an old session's proof for the new one's, and
+		// against waiting for starts that the worker now refuses.
+		w.State = w.State.Next(NewStint)
+		clear(w.Unanswered)
+		clear(w.Stopping)
+	}
+	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
+	w.Stint, w.Tally, w.Heard = r.Stint, r.Tally, now
+	w.Baton = max(w.Baton, r.Baton)
+	if w.State == Unproven && baton > 0 && r.Baton == baton {
+		w.State = w.State.Next(BatonShown)
+		w.ProvenAt = now
+		// Starts under lower batons are dead from here on.
+		clear(w.Unanswered)
+	}
+	if r.WarningS == nil {
+		w.TakenAt = time.Time{}
+	} else {
+		w.TakenAt = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+	}
+	clear(w.Shards)
+	for _, s := range r.Shards {
+		ref, n, ok := jobs.ParseShard(s.Shard)
+		if !ok {
+			continue
+		}
+		id := jobs.ID{Ref: ref, Task: n}
+		// The task may be listed with an older, exited attempt too: the newest
+		// attempt counts, and an older one is still to be reaped.
+		if old, dup := w.Shards[id]; dup && old.Try > s.Try {
+			continue
+		}
+		w.Shards[id] = s
+	}
+	for id := range w.Stopping {
+		if s, on := w.Shards[id]; !on || s.Phase == wire.ShardExited {
+			delete(w.Stopping, id)
+		}
+	}
+	return true
+}
+
+// NoteImage remembers that the machine holds an image.
+func (w *Worker) NoteImage(image string) {
+	for i, im := range w.Images {
+		if im == image {
+			w.Images = append(append(w.Images[:i:i], w.Images[i+1:]...), image)
+			return
+		}
+	}
+	w.Images = append(w.Images, image)
+	if len(w.Images) > tuning.ImagesKept {
+		w.Images = w.Images[1:]
+	}
+}
+
+// LeaseOver reports whether the session's lease has surely ended: the worker
+// showed our baton, so that only our answers renew it, and the last report
+// that we answered arrived too long ago. A report is sent before it arrives,
+// and the worker counts from the sending.
+func (w *Worker) LeaseOver(now time.Time, lease time.Duration) bool {
+	if w.State != Proven {
+		return w.State == Expired
+	}
+	from := w.ProvenAt
+	if w.Answered.After(from) {
+		from = w.Answered
+	}
+	if now.Sub(from) <= time.Duration(float64(lease)*tuning.DriftFactor)+tuning.LeaseMargin {
+		return false
+	}
+	w.State = w.State.Next(LeaseEnded)
+	return true
+}
+
+// Release is a claim whose end is proven.
+type Release struct {
+	ID    jobs.ID
+	Kind  jobs.TaskEventKind
+	Cause string
+}
+
+// Proofs returns the claims on the machine whose attempts have surely ended.
+// claims are those stored for this machine.
+func (w *Worker) Proofs(claims map[jobs.ID]*jobs.Job, now time.Time, lease time.Duration) []Release {
+	over := w.LeaseOver(now, lease)
+	var out []Release
+	for id, j := range claims {
+		t := j.Live[id.Task]
+		switch s, on := w.Shards[id]; {
+		case over && t.Stint <= w.Stint:
+			out = append(out, Release{id, jobs.Release, "lease ended"})
+		case w.State != Proven:
+			// A former owner's commands may still be under way.
+		case t.Stint < w.Stint:
+			out = append(out, Release{id, jobs.Release, "new session"})
+		case on && s.Try == t.Try && s.Phase == wire.ShardExited:
+			kind := jobs.Release
+			switch s.Cause {
+			case wire.CauseDone:
+				kind = jobs.Complete
+			case wire.CauseError, wire.CauseUnknown:
+				kind = jobs.Fail
+			}
+			out = append(out, Release{id, kind, s.Cause})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].ID.Ref != out[b].ID.Ref {
+			return out[a].ID.Ref < out[b].ID.Ref
+		}
+		return out[a].ID.Task < out[b].ID.Task
+	})
+	return out
+}
+
+// Orders returns the commands that the stored claims call for. mayStart is
+// false while the state service can't be read. Reaps in it may travel in
+// report responses only: a start in the response to an earlier report is then
+// surely over, while a direct reap could overtake it.
+func (w *Worker) Orders(claims map[jobs.ID]*jobs.Job, mayStart bool) []wire.Order {
+	if w.State == Expired {
+		return nil
+	}
+	var out []wire.Order
+	ids := make([]jobs.ID, 0, len(claims)+len(w.Shards))
+	for id := range claims {
+		if _, on := w.Shards[id]; !on {
+			ids = append(ids, id)
+		}
+	}
+	for id := range w.Shards {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool {
+		if ids[a].Ref != ids[b].Ref {
+			return ids[a].Ref < ids[b].Ref
+		}
+		return ids[a].Task < ids[b].Task
+	})
+	zero := 0.0
+	for _, id := range ids {
+		j := claims[id]
+		var t jobs.Task
+		if j != nil {
+			t = j.Live[id.Task]
+		}
+		s, on := w.Shards[id]
+		wanted := j != nil && t.Stint == w.Stint && j.Record.Phase == jobs.Open
+		switch {
+		case wanted && (!on || s.Try < t.Try):
+			if on && s.Phase != wire.ShardExited {
+				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
+			} else if on && w.Unanswered[Attempt{id, s.Try}] == 0 && w.State == Proven {
+				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+			}
+			if mayStart {
+				out = append(out, wire.Order{Verb: wire.VerbStart, Shard: id.String(), Try: t.Try})
+			}
+		case !on:
+		case s.Phase == wire.ShardExited:
+			// Reap only once the release is stored: no claim names the attempt.
+			if (j == nil || t.Try != s.Try) && w.State == Proven && w.Unanswered[Attempt{id, s.Try}] == 0 {
+				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+			}
+		case wanted && s.Try == t.Try:
+			if w.Stopping[id] && s.Phase != wire.ShardFlushing {
+				leeway := 0.0
+				if w := j.Record.Work; w != nil {
+					leeway = w.StashS
+				}
+				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &leeway})
+			}
+		default:
+			// No stored claim covers it, or its job is over.
+			out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
+		}
+	}
+	return out
+}
+
+// Starts lists the attempts that a list of orders starts.
+func Starts(orders []wire.Order) []Attempt {
+	var out []Attempt
+	for _, o := range orders {
+		if o.Verb != wire.VerbStart {
+			continue
+		}
+		if ref, n, ok := jobs.ParseShard(o.Shard); ok {
+			out = append(out, Attempt{jobs.ID{Ref: ref, Task: n}, o.Try})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/jobs/machine.go
@@ -0,0 +1,88 @@
+package jobs
+
+import "fmt"
+
+// Phase is the stored state of a job.
+type Phase string
+
+// Phases of a job.
+const (
+	Open      Phase = "open"
+	Done      Phase = "done"
+	Cancelled Phase = "cancelled"
+)
+
+// Final reports whether the phase never changes again.
+func (p Phase) Final() bool { return p == Done || p == Cancelled }
+
+// JobEvent changes a job's phase.
+type JobEvent string
+
+// Events of a job.
+const (
+	JobCompleted JobEvent = "completed" // all tasks are stored done
+	JobCancel    JobEvent = "cancel"    // its user asked
+)
+
+// Next is the one function that changes a job's phase.
+func (p Phase) Next(e JobEvent) (Phase, error) {
+	if p == Open {
+		switch e {
+		case JobCompleted:
+			return Done, nil
+		case JobCancel:
+			return Cancelled, nil
+		}
+	}
+	return p, fmt.Errorf("job: no %s in phase %s", e, p)
+}
+
+// State is the stored state of a task.
+type State uint8
+
+// States of a task.
+const (
+	Pending   State = 0 // runs nowhere
+	Claimed   State = 1 // may be on its host, counts against every limit
+	Completed State = 2 // its result is kept
+)
+
+func (s State) String() string {
+	return [...]string{"pending", "claimed", "completed"}[s]
+}
+
+// TaskEvent changes a task's state.
+type TaskEvent struct {
+	Kind  TaskEventKind
+	Host  string // of a claim
+	Stint uint64 // of a claim
+}
+
+// TaskEventKind names the events of a task.
+type TaskEventKind string
+
+// Events of a task. All but Claim rest on proof that the attempt has ended.
+const (
+	Claim    TaskEventKind = "claim"
+	Complete TaskEventKind = "complete"
+	Release  TaskEventKind = "release" // ended without fault of the task
+	Fail     TaskEventKind = "fail"    // ended with an error
+)
+
+// errsCap keeps the stored count of failures short.
+const errsCap = 20
+
+// Next is the one function that changes a task's state.
+func (t Task) Next(e TaskEvent) (Task, error) {
+	switch {
+	case t.State == Pending && e.Kind == Claim:
+		return Task{State: Claimed, Try: t.Try + 1, Host: e.Host, Stint: e.Stint, Errs: t.Errs}, nil
+	case t.State == Claimed && e.Kind == Complete:
+		return Task{State: Completed, Try: t.Try}, nil
+	case t.State == Claimed && e.Kind == Release:
+		return Task{State: Pending, Try: t.Try, Errs: t.Errs}, nil
+	case t.State == Claimed && e.Kind == Fail:
+		return Task{State: Pending, Try: t.Try, Errs: min(t.Errs+1, errsCap)}, nil
+	}
+	return t, fmt.Errorf("task: no %s in state %s", e.Kind, t.State)
+}
--- /dev/null
+++ b/internal/jobs/table.go
@@ -0,0 +1,326 @@
+package jobs
+
+import (
+	"time"
+
+	"wheatspur/wire"
+)
+
+// Resources are what a task takes and a machine has.
+type Resources struct{ CPUs, GPUs, RAM float64 }
+
+// Add returns the sum.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.RAM + o.RAM}
+}
+
+// Sub returns the difference.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.RAM - o.RAM}
+}
+
+// Times returns a multiple.
+func (r Resources) Times(f float64) Resources {
+	return Resources{r.CPUs * f, r.GPUs * f, r.RAM * f}
+}
+
+// epsilon forgives rounding in sums of decimal amounts.
+const epsilon = 1e-6
+
+// Fits reports whether r fits into room.
+func (r Resources) Fits(room Resources) bool {
+	return r.CPUs <= room.CPUs+epsilon && r.GPUs <= room.GPUs+epsilon && r.RAM <= room.RAM+epsilon
+}
+
+// Share is the largest share that r takes of total.
+func (r Resources) Share(total Resources) float64 {
+	s := 0.0
+	for _, p := range [][2]float64{{r.CPUs, total.CPUs}, {r.GPUs, total.GPUs}, {r.RAM, total.RAM}} {
+		if p[1] > 0 {
+			s = max(s, p[0]/p[1])
+		} else if p[0] > 0 {
+			s = max(s, 1e9)
+		}
+	}
+	return s
+}
+
+// Need is what one task of the submission takes.
+func Need(w *wire.Work) Resources { return Resources{w.CPUs, w.Cards, w.RAMGB} }
+
+// Job is a job as the cache knows it.
+type Job struct {
+	Ref    string
+	Record Record
+	Need   Resources
+	Team   string
+	Chunks map[int][]Task // chunks that were ever written
+	Counts [3]int         // tasks per state
+	Live   map[int]Task   // claimed tasks
+	Seen   time.Time      // when this node first saw it
+}
+
+// Service reports whether the job's tasks run until it is cancelled.
+func (j *Job) Service() bool {
+	return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeStanding
+}
+
+// Task returns a task's state.
+func (j *Job) Task(i int) Task {
+	if c, ok := j.Chunks[i/j.Record.Chunk]; ok {
+		return c[i%j.Record.Chunk]
+	}
+	return Task{}
+}
+
+// ChunkLen is the number of tasks in a chunk.
+func (j *Job) ChunkLen(chunk int) int {
+	return min(j.Record.Chunk, j.Record.Tasks-chunk*j.Record.Chunk)
+}
+
+// ChunkCopy returns the tasks of a chunk for a change.
+func (j *Job) ChunkCopy(chunk int) []Task {
+	out := make([]Task, j.ChunkLen(chunk))
+	copy(out, j.Chunks[chunk])
+	return out
+}
+
+// SpansChunks reports whether a constraint on the job's zones covers tasks of
+// more than one chunk: then every claim also writes the job's record, so that
+// a claim guarded by it has seen all others.
+func (j *Job) SpansChunks() bool {
+	w := j.Record.Work
+	return w != nil && (w.Together || w.Apart) && j.Record.Tasks > j.Record.Chunk
+}
+
+// AllDone reports whether every task is stored done.
+func (j *Job) AllDone() bool { return j.Counts[Completed] == j.Record.Tasks }
+
+// Status is what users are told.
+func (j *Job) Status() wire.Status {
+	s := wire.Status{Ref: j.Ref, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
+	switch {
+	case j.Record.Phase == Done:
+		s.Phase, s.Done, s.Running = wire.PhaseDone, j.Record.Tasks, 0
+	case j.Record.Phase == Cancelled:
+		s.Phase, s.Running = wire.PhaseCancelled, 0
+	case s.Running > 0:
+		s.Phase = wire.PhaseRunning
+	default:
+		s.Phase = wire.PhaseQueued
+	}
+	return s
+}
+
+// Table is the set of all jobs as stored, with indexes. It is fed by the
+// cache and changed by nothing else.
+type Table struct {
+	Jobs  map[string]*Job
+	Open  map[string]*Job           // open jobs
+	Used  map[string]Resources      // claims per team
+	Hosts map[string]map[ID]*Job    // claims per machine
+	Team  map[string]TeamRecord     // team records
+	early map[string]map[int][]Task // chunks whose job is not known yet
+	now   func() time.Time
+
+	FailedAt map[ID]time.Time // when a task's count of failures last rose
+}
+
+// NewTable returns an empty table.
+func NewTable(now func() time.Time) *Table {
+	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Used: map[string]Resources{},
+		Hosts: map[string]map[ID]*Job{}, Team: map[string]TeamRecord{},
+		early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}}
+}
+
+// ApplyJob enters a job record. Job records are never dropped.
+func (t *Table) ApplyJob(ref string, raw wire.Raw) error {
+	if raw == nil {
+		return nil
+	}
+	var r Record
+	if err := wire.Unmarshal(raw, &r); err != nil {
+		return err
+	}
+	j := t.Jobs[ref]
+	if j == nil {
+		j = &Job{Ref: ref, Chunks: map[int][]Task{}, Live: map[int]Task{}, Seen: t.now()}
+		j.Counts[Pending] = r.Tasks
+		t.Jobs[ref] = j
+	}
+	j.Record = r
+	if r.Work != nil {
+		// Final records carry no description; what is needed to account for
+		// claims that are released later stays.
+		j.Need, j.Team = Need(r.Work), r.Work.Crew
+	}
+	if r.Phase == Open {
+		t.Open[ref] = j
+	} else {
+		delete(t.Open, ref)
+	}
+	for c, tasks := range t.early[ref] {
+		t.replace(j, c, tasks)
+	}
+	delete(t.early, ref)
+	return nil
+}
+
+// ApplyChunk enters a chunk record, or its absence.
+func (t *Table) ApplyChunk(key string, raw wire.Raw) error {
+	ref, chunk, ok := ParseChunkKey(key)
+	if !ok {
+		return nil
+	}
+	var r ChunkRecord
+	if raw != nil {
+		if err := wire.Unmarshal(raw, &r); err != nil {
+			return err
+		}
+	}
+	j := t.Jobs[ref]
+	if j == nil {
+		if t.early[ref] == nil {
+			t.early[ref] = map[int][]Task{}
+		}
+		t.early[ref][chunk] = r.Tasks
+		return nil
+	}
+	t.replace(j, chunk, r.Tasks)
+	return nil
+}
+
+func (t *Table) replace(j *Job, chunk int, tasks []Task) {
+	old := j.Chunks[chunk]
+	team := j.Team
+	for i, task := range old {
+		n := chunk*j.Record.Chunk + i
+		j.Counts[task.State]--
+		if task.State == Claimed {
+			delete(j.Live, n)
+			t.Used[team] = t.Used[team].Sub(j.Need)
+			delete(t.Hosts[task.Host], ID{j.Ref, n})
+			if len(t.Hosts[task.Host]) == 0 {
+				delete(t.Hosts, task.Host)
+			}
+		}
+	}
+	if len(old) == 0 {
+		j.Counts[Pending] -= j.ChunkLen(chunk)
+	}
+	if len(tasks) == 0 {
+		delete(j.Chunks, chunk)
+		j.Counts[Pending] += j.ChunkLen(chunk)
+		return
+	}
+	j.Chunks[chunk] = tasks
+	for i, task := range tasks {
+		n := chunk*j.Record.Chunk + i
+		j.Counts[task.State]++
+		if task.Errs > 0 && (i >= len(old) || old[i].Errs < task.Errs) {
+			t.FailedAt[ID{j.Ref, n}] = t.now()
+		} else if task.Errs == 0 && i < len(old) && old[i].Errs > 0 {
+			delete(t.FailedAt, ID{j.Ref, n})
+		}
+		if task.State == Claimed {
+			j.Live[n] = task
+			t.Used[team] = t.Used[team].Add(j.Need)
+			if t.Hosts[task.Host] == nil {
+				t.Hosts[task.Host] = map[ID]*Job{}
+			}
+			t.Hosts[task.Host][ID{j.Ref, n}] = j
+		}
+	}
+}
+
+// ApplyTeam enters a team record.
+func (t *Table) ApplyTeam(team string, raw wire.Raw) error {
+	var r TeamRecord
+	if raw != nil {
+		if err := wire.Unmarshal(raw, &r); err != nil {
+			return err
+		}
+	}
+	t.Team[team] = r
+	return nil
+}
+
+// HostNeed sums what the claims on a machine take.
+func (t *Table) HostNeed(host string) Resources {
+	var r Resources
+	for _, j := range t.Hosts[host] {
+		r = r.Add(j.Need)
+	}
+	return r
+}
+
+// Refusal says why a job can never run.
+type Refusal string
+
+func (r Refusal) Error() string { return string(r) }
+
+// Limits is what intake needs to know of a team.
+type Limits struct{ CPUsMax, GPUsMax float64 }
+
+// Check refuses a job that can never run: 422 to its user.
+func Check(w *wire.Work, lim Limits, known bool, rigs []wire.Rig) error {
+	if !known {
+		return Refusal("unknown team")
+	}
+	fits := false
+	for _, r := range rigs {
+		if Allowed(w, r.Label) && AnyZone(w, r.Plots) && Need(w).Fits(Resources{r.CPUs, r.Cards, r.RAMGB}) {
+			fits = true
+		}
+	}
+	if !fits {
+		return Refusal("no allowed machine type fits a task")
+	}
+	n := 1.0
+	if w.Shape == wire.ShapeStanding {
+		n = float64(w.Shards)
+	}
+	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.Cards*n > lim.GPUsMax+epsilon {
+		return Refusal("more than the team's limit")
+	}
+	return nil
+}
+
+// Allowed reports whether the job may use a machine type.
+func Allowed(w *wire.Work, rig string) bool {
+	if len(w.Rigs) == 0 {
+		return true
+	}
+	for _, r := range w.Rigs {
+		if r == rig {
+			return true
+		}
+	}
+	return false
+}
+
+// AnyZone reports whether the job may run in one of the zones.
+func AnyZone(w *wire.Work, zones []string) bool {
+	if w.Plot == nil {
+		return len(zones) > 0
+	}
+	for _, z := range zones {
+		if z == *w.Plot {
+			return true
+		}
+	}
+	return false
+}
+
+// RankOrder orders ranks, most important first.
+func RankOrder(rank string) int {
+	switch rank {
+	case wire.RankCritical:
+		return 0
+	case wire.RankUrgent:
+		return 1
+	case wire.RankNormal:
+		return 2
+	}
+	return 3
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,181 @@
+// Package member decides sessions, leadership, the membership record and
+// which node owns which machine. It is pure: state in, actions out.
+package member
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/wire"
+)
+
+// Keys of the state service.
+const (
+	Key        = jobs.Root + "member"
+	LeadKey    = jobs.Root + "lead"
+	NodePrefix = jobs.Root + "node/"
+)
+
+// NodeKey is the key of a node's session, attached to its lease.
+func NodeKey(label string) string { return NodePrefix + label }
+
+// Node is one incarnation of a controller; a restarted node is another.
+type Node struct {
+	Label       string `cbor:"l"`
+	Incarnation uint64 `cbor:"i"`
+}
+
+// Record is the membership: who is entitled to act, and with which baton.
+type Record struct {
+	Baton  uint64 `cbor:"b"`
+	Leader Node   `cbor:"d"`
+	Nodes  []Node `cbor:"n"`
+}
+
+// Has reports whether a node is a member.
+func (r *Record) Has(n Node) bool {
+	for _, m := range r.Nodes {
+		if m == n {
+			return true
+		}
+	}
+	return false
+}
+
+// Owner is the member that a machine is hashed to: the one with the highest
+// rendezvous weight.
+func (r *Record) Owner(host string) string {
+	best, top := "", uint64(0)
+	for _, n := range r.Nodes {
+		if w := weight(host, n.Label); best == "" || w > top || w == top && n.Label < best {
+			best, top = n.Label, w
+		}
+	}
+	return best
+}
+
+// Order returns the members in the order in which they take a job's tasks.
+func (r *Record) Order(ref string) []string {
+	nodes := append([]Node(nil), r.Nodes...)
+	sort.Slice(nodes, func(a, b int) bool {
+		wa, wb := weight(ref, nodes[a].Label), weight(ref, nodes[b].Label)
+		if wa != wb {
+			return wa > wb
+		}
+		return nodes[a].Label < nodes[b].Label
+	})
+	out := make([]string, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.Label
+	}
+	return out
+}
+
+func weight(key, label string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(label))
+	// FNV's low-entropy inputs need a final mix to spread evenly.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// SessionState is the state of a node's own session.
+type SessionState string
+
+// States of a session.
+const (
+	NoLease    SessionState = "no lease"
+	Leased     SessionState = "leased"     // lease held, not yet registered
+	Registered SessionState = "registered" // session key stored
+)
+
+// SessionEvent changes a session.
+type SessionEvent string
+
+// Events of a session.
+const (
+	GotLease   SessionEvent = "got lease"
+	Stored     SessionEvent = "stored"
+	LeaseEnded SessionEvent = "lease ended"
+)
+
+// Next is the one function that changes a session's state.
+func (s SessionState) Next(e SessionEvent) SessionState {
+	switch {
+	case e == LeaseEnded:
+		return NoLease
+	case s == NoLease && e == GotLease:
+		return Leased
+	case s == Leased && e == Stored:
+		return Registered
+	}
+	return s
+}
+
+// View is what the decisions are made from.
+type View struct {
+	Self     Node
+	Sessions map[string]Node // stored sessions by label
+	Lead     *Node           // holder of the lead key, nil if none
+	Member   *Record         // nil before the first
+}
+
+// Action is what a node should do about membership.
+type Action struct {
+	TakeLead bool
+	Write    *Record
+}
+
+// Decide returns the next step for a registered node.
+func Decide(v View) Action {
+	if v.Sessions[v.Self.Label] != v.Self {
+		return Action{}
+	}
+	if v.Lead == nil || v.Lead.Label == v.Self.Label && v.Lead.Incarnation != v.Self.Incarnation {
+		// No leader, or it was this node's former process, which is gone.
+		return Action{TakeLead: true}
+	}
+	if *v.Lead != v.Self {
+		return Action{}
+	}
+	want := Record{Baton: 1, Leader: v.Self}
+	for _, n := range v.Sessions {
+		want.Nodes = append(want.Nodes, n)
+	}
+	sort.Slice(want.Nodes, func(a, b int) bool { return want.Nodes[a].Label < want.Nodes[b].Label })
+	if v.Member != nil {
+		if same(*v.Member, want) {
+			return Action{}
+		}
+		want.Baton = v.Member.Baton + 1
+	}
+	return Action{Write: &want}
+}
+
+func same(a, b Record) bool {
+	if a.Leader != b.Leader || len(a.Nodes) != len(b.Nodes) {
+		return false
+	}
+	for i := range a.Nodes {
+		if a.Nodes[i] != b.Nodes[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// DecodeNode reads a session or the lead key.
+func DecodeNode(raw wire.Raw) (*Node, error) {
+	var n Node
+	if err := wire.Unmarshal(raw, &n); err != nil {
+		return nil, err
+	}
+	return &n, nil
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,164 @@
+// Package peer is what controller nodes say to each other: every node posts
+// its status to its siblings and gets theirs back, as FlatBuffers. Nothing
+// that the rules rest on travels this way; it is advice about liveness.
+package peer
+
+//go:generate flatc --go status.fbs
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/peer/fb"
+	"wheatspur/internal/store"
+)
+
+// Path is where nodes post their status.
+const Path = "/peer/status"
+
+// Host is what a node tells about one of its machines.
+type Host struct {
+	Name    string
+	Stint   uint64
+	Age     time.Duration // since its last message; negative: none
+	Proven  bool
+	Warning time.Duration // negative: no notice
+	Suspect bool
+	Images  []string
+}
+
+// Status is what a node tells about itself.
+type Status struct {
+	Label       string
+	Incarnation uint64
+	Baton       uint64
+	Epoch       uint64
+	HasState    bool
+	Hosts       []Host
+}
+
+// Encode returns the FlatBuffers form.
+func (s *Status) Encode() []byte {
+	b := flatbuffers.NewBuilder(1024)
+	hosts := make([]flatbuffers.UOffsetT, len(s.Hosts))
+	for i, h := range s.Hosts {
+		name := b.CreateString(h.Name)
+		images := make([]flatbuffers.UOffsetT, len(h.Images))
+		for k, im := range h.Images {
+			images[k] = b.CreateString(im)
+		}
+		vec := vector(b, images, fb.HostViewStartImagesVector)
+		fb.HostViewStart(b)
+		fb.HostViewAddName(b, name)
+		fb.HostViewAddStint(b, h.Stint)
+		fb.HostViewAddAgeMs(b, millis(h.Age))
+		fb.HostViewAddProven(b, h.Proven)
+		fb.HostViewAddWarningMs(b, millis(h.Warning))
+		fb.HostViewAddSuspect(b, h.Suspect)
+		fb.HostViewAddImages(b, vec)
+		hosts[i] = fb.HostViewEnd(b)
+	}
+	vec := vector(b, hosts, fb.StatusStartHostsVector)
+	label := b.CreateString(s.Label)
+	fb.StatusStart(b)
+	fb.StatusAddLabel(b, label)
+	fb.StatusAddIncarnation(b, s.Incarnation)
+	fb.StatusAddBaton(b, s.Baton)
+	fb.StatusAddEpoch(b, s.Epoch)
+	fb.StatusAddHasState(b, s.HasState)
+	fb.StatusAddHosts(b, vec)
+	b.Finish(fb.StatusEnd(b))
+	return b.FinishedBytes()
+}
+
+func vector(b *flatbuffers.Builder, offs []flatbuffers.UOffsetT, start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	start(b, len(offs))
+	for i := len(offs) - 1; i >= 0; i-- {
+		b.PrependUOffsetT(offs[i])
+	}
+	return b.EndVector(len(offs))
+}
+
+func millis(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
+func span(ms int64) time.Duration {
+	if ms < 0 {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// ErrMalformed says that a message could not be read.
+var ErrMalformed = errors.New("malformed peer message")
+
+// Decode reads a status. FlatBuffers for Go has no verifier, so a bad offset
+// panics; that is turned into an error here.
+func Decode(b []byte) (s Status, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			s, err = Status{}, fmt.Errorf("%w: %v", ErrMalformed, r)
+		}
+	}()
+	if len(b) < 8 {
+		return s, ErrMalformed
+	}
+	f := fb.GetRootAsStatus(b, 0)
+	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState()}
+	if f.HostsLength() > len(b)/4 {
+		return Status{}, ErrMalformed
+	}
+	for i := range f.HostsLength() {
+		var h fb.HostView
+		f.Hosts(&h, i)
+		v := Host{Name: string(h.Name()), Stint: h.Stint(), Age: span(h.AgeMs()), Proven: h.Proven(),
+			Warning: span(h.WarningMs()), Suspect: h.Suspect()}
+		if h.ImagesLength() > len(b)/4 {
+			return Status{}, ErrMalformed
+		}
+		for k := range h.ImagesLength() {
+			v.Images = append(v.Images, string(h.Images(k)))
+		}
+		s.Hosts = append(s.Hosts, v)
+	}
+	return s, nil
+}
+
+// Client exchanges statuses with one sibling.
+type Client struct {
+	addr string
+	hc   *fasthttp.HostClient
+}
+
+// NewClient returns a client of the sibling at addr.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, hc: &fasthttp.HostClient{
+		Addr: addr, Dial: store.Dial, MaxConns: 2, RetryIfErr: store.NoRetry, MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize: 1 << 20, NoDefaultUserAgentHeader: true,
+	}}
+}
+
+// Exchange posts our status and returns the sibling's.
+func (c *Client) Exchange(own []byte, timeout time.Duration) (Status, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + c.addr + Path)
+	req.SetBody(own)
+	if err := c.hc.DoTimeout(req, resp, timeout); err != nil {
+		return Status{}, err
+	}
+	if resp.StatusCode() != 200 {
+		return Status{}, fmt.Errorf("sibling: status %d", resp.StatusCode())
+	}
+	return Decode(resp.Body())
+}
--- /dev/null
+++ b/internal/server/node.go
@@ -0,0 +1,513 @@
+// Package server runs a controller node: it ties the decision packages to the
+// state service, the cloud, the workers, the users and the sibling nodes.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/peer"
+	"wheatspur/internal/place"
+	"wheatspur/internal/roles"
+	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// typesKey holds the machine types, so that every node knows them, also while
+// the cloud is out.
+const typesKey = jobs.Root + "types"
+
+// sibling is what is known of another node.
+type sibling struct {
+	cfg    config.Sibling
+	client *peer.Client
+	status peer.Status
+	at     time.Time
+}
+
+// Node is one controller.
+type Node struct {
+	set   *config.Settings
+	log   *slog.Logger
+	now   func() time.Time
+	svc   store.Service
+	lim   *store.Limiter
+	cloud fleet.Cloud
+	call  caller
+
+	mu       sync.Mutex // guards all below
+	cache    *store.Cache
+	table    *jobs.Table
+	sync     *store.Syncer
+	session  member.SessionState
+	self     member.Node
+	sessions map[string]member.Node
+	lead     *member.Node
+	member   *member.Record
+	hosts    map[string]fleet.Record
+	types    []wire.Rig
+	rigs     map[string]wire.Rig
+	workers  map[string]*fleet.Worker
+	siblings map[string]*sibling
+	busyJob  map[string]bool // a write about the job is under way
+	busyTeam map[string]bool
+	notUntil map[string]time.Time // jobs that lost a race, by when to try again
+	unmet    map[string]int       // tasks without a place, by job, of the last pass
+	why      map[string]string
+	unmetAt  map[string]time.Time
+	raisedAt time.Time // when our membership last changed
+	leading  leading
+
+	kick  chan struct{} // wakes the pass
+	mkick chan struct{} // wakes the membership
+	calls chan struct{} // bounds direct calls
+	takes chan struct{} // bounds submissions under way
+}
+
+// leading is the leader's memory; it starts empty with each leadership.
+type leading struct {
+	baton    uint64
+	counter  int
+	listed   map[string]wire.Host
+	listAt   time.Time
+	absent   map[string]int // lists in a row that omitted a machine listed before
+	hired    map[string]hired
+	refused  map[fleet.Kind]time.Time
+	control  map[string]*roles.Controller
+	decision map[string]roles.Decision
+	seenJobs map[string]bool
+	idle     map[string]time.Time // since when a machine has no claims
+	first    map[string]time.Time // when a machine was first seen up
+	batchAvg float64
+	avgAt    time.Time
+	batch    fleet.Load // last typical loads
+	service  fleet.Load
+}
+
+type hired struct {
+	kind fleet.Kind
+	role place.Role
+	at   time.Time
+}
+
+// New returns a node that is ready to run.
+func New(set *config.Settings, log *slog.Logger) *Node {
+	now := time.Now
+	share := tuning.BudgetShare / float64(max(1, len(set.Siblings)+1))
+	lim := store.NewLimiter(set.Params.State.RPS*share, set.Params.State.WriteRPS*share, tuning.BudgetQueue, now)
+	cloud := fleet.NewCloudClient(set.Endpoints.Cloud, set.Params.Cloud.RPS*tuning.BudgetShare, now)
+	return newNode(set, log, now, store.NewClient(set.Endpoints.State, lim), lim, cloud, newWorkerCaller())
+}
+
+func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
+	n := &Node{
+		set: set, log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
+		session: member.NoLease, sessions: map[string]member.Node{}, hosts: map[string]fleet.Record{},
+		rigs: map[string]wire.Rig{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
+		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
+		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
+		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
+		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
+	}
+	n.self.Label = set.Label
+	n.table = jobs.NewTable(now)
+	n.cache = store.NewCache(n.sink)
+	n.sync = store.NewSyncer(svc, jobs.Root, &n.mu, n.cache, n.changed, set.Operator.PollQueue, now, log)
+	for _, s := range set.Siblings {
+		n.siblings[s.Label] = &sibling{cfg: s, client: peer.NewClient(s.Endpoint)}
+	}
+	return n
+}
+
+// Run serves until ctx ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	ul, err := net.Listen("tcp4", n.set.Bind)
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	pl, err := net.Listen("tcp4", n.set.PeerListen)
+	if err != nil {
+		ul.Close()
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	user := n.httpServer(n.serveUser, int(float64(n.set.Params.Limits.MaxConnections)*tuning.ConnShare))
+	peers := n.httpServer(n.servePeer, 4*(len(n.siblings)+1))
+	peers.MaxRequestBodySize = 1 << 20
+	g.Go(func() error { return user.Serve(ul) })
+	g.Go(func() error { return peers.Serve(pl) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return errors.Join(ul.Close(), pl.Close())
+	})
+	g.Go(func() error { return n.sync.Run(ctx) })
+	g.Go(func() error { return n.sync.Barriers(ctx) })
+	g.Go(func() error { return n.runMember(ctx) })
+	g.Go(func() error { return n.runPass(ctx) })
+	g.Go(func() error { return n.runCloud(ctx) })
+	g.Go(func() error { return n.runLead(ctx) })
+	for _, s := range n.siblings {
+		g.Go(func() error { return n.runPeer(ctx, s) })
+	}
+	n.log.Info("serving", "node", n.set.Label, "bind", n.set.Bind, "peers", len(n.siblings))
+	return g.Wait()
+}
+
+func (n *Node) httpServer(h fasthttp.RequestHandler, conns int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: h, Name: "wheatspur", Concurrency: max(conns, 8),
+		ReadTimeout: tuning.ReadTimeout, WriteTimeout: tuning.WriteTimeout, IdleTimeout: tuning.IdleTimeout,
+		MaxRequestBodySize: wire.MaxBody, ReadBufferSize: 4096, WriteBufferSize: 4096,
+		NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true, CloseOnShutdown: true,
+		ErrorHandler: badRequest, Logger: quiet{},
+	}
+}
+
+// quiet drops fasthttp's own lines; what matters is logged by the handlers.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// wake signals without waiting.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// changed runs with mu held after each watch response.
+func (n *Node) changed() {
+	wake(n.kick)
+	wake(n.mkick)
+}
+
+// sink takes changed values from the cache; mu is held.
+func (n *Node) sink(key string, v wire.Raw, stamp uint64) {
+	if err := n.enter(key, v); err != nil {
+		n.log.Error("stored record can't be read", "key", key, "stamp", stamp, "err", err)
+	}
+}
+
+func (n *Node) enter(key string, v wire.Raw) error {
+	switch {
+	case strings.HasPrefix(key, jobs.JobPrefix):
+		return n.table.ApplyJob(strings.TrimPrefix(key, jobs.JobPrefix), v)
+	case strings.HasPrefix(key, jobs.ChunkPrefix):
+		return n.table.ApplyChunk(key, v)
+	case strings.HasPrefix(key, jobs.TeamPrefix):
+		return n.table.ApplyTeam(strings.TrimPrefix(key, jobs.TeamPrefix), v)
+	case strings.HasPrefix(key, fleet.HostPrefix):
+		host := strings.TrimPrefix(key, fleet.HostPrefix)
+		if v == nil {
+			delete(n.hosts, host)
+			delete(n.workers, host)
+			return nil
+		}
+		r, err := fleet.DecodeRecord(v)
+		if err == nil {
+			n.hosts[host] = r
+		}
+		return err
+	case strings.HasPrefix(key, member.NodePrefix):
+		label := strings.TrimPrefix(key, member.NodePrefix)
+		if v == nil {
+			delete(n.sessions, label)
+			return nil
+		}
+		m, err := member.DecodeNode(v)
+		if err == nil {
+			n.sessions[label] = *m
+		}
+		return err
+	case key == member.LeadKey:
+		n.lead = nil
+		if v == nil {
+			return nil
+		}
+		m, err := member.DecodeNode(v)
+		n.lead = m
+		return err
+	case key == member.Key:
+		return n.enterMember(v)
+	case key == typesKey:
+		var r wire.Rigs
+		if v == nil {
+			return nil
+		}
+		if err := wire.Unmarshal(v, &r); err != nil {
+			return err
+		}
+		n.types = r.Rigs
+		clear(n.rigs)
+		for _, t := range r.Rigs {
+			n.rigs[t.Label] = t
+		}
+	}
+	return nil
+}
+
+func (n *Node) enterMember(v wire.Raw) error {
+	if v == nil {
+		n.member = nil
+		return nil
+	}
+	var r member.Record
+	if err := wire.Unmarshal(v, &r); err != nil {
+		return err
+	}
+	n.member = &r
+	n.raisedAt = n.now()
+	for host, w := range n.workers {
+		w.RaiseBaton()
+		if r.Owner(host) != n.self.Label {
+			// What another owner does meanwhile makes this view worthless.
+			delete(n.workers, host)
+		}
+	}
+	live := float64(max(1, len(r.Nodes)))
+	n.lim.SetRate(n.set.Params.State.RPS*tuning.BudgetShare/live, n.set.Params.State.WriteRPS*tuning.BudgetShare/live)
+	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
+	return nil
+}
+
+// entitled reports whether this node is a member of the newest membership it
+// knows; mu is held.
+func (n *Node) entitled() bool {
+	return n.member != nil && n.session == member.Registered && n.member.Has(n.self) && n.cache.Settled()
+}
+
+// leads reports whether this node is the leader; mu is held.
+func (n *Node) leads() bool {
+	return n.entitled() && n.member.Leader == n.self && n.lead != nil && *n.lead == n.self
+}
+
+// hasState reports whether the state service was read lately.
+func (n *Node) hasState() bool { return n.now().Sub(n.sync.Fresh()) < tuning.StateStale }
+
+// superseded reports whether a sibling that reads the state service knows a
+// newer membership, so that this node should hand its workers over; mu is held.
+func (n *Node) superseded() bool {
+	if n.member == nil {
+		return false
+	}
+	for _, s := range n.siblings {
+		if n.freshSibling(s) && s.status.HasState && s.status.Baton > n.member.Baton {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) freshSibling(s *sibling) bool {
+	return !s.at.IsZero() && n.now().Sub(s.at) < tuning.PeerFresh
+}
+
+// healthy decides GET /up: a node without the state service passes users on
+// while a sibling has it; if none has, there is nobody better.
+func (n *Node) healthy() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hasState() {
+		return n.cache.Settled()
+	}
+	for _, s := range n.siblings {
+		if n.freshSibling(s) && s.status.HasState {
+			return false
+		}
+	}
+	return n.cache.Settled()
+}
+
+// runMember keeps the session, the leadership and the membership.
+func (n *Node) runMember(ctx context.Context) error {
+	var touched time.Time
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		state, tenure, settled := n.session, n.self.Incarnation, n.cache.Settled()
+		n.mu.Unlock()
+		switch {
+		case state == member.NoLease:
+			id, err := n.svc.Lease(ctx, tuning.SessionTTL)
+			if err != nil {
+				n.log.Info("no lease yet", "err", err)
+				sleep(ctx, tuning.RetryPause)
+				continue
+			}
+			touched = n.now()
+			n.mu.Lock()
+			n.self.Incarnation = id
+			n.session = n.session.Next(member.GotLease)
+			n.mu.Unlock()
+			continue
+		case n.now().Sub(touched) >= tuning.SessionTouch:
+			touched = n.now()
+			if err := n.svc.Touch(ctx, tenure); errors.Is(err, store.ErrNoLease) {
+				n.endSession()
+				continue
+			} else if err != nil {
+				n.log.Debug("session not renewed", "err", err)
+				touched = n.now().Add(tuning.RetryPause - tuning.SessionTouch)
+			}
+		}
+		if settled {
+			if err := n.memberStep(ctx); err != nil {
+				n.log.Debug("membership step failed", "err", err)
+				if errors.Is(err, store.ErrNoLease) {
+					n.endSession()
+				} else {
+					_ = n.sync.Barrier(tuning.BarrierWait)
+				}
+			}
+		}
+		left := tuning.SessionTouch - n.now().Sub(touched)
+		select {
+		case <-ctx.Done():
+		case <-n.mkick:
+			sleep(ctx, 10*time.Millisecond)
+		case <-time.After(max(left, 10*time.Millisecond)):
+		}
+	}
+	return nil
+}
+
+func (n *Node) endSession() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.session = n.session.Next(member.LeaseEnded)
+	n.log.Info("session ended")
+}
+
+// memberStep stores the session key, takes the lead or writes the membership.
+func (n *Node) memberStep(ctx context.Context) error {
+	n.mu.Lock()
+	key := member.NodeKey(n.self.Label)
+	var guards []wire.Guard
+	var change wire.Change
+	stored := n.sessions[n.self.Label] == n.self
+	if n.session == member.Registered && !stored {
+		// Guards against a late write of a former process of this node.
+		n.session = member.Leased
+	}
+	if n.session == member.Leased && stored {
+		n.session = n.session.Next(member.Stored)
+	}
+	if n.session == member.Leased {
+		guards = []wire.Guard{n.cache.Guard(key)}
+		change = wire.Change{Set: key, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+	} else {
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Lead: n.lead, Member: n.member})
+		switch {
+		case a.TakeLead:
+			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
+			change = wire.Change{Set: member.LeadKey, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+		case a.Write != nil:
+			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)}
+			change = wire.Change{Set: member.Key, V: wire.MustMarshal(a.Write)}
+		default:
+			n.mu.Unlock()
+			return nil
+		}
+	}
+	n.mu.Unlock()
+	then := []wire.Change{change}
+	epoch, err := n.svc.Multi(ctx, store.ClassLease, guards, then)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if change.Set != member.Key {
+		// The membership comes by watch only: everything stored before it must
+		// be in the cache before it counts.
+		n.cache.Own(then, epoch)
+	}
+	if change.Set == key {
+		n.session = n.session.Next(member.Stored)
+	}
+	wake(n.mkick)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// jitter spreads d between half and one and a half.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// runPeer exchanges statuses with one sibling.
+func (n *Node) runPeer(ctx context.Context, s *sibling) error {
+	for ctx.Err() == nil {
+		st, err := s.client.Exchange(n.ownStatus(), tuning.PeerTimeout)
+		if err == nil {
+			n.notePeer(st)
+		}
+		sleep(ctx, tuning.PeerEvery)
+	}
+	return nil
+}
+
+func (n *Node) notePeer(st peer.Status) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.siblings[st.Label]
+	if s == nil {
+		return
+	}
+	s.status, s.at = st, n.now()
+	if n.member != nil && st.Baton > n.member.Baton {
+		wake(n.mkick)
+	}
+}
+
+func (n *Node) ownStatus() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
+	if n.member != nil {
+		st.Baton = n.member.Baton
+	}
+	if n.entitled() {
+		for host, w := range n.workers {
+			if w.Heard.IsZero() {
+				continue
+			}
+			h := peer.Host{Name: host, Stint: w.Stint, Age: now.Sub(w.Heard), Proven: w.State == fleet.Proven,
+				Warning: -1, Suspect: n.unfit(w), Images: w.Images}
+			if !w.TakenAt.IsZero() {
+				h.Warning = max(0, w.TakenAt.Sub(now))
+			}
+			st.Hosts = append(st.Hosts, h)
+		}
+	}
+	return st.Encode()
+}
+
+// unfit reports whether a machine should get no tasks for now.
+func (n *Node) unfit(w *fleet.Worker) bool {
+	return len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
+}
--- /dev/null
+++ b/internal/server/users.go
@@ -0,0 +1,299 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/peer"
+	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+func reply(c *fasthttp.RequestCtx, status int, body any) {
+	c.SetStatusCode(status)
+	c.SetContentType(wire.ContentType)
+	if body != nil {
+		c.SetBody(wire.MustMarshal(body))
+	}
+}
+
+func refuse(c *fasthttp.RequestCtx, status int, why string) {
+	reply(c, status, wire.Failure{Error: why})
+}
+
+// later refuses at once what can't be taken now and says when to come back.
+func (n *Node) later(c *fasthttp.RequestCtx, status int, why string) {
+	c.Response.Header.Set("Retry-After", strconv.Itoa(n.set.Operator.RetryAfterSecond))
+	refuse(c, status, why)
+}
+
+// badRequest answers what fasthttp could not read.
+func badRequest(c *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		refuse(c, 400, "body too large")
+		return
+	}
+	refuse(c, 400, "malformed request")
+}
+
+func (n *Node) serveUser(c *fasthttp.RequestCtx) {
+	path, method := string(c.Path()), string(c.Method())
+	want := ""
+	switch {
+	case path == "/up", path == "/status":
+		want = "GET"
+	case path == "/work", path == "/checkin":
+		want = "POST"
+	case strings.HasPrefix(path, "/work/"):
+		want = "GET"
+		if strings.HasSuffix(path, "/cancel") {
+			want = "POST"
+		}
+	}
+	if want == "" {
+		refuse(c, 404, "no such path")
+		return
+	}
+	if method != want {
+		c.Response.Header.Set("Allow", want)
+		refuse(c, 405, "method not allowed")
+		return
+	}
+	switch path {
+	case "/up":
+		if n.healthy() {
+			reply(c, 200, nil)
+		} else {
+			n.later(c, 503, "not ready")
+		}
+	case "/status":
+		n.serveStatus(c)
+	case "/checkin":
+		n.checkin(c)
+	case "/work":
+		n.submit(c)
+	default:
+		ref := strings.TrimPrefix(path, "/work/")
+		if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
+			n.cancel(c, id)
+		} else {
+			n.poll(c, ref)
+		}
+	}
+}
+
+func (n *Node) servePeer(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != peer.Path || !c.IsPost() {
+		refuse(c, 404, "no such path")
+		return
+	}
+	st, err := peer.Decode(c.PostBody())
+	if err != nil {
+		refuse(c, 400, "malformed status")
+		return
+	}
+	n.notePeer(st)
+	c.SetBody(n.ownStatus())
+}
+
+// known returns a job's status if it is known; final tells that it can't
+// change any more and needs no barrier.
+func (n *Node) known(ref string) (st wire.Status, known, final bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	j := n.table.Jobs[ref]
+	if j == nil {
+		return st, false, false
+	}
+	return j.Status(), true, j.Record.Phase.Final()
+}
+
+// fresh returns a job's status as of now or later, behind a read barrier.
+func (n *Node) fresh(ref string) (st wire.Status, known bool, err error) {
+	if st, known, final := n.known(ref); final {
+		return st, known, nil
+	}
+	if err := n.sync.Barrier(tuning.BarrierWait); err != nil {
+		return st, false, err
+	}
+	n.mu.Lock()
+	settled := n.cache.Settled()
+	n.mu.Unlock()
+	if !settled {
+		return st, false, store.ErrRefused
+	}
+	st, known, _ = n.known(ref)
+	return st, known, nil
+}
+
+func (n *Node) poll(c *fasthttp.RequestCtx, ref string) {
+	if !wire.ValidRef(ref) {
+		refuse(c, 404, "no such job")
+		return
+	}
+	st, known, err := n.fresh(ref)
+	switch {
+	case err != nil:
+		n.later(c, 503, "the state service can't be read")
+	case !known:
+		refuse(c, 404, "no such job")
+	default:
+		reply(c, 200, st)
+	}
+}
+
+// peekRef finds the job id of a submission that may be malformed otherwise.
+func peekRef(body []byte) string {
+	var p struct {
+		Ref string `cbor:"ref"`
+	}
+	if wire.Unmarshal(body, &p) != nil || !wire.ValidRef(p.Ref) {
+		return ""
+	}
+	return p.Ref
+}
+
+func (n *Node) submit(c *fasthttp.RequestCtx) {
+	body := c.PostBody()
+	ref := peekRef(body)
+	if ref != "" {
+		// A known job is answered before any check.
+		if _, known, _ := n.known(ref); known {
+			n.resubmitted(c, ref)
+			return
+		}
+	}
+	w, err := wire.DecodeWork(body)
+	status := 400
+	if err == nil && jobs.JSONSize(&w) > int(n.set.Params.State.ValueKB*1024)-256 {
+		err = errors.New("the job's description is too large")
+	}
+	if err == nil {
+		n.mu.Lock()
+		types := n.types
+		n.mu.Unlock()
+		if len(types) == 0 {
+			n.later(c, 503, "machine types are not known yet")
+			return
+		}
+		team, ok := n.set.Team(w.Crew)
+		status = 422
+		err = jobs.Check(&w, jobs.Limits{CPUsMax: team.CPUsMax, GPUsMax: team.GPUsMax}, ok, types)
+	}
+	if err != nil {
+		if ref != "" {
+			// Another node may have accepted the id; an accepted job is never
+			// answered by 400 or 422.
+			if _, known, ferr := n.fresh(ref); ferr != nil {
+				n.later(c, 503, "the state service can't be read")
+				return
+			} else if known {
+				n.resubmitted(c, ref)
+				return
+			}
+		}
+		refuse(c, status, err.Error())
+		return
+	}
+	select {
+	case n.takes <- struct{}{}:
+		defer func() { <-n.takes }()
+	default:
+		n.later(c, 429, "too many submissions under way")
+		return
+	}
+	n.accept(c, &w)
+}
+
+func (n *Node) resubmitted(c *fasthttp.RequestCtx, ref string) {
+	st, known, err := n.fresh(ref)
+	if err != nil || !known {
+		n.later(c, 503, "the state service can't be read")
+		return
+	}
+	reply(c, 200, st)
+}
+
+// accept stores a new job and answers 201 after the write.
+func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work) {
+	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
+	defer stop()
+	rec := jobs.Record{Phase: jobs.Open, At: n.now().UnixMilli(), Tasks: w.Shards,
+		Chunk: jobs.ChunkSize(n.set.Params.State.ValueKB), Work: w}
+	then := []wire.Change{{Set: jobs.JobKey(w.Ref), V: wire.MustMarshal(rec)}}
+	epoch, err := n.svc.Multi(ctx, store.ClassIntake, []wire.Guard{{Key: jobs.JobKey(w.Ref)}}, then)
+	switch {
+	case err == nil:
+		n.mu.Lock()
+		n.cache.Own(then, epoch)
+		wake(n.kick)
+		n.mu.Unlock()
+		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards)
+		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
+		// A lost answer is settled by reading again.
+		n.resubmitted(c, w.Ref)
+	default:
+		n.later(c, 503, "the job can't be stored now")
+	}
+}
+
+func (n *Node) cancel(c *fasthttp.RequestCtx, ref string) {
+	if !wire.ValidRef(ref) {
+		refuse(c, 404, "no such job")
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
+	defer stop()
+	for try := 0; ctx.Err() == nil; try++ {
+		st, known, final := n.known(ref)
+		if final {
+			reply(c, 200, st)
+			return
+		}
+		if !known || try > 0 {
+			fst, ok, err := n.fresh(ref)
+			if err != nil {
+				break
+			}
+			if !ok {
+				refuse(c, 404, "no such job")
+				return
+			}
+			if fst.Phase == wire.PhaseDone || fst.Phase == wire.PhaseCancelled {
+				continue
+			}
+		}
+		n.mu.Lock()
+		j := n.table.Jobs[ref]
+		rec := j.Record
+		phase, err := rec.Phase.Next(jobs.JobCancel)
+		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(jobs.JobKey(ref))}
+		n.mu.Unlock()
+		if err != nil {
+			continue
+		}
+		rec.Phase = phase
+		then := []wire.Change{{Set: jobs.JobKey(ref), V: wire.MustMarshal(rec)}}
+		epoch, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
+		if err == nil {
+			n.mu.Lock()
+			n.cache.Own(then, epoch)
+			wake(n.kick)
+			n.mu.Unlock()
+			n.log.Debug("job cancelled", "job", ref)
+			continue
+		}
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrLost) {
+			break
+		}
+	}
+	n.later(c, 503, "the cancellation can't be stored now")
+}
--- /dev/null
+++ b/internal/store/cache.go
@@ -0,0 +1,300 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// Cache holds the stamp of every key below the prefix and hands changed values
+// to its sink. It is pure: the Syncer feeds it.
+//
+// A key may be ahead of Rev: the node's own transactions are entered as soon
+// as they are answered. A guard on a key at the cache's stamp then still
+// implies that the cache holds every earlier change that wrote that key.
+type Cache struct {
+	rev    uint64 // every change up to it is in the cache
+	settle uint64 // decisions wait until rev has reached it
+	ready  bool
+	stamps map[string]uint64
+	drops  map[string]uint64 // keys dropped ahead of rev
+	sink   Sink
+}
+
+// Sink takes changed values; v is nil when the key is gone.
+type Sink func(key string, v wire.Raw, stamp uint64)
+
+// NewCache returns an empty cache.
+func NewCache(sink Sink) *Cache {
+	return &Cache{stamps: map[string]uint64{}, drops: map[string]uint64{}, sink: sink}
+}
+
+// Rev is the epoch up to which the cache is complete.
+func (c *Cache) Rev() uint64 { return c.rev }
+
+// Settled reports whether the cache is a consistent picture of some epoch.
+func (c *Cache) Settled() bool { return c.ready && c.rev >= c.settle }
+
+// Stamp returns the stamp of a key, 0 if it does not exist.
+func (c *Cache) Stamp(key string) uint64 { return c.stamps[key] }
+
+// Guard returns a guard on the key at the cache's stamp.
+func (c *Cache) Guard(key string) wire.Guard {
+	return wire.Guard{Key: key, Stamp: c.stamps[key]}
+}
+
+func (c *Cache) set(key string, v wire.Raw, stamp uint64) {
+	if stamp <= c.stamps[key] || stamp <= c.drops[key] {
+		return
+	}
+	delete(c.drops, key)
+	c.stamps[key] = stamp
+	c.sink(key, v, stamp)
+}
+
+func (c *Cache) drop(key string, stamp uint64) {
+	if stamp <= c.stamps[key] || stamp <= c.drops[key] {
+		return
+	}
+	if stamp > c.rev {
+		c.drops[key] = stamp
+	}
+	if _, ok := c.stamps[key]; ok {
+		delete(c.stamps, key)
+		c.sink(key, nil, stamp)
+	}
+}
+
+// Apply enters a watch response; false if it held nothing new.
+func (c *Cache) Apply(ev wire.Events) bool {
+	if !c.ready || ev.Epoch <= c.rev {
+		return false
+	}
+	changed := false
+	for _, e := range ev.Events {
+		if e.Stamp <= c.rev {
+			continue
+		}
+		changed = true
+		if e.Drop != "" {
+			c.drop(e.Drop, e.Stamp)
+		} else {
+			c.set(e.Set, e.V, e.Stamp)
+		}
+	}
+	c.rev = ev.Epoch
+	for k, s := range c.drops {
+		if s <= c.rev {
+			delete(c.drops, k)
+		}
+	}
+	return changed
+}
+
+// Own enters the node's own transaction, answered with the given epoch.
+func (c *Cache) Own(then []wire.Change, epoch uint64) {
+	for _, ch := range then {
+		if ch.Drop != "" {
+			c.drop(ch.Drop, epoch)
+		} else {
+			c.set(ch.Set, ch.V, epoch)
+		}
+	}
+}
+
+// Load replaces the contents by a full read whose first page showed base and
+// whose last page showed last. Pages read later may hold changes after base;
+// the cache is settled once the watch has reached last.
+func (c *Cache) Load(pairs []wire.Pair, base, last uint64) {
+	listed := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
+		listed[p.Key] = true
+		c.set(p.Key, p.V, p.Stamp)
+	}
+	for k, s := range c.stamps {
+		if !listed[k] && s <= base {
+			delete(c.stamps, k)
+			c.sink(k, nil, base)
+		}
+	}
+	c.rev = max(c.rev, base)
+	c.settle = max(c.settle, last)
+	c.ready = true
+}
+
+// Syncer keeps a cache current and serves read barriers.
+type Syncer struct {
+	svc    Service
+	prefix string
+	mu     sync.Locker // guards the cache
+	cache  *Cache
+	after  func() // called with mu held after changes
+	now    func() time.Time
+	log    *slog.Logger
+
+	bmu     sync.Mutex
+	waiters []chan error
+	wake    chan struct{}
+	room    int
+
+	fmu   sync.Mutex
+	fresh time.Time
+}
+
+// NewSyncer returns a syncer; mu guards the cache and after is called with it
+// held whenever the cache has changed.
+func NewSyncer(svc Service, prefix string, mu sync.Locker, c *Cache, after func(), room int, now func() time.Time, log *slog.Logger) *Syncer {
+	return &Syncer{svc: svc, prefix: prefix, mu: mu, cache: c, after: after, now: now, log: log,
+		wake: make(chan struct{}, 1), room: room}
+}
+
+// Fresh is the send time of the last answered read.
+func (s *Syncer) Fresh() time.Time {
+	s.fmu.Lock()
+	defer s.fmu.Unlock()
+	return s.fresh
+}
+
+func (s *Syncer) freshened(sent time.Time) {
+	s.fmu.Lock()
+	defer s.fmu.Unlock()
+	if sent.After(s.fresh) {
+		s.fresh = sent
+	}
+}
+
+// Run keeps the cache current until ctx ends.
+func (s *Syncer) Run(ctx context.Context) error {
+	loaded := false
+	for ctx.Err() == nil {
+		if !loaded {
+			if err := s.load(ctx); err != nil {
+				s.log.Info("state load failed", "err", err)
+				pause(ctx, tuning.RetryPause)
+				continue
+			}
+			loaded = true
+		}
+		switch err := s.watch(ctx, tuning.WatchHold); {
+		case errors.Is(err, ErrCompacted):
+			loaded = false
+		case err != nil:
+			s.log.Debug("watch failed", "err", err)
+			pause(ctx, tuning.RetryPause)
+		default:
+			pause(ctx, tuning.WatchPause)
+		}
+	}
+	return nil
+}
+
+// Barriers serves read barriers until ctx ends.
+func (s *Syncer) Barriers(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		}
+		s.bmu.Lock()
+		ws := s.waiters
+		s.waiters = nil
+		s.bmu.Unlock()
+		if len(ws) == 0 {
+			continue
+		}
+		s.mu.Lock()
+		ready := s.cache.ready
+		s.mu.Unlock()
+		err := error(ErrRefused)
+		if ready {
+			err = s.watch(ctx, 0)
+		}
+		for _, w := range ws {
+			w <- err
+		}
+		pause(ctx, tuning.BarrierPause)
+	}
+}
+
+// Barrier returns nil once the cache holds everything that was stored before
+// the call. All callers that wait at the same time share one request.
+func (s *Syncer) Barrier(timeout time.Duration) error {
+	w := make(chan error, 1)
+	s.bmu.Lock()
+	if len(s.waiters) >= s.room {
+		s.bmu.Unlock()
+		return ErrBusy
+	}
+	s.waiters = append(s.waiters, w)
+	s.bmu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case err := <-w:
+		return err
+	case <-t.C:
+		return ErrLost
+	}
+}
+
+func (s *Syncer) watch(ctx context.Context, hold time.Duration) error {
+	s.mu.Lock()
+	rev := s.cache.Rev()
+	s.mu.Unlock()
+	sent := s.now()
+	ev, err := s.svc.Watch(ctx, s.prefix, rev, hold)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.cache.Apply(ev)
+	s.after()
+	s.mu.Unlock()
+	s.freshened(sent)
+	return nil
+}
+
+func (s *Syncer) load(ctx context.Context) error {
+	var all []wire.Pair
+	var base, last uint64
+	after := ""
+	for {
+		page, err := s.svc.List(ctx, s.prefix, after)
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			base = page.Epoch
+		}
+		last = page.Epoch
+		all = append(all, page.Pairs...)
+		if !page.Truncated || len(page.Pairs) == 0 {
+			break
+		}
+		after = page.Pairs[len(page.Pairs)-1].Key
+	}
+	s.mu.Lock()
+	s.cache.Load(all, base, last)
+	s.after()
+	s.mu.Unlock()
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,196 @@
+// Package store talks to the state service: a client with a request budget, a
+// watch-fed cache of stamps, and the read barrier.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// Outcomes of a call that did not succeed.
+var (
+	// ErrRefused: the service did not execute the request (429, 503).
+	ErrRefused = errors.New("state service refused")
+	// ErrLost: no answer; the request may have been, or may yet be, executed.
+	ErrLost = errors.New("state service did not answer")
+	// ErrConflict: a guard failed.
+	ErrConflict = errors.New("guard failed")
+	// ErrNoLease: the lease has ended.
+	ErrNoLease = errors.New("lease has ended")
+	// ErrCompacted: the watch position is too old.
+	ErrCompacted = errors.New("watch position is too old")
+	// ErrBad: the service holds the request malformed.
+	ErrBad = errors.New("state service holds the request malformed")
+)
+
+// Service is what the rest of the program needs of the state service.
+type Service interface {
+	List(ctx context.Context, prefix, after string) (wire.Pairs, error)
+	Multi(ctx context.Context, c Class, guards []wire.Guard, then []wire.Change) (uint64, error)
+	Lease(ctx context.Context, ttl time.Duration) (uint64, error)
+	Touch(ctx context.Context, tenure uint64) error
+	Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error)
+}
+
+// Client is the HTTP client of the state service.
+type Client struct {
+	addr string
+	hc   *fasthttp.HostClient
+	lim  *Limiter
+}
+
+// Dial connects over IPv4 with a bound.
+func Dial(addr string) (net.Conn, error) {
+	return net.DialTimeout("tcp4", addr, time.Second)
+}
+
+// NoRetry keeps the HTTP client from repeating a request by itself: a repeat
+// must be a decision of the caller, who knows what a lost answer means.
+func NoRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+// NewClient returns a client of the service at addr.
+func NewClient(addr string, lim *Limiter) *Client {
+	return &Client{addr: addr, lim: lim, hc: &fasthttp.HostClient{
+		Addr: addr, Dial: Dial, MaxConns: 48,
+		MaxIdleConnDuration: 30 * time.Second, RetryIfErr: NoRetry, MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize: 64 << 20, NoDefaultUserAgentHeader: true,
+	}}
+}
+
+// call sends one request; out may be nil.
+func (c *Client) call(method, path string, in, out any, timeout time.Duration) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + path)
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %v", ErrBad, err)
+		}
+		req.Header.SetContentType(wire.ContentType)
+		req.SetBody(b)
+	}
+	if err := c.hc.DoTimeout(req, resp, timeout); err != nil {
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			return 0, ErrRefused
+		}
+		return 0, fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	status := resp.StatusCode()
+	switch status {
+	case 429:
+		c.lim.Penalise()
+		return status, ErrRefused
+	case 503:
+		return status, ErrRefused
+	}
+	if out != nil && (status == 200 || status == 409 || status == 400) {
+		if err := wire.Unmarshal(resp.Body(), out); err != nil && status != 400 {
+			return status, fmt.Errorf("%w: %v", ErrLost, err)
+		}
+	}
+	return status, nil
+}
+
+// List reads one page of keys.
+func (c *Client) List(ctx context.Context, prefix, after string) (wire.Pairs, error) {
+	var out wire.Pairs
+	if err := c.lim.Acquire(ctx, ClassRead, 0); err != nil {
+		return out, err
+	}
+	path := "/keys?starts=" + url.QueryEscape(prefix) + "&page=" + strconv.Itoa(tuning.ListPage)
+	if after != "" {
+		path += "&after=" + url.QueryEscape(after)
+	}
+	status, err := c.call("GET", path, nil, &out, 2*tuning.StateCallTimeout)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%w: list: status %d", ErrBad, status)
+	}
+	return out, err
+}
+
+// Multi runs a transaction and returns the epoch of its changes.
+func (c *Client) Multi(ctx context.Context, cl Class, guards []wire.Guard, then []wire.Change) (uint64, error) {
+	if err := c.lim.Acquire(ctx, cl, len(then)); err != nil {
+		return 0, err
+	}
+	if guards == nil {
+		guards = []wire.Guard{}
+	}
+	if then == nil {
+		then = []wire.Change{}
+	}
+	var out wire.MultiResult
+	status, err := c.call("POST", "/multi", wire.Multi{Guards: guards, Then: then}, &out, tuning.StateCallTimeout)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == 200:
+		return out.Epoch, nil
+	case status == 409:
+		return out.Epoch, fmt.Errorf("%w: %v", ErrConflict, out.Failed)
+	case status == 400 && out.Error == "no such lease":
+		return 0, ErrNoLease
+	}
+	return 0, fmt.Errorf("%w: transaction: status %d %s", ErrBad, status, out.Error)
+}
+
+// Lease asks for a lease.
+func (c *Client) Lease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if err := c.lim.Acquire(ctx, ClassLease, 0); err != nil {
+		return 0, err
+	}
+	var out wire.Lease
+	status, err := c.call("POST", "/leases", wire.LeaseRequest{TTLMs: uint64(ttl.Milliseconds())}, &out, tuning.StateCallTimeout)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%w: lease: status %d", ErrBad, status)
+	}
+	return out.Tenure, err
+}
+
+// Touch renews a lease.
+func (c *Client) Touch(ctx context.Context, tenure uint64) error {
+	if err := c.lim.Acquire(ctx, ClassLease, 0); err != nil {
+		return err
+	}
+	status, err := c.call("POST", fmt.Sprintf("/leases/%d/touch", tenure), nil, nil, tuning.StateCallTimeout)
+	switch {
+	case err != nil:
+		return err
+	case status == 404:
+		return ErrNoLease
+	case status != 200:
+		return fmt.Errorf("%w: touch: status %d", ErrBad, status)
+	}
+	return nil
+}
+
+// Watch waits for changes after the given epoch.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error) {
+	var out wire.Events
+	if err := c.lim.Acquire(ctx, ClassRead, 0); err != nil {
+		return out, err
+	}
+	path := fmt.Sprintf("/watch?starts=%s&after=%d&hold_ms=%d", url.QueryEscape(prefix), after, hold.Milliseconds())
+	status, err := c.call("GET", path, nil, &out, hold+tuning.StateCallTimeout)
+	switch {
+	case err != nil:
+	case status == 410:
+		err = ErrCompacted
+	case status != 200:
+		err = fmt.Errorf("%w: watch: status %d", ErrBad, status)
+	}
+	return out, err
+}
--- /dev/null
+++ b/internal/store/limiter.go
@@ -0,0 +1,172 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Class orders calls that compete for the state service's budget.
+type Class int
+
+// Classes, most urgent first.
+const (
+	ClassLease  Class = iota // sessions, leadership, membership: never wait
+	ClassCancel              // users' cancellations
+	ClassClaim               // claims and releases
+	ClassIntake              // submissions
+	ClassRead                // read barriers, watches
+	classes
+)
+
+// ErrBusy says that a limiter's buffer for the class is full.
+var ErrBusy = errors.New("budget buffer is full")
+
+// Limiter shares a budget of requests and writes per second between classes.
+// Each class has a small buffer; what does not fit is refused at once.
+type Limiter struct {
+	mu      sync.Mutex
+	now     func() time.Time
+	rate    [2]float64 // requests, writes per second
+	tokens  [2]float64
+	last    time.Time
+	queues  [classes][]*waiter
+	room    int
+	pumping bool
+}
+
+type waiter struct {
+	cost  [2]float64
+	ready chan struct{}
+	gone  bool
+}
+
+// NewLimiter returns a limiter with a burst of one second's worth.
+func NewLimiter(rps, wps float64, room int, now func() time.Time) *Limiter {
+	l := &Limiter{now: now, room: room, last: now()}
+	l.rate = [2]float64{rps, wps}
+	l.tokens = l.rate
+	return l
+}
+
+// SetRate changes the budget, for example when the number of nodes changes.
+func (l *Limiter) SetRate(rps, wps float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill()
+	l.rate = [2]float64{rps, wps}
+}
+
+// Penalise empties the bucket after the service has refused for rate.
+func (l *Limiter) Penalise() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill()
+	for i := range l.tokens {
+		l.tokens[i] = min(l.tokens[i], 0)
+	}
+}
+
+func (l *Limiter) refill() {
+	now := l.now()
+	dt := now.Sub(l.last).Seconds()
+	l.last = now
+	for i := range l.tokens {
+		l.tokens[i] = min(l.tokens[i]+dt*l.rate[i], max(l.rate[i], 1))
+	}
+}
+
+func (l *Limiter) affordable(cost [2]float64) bool {
+	for i, c := range cost {
+		// A call larger than the burst goes when the bucket is full.
+		if c > 0 && l.tokens[i] < min(c, max(l.rate[i], 1)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Limiter) take(cost [2]float64) {
+	for i, c := range cost {
+		l.tokens[i] -= c
+	}
+}
+
+// Acquire waits for the budget of one request with the given writes.
+func (l *Limiter) Acquire(ctx context.Context, c Class, writes int) error {
+	cost := [2]float64{1, float64(writes)}
+	l.mu.Lock()
+	l.refill()
+	if c == ClassLease {
+		// A session that waits is a session that ends: leases run into debt.
+		l.take(cost)
+		l.mu.Unlock()
+		return nil
+	}
+	if l.ahead(c) == 0 && l.affordable(cost) {
+		l.take(cost)
+		l.mu.Unlock()
+		return nil
+	}
+	if len(l.queues[c]) >= l.room {
+		l.mu.Unlock()
+		return ErrBusy
+	}
+	w := &waiter{cost: cost, ready: make(chan struct{})}
+	l.queues[c] = append(l.queues[c], w)
+	if !l.pumping {
+		l.pumping = true
+		go l.pump()
+	}
+	l.mu.Unlock()
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		w.gone = true
+		l.mu.Unlock()
+		return ctx.Err()
+	}
+}
+
+func (l *Limiter) ahead(c Class) int {
+	n := 0
+	for i := Class(0); i <= c; i++ {
+		n += len(l.queues[i])
+	}
+	return n
+}
+
+// pump grants waiters in order of class until none is left.
+func (l *Limiter) pump() {
+	for {
+		l.mu.Lock()
+		l.refill()
+		l.grant()
+		if l.ahead(classes-1) == 0 {
+			l.pumping = false
+			l.mu.Unlock()
+			return
+		}
+		l.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (l *Limiter) grant() {
+	for c := range l.queues {
+		for len(l.queues[c]) > 0 {
+			w := l.queues[c][0]
+			if !w.gone {
+				if !l.affordable(w.cost) {
+					return
+				}
+				l.take(w.cost)
+				close(w.ready)
+			}
+			l.queues[c] = l.queues[c][1:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,221 @@
+// Package tuning holds every constant of the service, with unit and reason.
+// What an operator may change has a key in config.Operator and takes its
+// default from here.
+package tuning
+
+import "time"
+
+// Membership and the state service.
+const (
+	// SessionTTL is how long a node's lease in the state service lasts without
+	// a renewal. Short, so that a dead node's machines pass on within seconds;
+	// long enough for a renewal that takes a few hundred milliseconds and one
+	// that is lost.
+	SessionTTL = 3500 * time.Millisecond
+	// SessionTouch is the pause between renewals: three tries fit in the TTL.
+	SessionTouch = 1000 * time.Millisecond
+	// StateCallTimeout bounds one call to the state service other than a watch.
+	// The service usually answers in 10 ms, at times in a few hundred.
+	StateCallTimeout = 1500 * time.Millisecond
+	// WatchHold is how long a watch may stay open. Short, so that the send
+	// time of the last answered one stays recent enough to prove freshness.
+	WatchHold = 2500 * time.Millisecond
+	// WatchPause is the least time between two watches of a node: it batches
+	// changes and bounds the node's share of the request budget.
+	WatchPause = 60 * time.Millisecond
+	// BarrierPause is the least time between two read barriers of a node; all
+	// polls that arrive meanwhile share the next one.
+	BarrierPause = 80 * time.Millisecond
+	// BarrierWait is how long a poll waits for its read barrier before it is
+	// refused. Users wait 2 s for an answer.
+	BarrierWait = 1200 * time.Millisecond
+	// DecisionWait is how long a submission or cancellation waits for its
+	// durable write before it is refused. Users wait 5 s for an answer.
+	DecisionWait = 3 * time.Second
+	// BudgetShare is the part of the state service's published limits that
+	// the nodes plan to use; the rest absorbs clock drift and uneven shares.
+	BudgetShare = 0.9
+	// BudgetQueue is how many calls may wait in a node's limiter per class
+	// before new ones are refused at once.
+	BudgetQueue = 64
+	// ListPage is the number of keys per page of a full read: a page of
+	// values of the usual size stays under the service's 512 KiB.
+	ListPage = 400
+	// ChunkMaxKB bounds a chunk record, in KiB of JSON, below the state
+	// service's own limit: several fit one transaction of 64 KiB.
+	ChunkMaxKB = 4.0
+	// TxnBytes is the most JSON that a transaction may hold; the service's
+	// limit is 64 KiB.
+	TxnBytes = 48 << 10
+	// RetryPause separates tries after a refusal or a lost reply.
+	RetryPause = 250 * time.Millisecond
+	// StateStale is the time without a fresh read after which a node holds
+	// that it has lost the state service: two session lifetimes' worth of
+	// watches would have come back by then.
+	StateStale = 5 * time.Second
+)
+
+// Workers.
+const (
+	// DriftFactor bounds how much longer a second takes on another machine's
+	// steady clock (0.05% each way, doubled for the two clocks and rounded up).
+	DriftFactor = 1.002
+	// LeaseMargin is added to every proof that rests on a worker's lease
+	// having ended: timers fire late on a busy processor.
+	LeaseMargin = 1500 * time.Millisecond
+	// CancelMargin is kept between the end of the last lease that a node cut
+	// off from the state service may renew and the cancellation limit. It
+	// covers report travel time, clock drift and late timers.
+	CancelMargin = 4 * time.Second
+	// WorkerCallTimeout bounds a direct command.
+	WorkerCallTimeout = 2 * time.Second
+	// GreetPause separates direct calls to one worker that does not answer.
+	GreetPause = 2 * time.Second
+	// WorkerCallsMax is how many direct calls a node has open at once; bounds
+	// sockets and memory.
+	WorkerCallsMax = 32
+	// SilentReports is how many report intervals without any message make a
+	// machine unfit for new tasks.
+	SilentReports = 2.2
+	// HostErrorsMax is the number of failed tasks of different jobs, without
+	// a success between, after which a machine is taken for faulty.
+	HostErrorsMax = 2
+	// RetryBase and RetryCap bound the pause before a failed task is tried
+	// again; it doubles with each failure.
+	RetryBase = 500 * time.Millisecond
+	RetryCap  = 30 * time.Second
+	// NoRoomPause keeps tasks off a machine that refused one for want of room.
+	NoRoomPause = 5 * time.Second
+	// ImagesKept is how many recent images a node remembers per machine.
+	ImagesKept = 8
+	// WarningKillFactor is the share of a spot notice that a task must be
+	// expected to fit in to be left running; notices run up to half short.
+	WarningKillFactor = 0.5
+)
+
+// Placement.
+const (
+	// TickEvery is the pause between passes when nothing happens.
+	TickEvery = 500 * time.Millisecond
+	// PassPause is the least time between two passes; it batches events.
+	PassPause = 50 * time.Millisecond
+	// ConflictPause is the mean wait after a placement lost a race for a
+	// record; jittered, so that two nodes don't meet again.
+	ConflictPause = 120 * time.Millisecond
+	// ClaimsPerPass bounds the placements computed in one pass, and with them
+	// the processor time that a pass takes.
+	ClaimsPerPass = 256
+	// TasksPerJob bounds the tasks of one job that a pass tries to place.
+	TasksPerJob = 64
+)
+
+// Role control. The design's figures; those marked ours may be tuned by the
+// operator.
+const (
+	// RoleStep is the pause between evaluations of adjacent splits.
+	RoleStep = 5 * time.Second
+	// RoleExpand is the batch load at which a mixed-pressure move may start.
+	RoleExpand = 1.0
+	// RoleShrink is the most load that a consolidation leaves on its source.
+	RoleShrink = 0.5
+	// RoleMargin is the least drop in the worst ratio that a move must bring.
+	RoleMargin = 0.05
+	// RoleConfirmations is the number of matching proposals before a move.
+	RoleConfirmations = 3
+	// RoleCooldown is the least time between batch-to-service moves.
+	RoleCooldown = 10 * time.Second
+	// RoleEvidenceMin closes the evidence window with RoleEvidenceArrivals
+	// (ours; the document's is 60 s).
+	RoleEvidenceMin = 20 * time.Second
+	// RoleEvidenceMax closes it without them (ours; the document's is 120 s).
+	RoleEvidenceMax = 40 * time.Second
+	// RoleEvidenceArrivals is the number of arrivals that closes the window early.
+	RoleEvidenceArrivals = 10
+	// RoleDemandRise is the tolerated rise of short over long demand.
+	RoleDemandRise = 0.25
+	// RoleShortWindow and RoleLongWindow are the horizons of that test: the
+	// evidence window (ours) and the document's demand window.
+	RoleShortWindow = 20 * time.Second
+	RoleLongWindow  = 120 * time.Second
+	// RoleUsable is the share of a machine that counts as usable for services.
+	RoleUsable = 0.8
+	// RoleFloor is the number of machines each role keeps.
+	RoleFloor = 1
+	// RoleStartTarget is the start-time target of batch work where the
+	// settings state none (ours).
+	RoleStartTarget = 15 * time.Second
+)
+
+// Cloud.
+const (
+	// CloudCallTimeout bounds one call to the cloud.
+	CloudCallTimeout = 4 * time.Second
+	// ListEvery is the pause between reads of the machine list: a quarter of
+	// the smallest published call budget.
+	ListEvery = 2 * time.Second
+	// TypesEvery is the pause between reads of the machine types; spot prices
+	// move slowly.
+	TypesEvery = 60 * time.Second
+	// PlanEvery is the pause between capacity decisions.
+	PlanEvery = 1 * time.Second
+	// RefusedPause keeps a type, zone and kind out of the plan after the cloud
+	// had none.
+	RefusedPause = 20 * time.Second
+	// SlowBootFactor times a type's boot time is when a machine that has not
+	// reported is deleted: the usual range ends at 1.5.
+	SlowBootFactor = 2.5
+	// SlowBootMin is the least such time.
+	SlowBootMin = 20 * time.Second
+	// IdleSpot and IdleOrdinary are how long an unneeded machine stays before
+	// it is returned; a deleted machine costs at least 60 s, and a new one a boot.
+	IdleSpot     = 25 * time.Second
+	IdleOrdinary = 30 * time.Second
+	// OrdinaryBatchAfter is how long a task that may use spot machines waits
+	// before an ordinary one, several times as dear, is rented for it.
+	OrdinaryBatchAfter = 15 * time.Second
+	// GoneLists is the number of lists in a row that must omit a machine that
+	// was listed before it is taken to be gone and returned for proof.
+	GoneLists = 2
+	// ReturnMax is the most machines named in one return.
+	ReturnMax = 50
+	// HireMax is the most machines asked for in one call.
+	HireMax = 20
+	// ServiceHeadroom is the spare service capacity kept, as a share of what
+	// services hold.
+	ServiceHeadroom = 0.12
+	// BatchHeadroom is the spare batch capacity kept, as a share of the mean
+	// of what batch holds.
+	BatchHeadroom = 0.25
+	// BatchWindow is the horizon over which that mean is taken.
+	BatchWindow = 60 * time.Second
+)
+
+// Front ends.
+const (
+	// ReadTimeout bounds the reading of one request.
+	ReadTimeout = 5 * time.Second
+	// IdleTimeout closes connections that carry nothing; longer than the
+	// pause between two polls or reports.
+	IdleTimeout = 30 * time.Second
+	// WriteTimeout bounds the writing of one answer.
+	WriteTimeout = 3 * time.Second
+	// IntakeQueue is how many submissions may wait for their durable write at
+	// once; more are refused with RetryAfter.
+	IntakeQueue = 48
+	// PollQueue is how many polls may wait for a read barrier at once.
+	PollQueue = 256
+	// RetryAfter is what refused users are told to wait, in seconds.
+	RetryAfter = 2
+	// PeerEvery is the pause between two exchanges of status with a sibling.
+	PeerEvery = 700 * time.Millisecond
+	// PeerTimeout bounds one exchange.
+	PeerTimeout = 1 * time.Second
+	// PeerFresh is how long a sibling's status is believed.
+	PeerFresh = 4 * time.Second
+	// ConnShare is the share of the socket limit that the user and worker
+	// side may hold; the rest is for our own calls.
+	ConnShare = 0.8
+	// MemoryShare is the share of the memory limit given to the Go runtime as
+	// its soft limit; the rest covers the binary, stacks and the C library.
+	MemoryShare = 0.65
+)
