--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+var types = []wire.Rig{
+	{Label: "big", CPUs: 16, Cards: 8, RAMGB: 128, Price: 8, SpotPrice: 2, StartupS: 40, Plots: []string{"z1", "z2"}},
+	{Label: "dear", CPUs: 16, Cards: 8, RAMGB: 128, Price: 16, SpotPrice: 6, StartupS: 40, Plots: []string{"z1"}},
+}
+
+func want(shape string, n int) Want {
+	w := &wire.Work{Ref: "wk-1", Crew: "x", Shape: shape, Rank: wire.RankNormal, Shards: n, CPUs: 1, Cards: 1, RAMGB: 1, Windfall: shape == wire.ShapeArray}
+	return Want{Job: &jobs.Job{Ref: w.Ref, Record: jobs.Record{Phase: jobs.Open, Tasks: n, Work: w}, Need: jobs.Need(w)}, Count: n}
+}
+
+func input() PlanInput {
+	op := config.DefaultOperator()
+	op.ServiceHeadroom, op.BatchHeadroom = 0, 0
+	return PlanInput{Now: t0, Op: op, Types: types, Refused: map[Kind]time.Time{}, Spared: map[string]time.Time{}}
+}
+
+func unit(name string, role place.Role, spot bool) Unit {
+	return Unit{Name: name, Kind: Kind{"big", "z1", spot}, Role: role, Open: true, Free: total(types[0]), Idle: time.Hour}
+}
+
+func TestHiresTheCheapestAndFallsBackWhenRefused(t *testing.T) {
+	in := input()
+	in.Wants = []Want{want(wire.ShapeArray, 12)}
+	out := Plan(in)
+	n := 0
+	for _, h := range out.Hires {
+		n += h.Number
+		if !h.Kind.Spot || h.Kind.Rig != "big" || h.Role != place.Batch {
+			t.Fatalf("hired %+v", h)
+		}
+	}
+	if n != 2 {
+		t.Fatalf("%d machines of 8 for 12 tasks", n)
+	}
+	for _, z := range []string{"z1", "z2"} {
+		in.Refused[Kind{"big", z, true}] = t0
+	}
+	in.Refused[Kind{"dear", "z1", true}] = t0
+	if out = Plan(in); len(out.Hires) != 0 {
+		t.Fatalf("ordinary machines at once for work that may wait for spot ones: %+v", out.Hires)
+	}
+	in.Wants[0].Waiting = tuning.OrdinaryBatchAfter
+	if out = Plan(in); len(out.Hires) == 0 || out.Hires[0].Kind.Spot {
+		t.Fatalf("no fallback: %+v", out.Hires)
+	}
+	in.Now = t0.Add(tuning.RefusedPause)
+	if out = Plan(in); len(out.Hires) == 0 || !out.Hires[0].Kind.Spot {
+		t.Fatalf("spot machines are not tried again: %+v", out.Hires)
+	}
+}
+
+func TestServicesGetOrdinaryMachinesOfTheirRole(t *testing.T) {
+	in := input()
+	in.Wants = []Want{want(wire.ShapeStanding, 3)}
+	boot := unit("b", place.Batch, false)
+	boot.Open, boot.Booting = false, true
+	in.Units = []Unit{boot}
+	out := Plan(in)
+	if len(out.Hires) != 1 || out.Hires[0].Kind.Spot || out.Hires[0].Role != place.Service {
+		t.Fatalf("%+v", out.Hires)
+	}
+	boot.Role = place.Service
+	in.Units = []Unit{boot}
+	if out = Plan(in); len(out.Hires) != 0 {
+		t.Fatalf("hired beside a machine that boots for it: %+v", out.Hires)
+	}
+}
+
+func TestReturnsWhatIsOfNoUseAndKeepsFloorsAndHeadroom(t *testing.T) {
+	in := input()
+	slow := Unit{Name: "slow", Kind: Kind{"big", "z1", true}, Role: place.Batch, Booting: true, Age: 101 * time.Second}
+	missing, silent, suspect := unit("missing", place.Batch, true), unit("silent", place.Batch, true), unit("suspect", place.Batch, true)
+	missing.Missing, silent.Silent, suspect.Suspect = true, true, true
+	in.Units = []Unit{slow, missing, silent, suspect, unit("s1", place.Service, false), unit("b1", place.Batch, false)}
+	got := map[string]string{}
+	for _, d := range Plan(in).Drains {
+		got[d.Name] = d.Why
+	}
+	if len(got) != 4 || got["slow"] != WhySlowBoot || got["missing"] != WhyGone || got["silent"] != WhySilent || got["suspect"] == "" {
+		t.Fatalf("drains %v; the last machine of each role must stay", got)
+	}
+
+	in = input()
+	in.Units = []Unit{unit("s1", place.Service, false), unit("s2", place.Service, false)}
+	w := want(wire.ShapeStanding, 1)
+	in.Service = Load{Tasks: 4, Need: w.Job.Need, Work: w.Job.Record.Work}
+	if d := Plan(in).Drains; len(d) != 1 || d[0].Why != WhyIdle {
+		t.Fatalf("an idle machine beside the floor: %v", d)
+	}
+	in.Op.ServiceHeadroom = 3 // twelve tasks: both machines
+	if d := Plan(in).Drains; len(d) != 0 {
+		t.Fatalf("the headroom was given back: %v", d)
+	}
+}
+
+// Half-empty machines stayed to the end of the day.
+func TestABusyMachineIsSparedOnlyAfterAWhileAndOneAtATime(t *testing.T) {
+	in := input()
+	a, b, c := unit("a", place.Service, false), unit("b", place.Service, false), unit("c", place.Service, false)
+	for _, u := range []*Unit{&a, &b, &c} {
+		u.Claims, u.Movable, u.Free.GPUs = 2, true, 6
+	}
+	in.Units = []Unit{a, b, c}
+	w := want(wire.ShapeStanding, 1)
+	in.Service = Load{Tasks: 6, Need: w.Job.Need, Work: w.Job.Record.Work}
+	if d := Plan(in).Drains; len(d) != 0 {
+		t.Fatalf("drained at once: %v", d)
+	}
+	in.Now = in.Now.Add(in.Op.IdleOrdinary)
+	if d := Plan(in).Drains; len(d) != 1 || d[0].Why != WhySpare {
+		t.Fatalf("after a while: %v", d)
+	}
+	in.Moving = true
+	if d := Plan(in).Drains; len(d) != 0 {
+		t.Fatalf("beside another that is being drained: %v", d)
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,165 @@
+package jobs
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"wheatspur/wire"
+)
+
+func TestTaskAndJobMachines(t *testing.T) {
+	task := Task{}
+	var err error
+	for _, s := range []struct {
+		e    TaskEvent
+		want State
+		try  uint64
+	}{
+		{TaskEvent{Kind: Claim, Host: "h", Stint: 2}, Claimed, 1},
+		{TaskEvent{Kind: Fail}, Pending, 1},
+		{TaskEvent{Kind: Claim, Host: "h", Stint: 2}, Claimed, 2},
+		{TaskEvent{Kind: Release}, Pending, 2},
+		{TaskEvent{Kind: Claim, Host: "h", Stint: 2}, Claimed, 3},
+		{TaskEvent{Kind: Complete}, Completed, 3},
+	} {
+		if task, err = task.Next(s.e); err != nil || task.State != s.want || task.Try != s.try {
+			t.Fatalf("after %s: %+v %v", s.e.Kind, task, err)
+		}
+	}
+	for _, k := range []TaskEventKind{Claim, Release, Fail, Complete} {
+		if _, err := task.Next(TaskEvent{Kind: k}); err == nil {
+			t.Errorf("%s of a completed task", k)
+		}
+	}
+	if _, err := (Task{}).Next(TaskEvent{Kind: Complete}); err == nil {
+		t.Error("a task that was never claimed completed")
+	}
+	for _, p := range []Phase{Done, Cancelled} {
+		for _, e := range []JobEvent{JobCompleted, JobCancel} {
+			if next, err := p.Next(e); err == nil || next != p {
+				t.Errorf("%s: %s gave %s", p, e, next)
+			}
+		}
+	}
+}
+
+func table(t *testing.T, tasks int) (*Table, *wire.Work) {
+	t.Helper()
+	tab := NewTable(func() time.Time { return time.Unix(0, 0) })
+	w := &wire.Work{Ref: "wk-1", Crew: "x", Shape: wire.ShapeArray, Shards: tasks, Cards: 2}
+	if err := tab.ApplyJob("wk-1", wire.MustMarshal(Record{Phase: Open, Tasks: tasks, Chunk: 4, Work: w})); err != nil {
+		t.Fatal(err)
+	}
+	return tab, w
+}
+
+func chunk(t *testing.T, tab *Table, n int, tasks ...Task) {
+	t.Helper()
+	var raw wire.Raw
+	if tasks != nil {
+		raw = wire.MustMarshal(ChunkRecord{Tasks: tasks})
+	}
+	if err := tab.ApplyChunk(ChunkKey("wk-1", n), raw); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestTableKeepsCountsAndQuota(t *testing.T) {
+	tab, _ := table(t, 6)
+	j := tab.Jobs["wk-1"]
+	chunk(t, tab, 1, Task{State: Claimed, Try: 1, Host: "h"}, Task{State: Completed, Try: 1})
+	if j.Counts != [3]int{4, 1, 1} || tab.Used["x"].GPUs != 2 || len(tab.Hosts["h"]) != 1 {
+		t.Fatalf("counts %v used %v", j.Counts, tab.Used["x"])
+	}
+	chunk(t, tab, 1, Task{State: Completed, Try: 1}, Task{State: Completed, Try: 1})
+	if tab.Used["x"].GPUs != 0 || len(tab.Hosts) != 0 || j.AllDone() {
+		t.Fatalf("used %v after the release", tab.Used["x"])
+	}
+	done := Task{State: Completed, Try: 1}
+	chunk(t, tab, 0, done, done, done, done)
+	if !j.AllDone() {
+		t.Fatal("all tasks are done")
+	}
+}
+
+// The final record carries no description any more, and the chunk goes in the
+// same write: the quota must still be given back to the job's own team.
+func TestQuotaIsGivenBackWhenTheJobEndsInTheSameWrite(t *testing.T) {
+	tab, _ := table(t, 1)
+	chunk(t, tab, 0, Task{State: Claimed, Try: 1, Host: "h"})
+	if err := tab.ApplyJob("wk-1", wire.MustMarshal(Record{Phase: Done, Tasks: 1, Chunk: 4})); err != nil {
+		t.Fatal(err)
+	}
+	chunk(t, tab, 0)
+	if tab.Used["x"].GPUs != 0 || len(tab.Hosts) != 0 || len(tab.Open) != 0 {
+		t.Fatalf("used %v hosts %v", tab.Used, tab.Hosts)
+	}
+	if st := tab.Jobs["wk-1"].Status(); st.Phase != wire.PhaseDone || st.Done != 1 {
+		t.Fatalf("%+v", st)
+	}
+}
+
+func TestChunkRecordsStayBelowTheValueLimit(t *testing.T) {
+	for _, kb := range []float64{1, 4, 16} {
+		n := ChunkSize(kb)
+		var list []any
+		for range n {
+			list = append(list, []any{1, 999999, "host-000000000231", 99999, 20})
+		}
+		b, err := json.Marshal(map[string]any{"t": list})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if float64(len(b)) > kb*1024 {
+			t.Errorf("%g KiB: %d tasks take %d bytes", kb, n, len(b))
+		}
+	}
+}
+
+func TestWhatCanNeverRunIsRefused(t *testing.T) {
+	rigs := []wire.Rig{{Label: "g", CPUs: 8, Cards: 4, RAMGB: 64, Plots: []string{"z"}}}
+	zone := "elsewhere"
+	for name, c := range map[string]struct {
+		edit  func(*wire.Work)
+		known bool
+		ok    bool
+	}{
+		"fits":            {func(w *wire.Work) {}, true, true},
+		"unknown team":    {func(w *wire.Work) {}, false, false},
+		"too large":       {func(w *wire.Work) { w.CPUs = 9 }, true, false},
+		"other type":      {func(w *wire.Work) { w.Rigs = []string{"h"} }, true, false},
+		"other zone":      {func(w *wire.Work) { w.Plot = &zone }, true, false},
+		"task over limit": {func(w *wire.Work) { w.Cards = 4 }, true, false},
+		"array at limit":  {func(w *wire.Work) { w.Shards = 1000 }, true, true},
+		"service over":    {func(w *wire.Work) { w.Shape, w.Shards = wire.ShapeStanding, 4 }, true, false},
+		"gang too large":  {func(w *wire.Work) { w.Shape, w.Shards, w.Cards = wire.ShapeGang, 99, 0 }, true, false},
+	} {
+		w := &wire.Work{Shape: wire.ShapeArray, Shards: 2, CPUs: 1, Cards: 1, RAMGB: 1}
+		c.edit(w)
+		err := Check(w, Limits{GPUsMax: 3}, c.known, rigs, 64)
+		var r Refusal
+		if (err == nil) != c.ok || err != nil && !errors.As(err, &r) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestShardNames(t *testing.T) {
+	for i := range 3 {
+		ref, n, ok := ParseShard(Shard("wk-7", i))
+		if ref != "wk-7" || n != i || !ok {
+			t.Fatal(ref, n, ok)
+		}
+	}
+	for _, s := range []string{"", "wk-7", "wk-7/", "wk-7/-1", "wk-7/x"} {
+		if _, _, ok := ParseShard(s); ok {
+			t.Errorf("%q was read", s)
+		}
+	}
+	if ref, c, ok := ParseChunkKey(ChunkKey("wk-7", 12)); ref != "wk-7" || c != 12 || !ok {
+		t.Fatal(fmt.Sprint(ref, c, ok))
+	}
+}
--- /dev/null
+++ b/internal/server/fakes_test.go
@@ -0,0 +1,411 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/peer"
+	"wheatspur/internal/store"
+	"wheatspur/wire"
+)
+
+// clock is a fake clock that all parts of a test share.
+type clock struct {
+	mu sync.Mutex
+	t  time.Time
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.t
+}
+
+func (c *clock) add(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t = c.t.Add(d)
+}
+
+type stored struct {
+	v      wire.Raw
+	stamp  uint64
+	tenure uint64
+}
+
+// state is a stand-in for the state service, after the protocol's page.
+type state struct {
+	mu     sync.Mutex
+	epoch  uint64
+	keys   map[string]stored
+	events []wire.Event
+	leases map[uint64]bool
+	next   uint64
+	down   bool
+	lose   int // so many answers of transactions get lost after they were applied
+}
+
+func newState() *state { return &state{keys: map[string]stored{}, leases: map[uint64]bool{}} }
+
+func (s *state) List(_ context.Context, prefix, after string) (wire.Pairs, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := wire.Pairs{Epoch: s.epoch}
+	if s.down {
+		return out, store.ErrRefused
+	}
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			out.Pairs = append(out.Pairs, wire.Pair{Key: k, V: e.v, Stamp: e.stamp})
+		}
+	}
+	return out, nil
+}
+
+func (s *state) Multi(_ context.Context, _ store.Class, guards []wire.Guard, then []wire.Change) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, store.ErrRefused
+	}
+	for _, c := range then {
+		if c.Tenure != 0 && !s.leases[c.Tenure] {
+			return 0, store.ErrNoLease
+		}
+	}
+	for _, g := range guards {
+		if s.keys[g.Key].stamp != g.Stamp {
+			return s.epoch, fmt.Errorf("%w: %s", store.ErrConflict, g.Key)
+		}
+	}
+	s.epoch++
+	for _, c := range then {
+		if c.Drop != "" {
+			delete(s.keys, c.Drop)
+			s.events = append(s.events, wire.Event{Drop: c.Drop, Stamp: s.epoch})
+			continue
+		}
+		s.keys[c.Set] = stored{c.V, s.epoch, c.Tenure}
+		s.events = append(s.events, wire.Event{Set: c.Set, V: c.V, Stamp: s.epoch})
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, store.ErrLost
+	}
+	return s.epoch, nil
+}
+
+func (s *state) Lease(context.Context, time.Duration) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.leases[s.next] = true
+	return s.next, nil
+}
+
+func (s *state) Touch(_ context.Context, id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leases[id] {
+		return store.ErrNoLease
+	}
+	return nil
+}
+
+// expire ends a lease and drops its keys.
+func (s *state) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	for k, e := range s.keys {
+		if e.tenure == id {
+			s.epoch++
+			delete(s.keys, k)
+			s.events = append(s.events, wire.Event{Drop: k, Stamp: s.epoch})
+		}
+	}
+}
+
+func (s *state) Watch(_ context.Context, prefix string, after uint64, _ time.Duration) (wire.Events, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := wire.Events{Epoch: s.epoch}
+	if s.down {
+		return out, store.ErrRefused
+	}
+	for _, e := range s.events {
+		if e.Stamp > after {
+			out.Events = append(out.Events, e)
+		}
+	}
+	return out, nil
+}
+
+// cloud is a scripted cloud.
+type cloud struct {
+	mu       sync.Mutex
+	list     []wire.Host
+	returned []string
+	hires    []wire.Hire
+}
+
+func (c *cloud) Types() ([]wire.Rig, error) { return rigs, nil }
+func (c *cloud) Hire(h wire.Hire) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hires = append(c.hires, h)
+	return nil, fleet.ErrNoCapacity
+}
+func (c *cloud) Return(h []string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.returned = append(c.returned, h...)
+	return nil
+}
+func (c *cloud) List() ([]wire.Host, error) { return c.list, nil }
+
+var rigs = []wire.Rig{{Label: "g", CPUs: 8, Cards: 4, RAMGB: 64, FetchGBPerS: 1, Price: 4, SpotPrice: 1, StartupS: 30, Plots: []string{"z"}}}
+
+// deaf is a worker side that never answers direct calls.
+type deaf struct{}
+
+func (deaf) commands(string, wire.Commands) (int, *wire.Checkin, error) {
+	return 0, nil, store.ErrLost
+}
+
+const (
+	lease  = 30 * time.Second
+	cancel = 60 * time.Second
+)
+
+// world is a set of nodes with one state service.
+type world struct {
+	t     *testing.T
+	clk   *clock
+	st    *state
+	cl    *cloud
+	nodes map[string]*Node
+	tally uint64
+}
+
+func newWorld(t *testing.T, labels ...string) *world {
+	t.Helper()
+	w := &world{t: t, clk: &clock{t: time.Unix(100000, 0)}, st: newState(), cl: &cloud{}, nodes: map[string]*Node{}}
+	for _, l := range labels {
+		w.start(l, labels)
+	}
+	for range 4 {
+		w.settle()
+	}
+	// The leader's list loop is driven by hand.
+	lead := w.leader()
+	if err := lead.readTypes(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	w.sync()
+	return w
+}
+
+func settings(label string, labels []string) *config.Settings {
+	s := &config.Settings{Label: label, Operator: config.DefaultOperator()}
+	for _, l := range labels {
+		if l != label {
+			s.Siblings = append(s.Siblings, config.Sibling{Label: l, Endpoint: "127.0.0.1:1"})
+		}
+	}
+	p := &s.Params
+	p.Teams = []config.Team{{Name: "x", GPUsMax: 8}}
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = 3, lease.Seconds(), cancel.Seconds()
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 1000, 1000, 4, 12
+	p.Cloud.RPS, p.Cloud.ListLagS = 10, 1
+	return s
+}
+
+func (w *world) start(label string, labels []string) *Node {
+	w.t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	lim := store.NewLimiter(1000, 1000, 64, w.clk.now)
+	n := newNode(settings(label, labels), log, w.clk.now, w.st, lim, w.cl, deaf{})
+	ctx, stop := context.WithCancel(context.Background())
+	w.t.Cleanup(stop)
+	go func() { _ = n.sync.Barriers(ctx) }()
+	w.nodes[label] = n
+	n.self.Incarnation, _ = w.st.Lease(ctx, time.Second)
+	n.session = n.session.Next(member.GotLease)
+	if err := n.sync.Load(ctx); err != nil {
+		w.t.Fatal(err)
+	}
+	return n
+}
+
+// sync lets every node read what is stored.
+func (w *world) sync() {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		if err := n.sync.Barrier(time.Second); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+// settle gives every node a step of its membership.
+func (w *world) settle() {
+	w.sync()
+	for _, n := range w.nodes {
+		_ = n.memberStep(context.Background())
+	}
+	w.sync()
+}
+
+func (w *world) leader() *Node {
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		ok := n.leads()
+		n.mu.Unlock()
+		if ok {
+			return n
+		}
+	}
+	w.t.Fatal("nobody leads")
+	return nil
+}
+
+// addHost lets the leader list a running machine; its role is the one given.
+func (w *world) addHost(host string, role string) {
+	w.t.Helper()
+	l := w.leader()
+	w.cl.list = append(w.cl.list, wire.Host{Ref: host, Address: "10.9.9.9:1", Rig: "g", Plot: "z", Phase: wire.HostRunning, HeldS: 100})
+	l.mu.Lock()
+	l.leadMemory().hired[host] = hired{role: placeRole(role)}
+	l.mu.Unlock()
+	l.enterList(context.Background(), w.cl.list)
+	w.sync()
+}
+
+// owner is the node that a machine is hashed to, and another node if any.
+func (w *world) owner(host string) (owner, other *Node) {
+	l := w.leader()
+	l.mu.Lock()
+	label := l.member.Owner(host)
+	l.mu.Unlock()
+	for name, n := range w.nodes {
+		if name != label {
+			other = n
+		}
+	}
+	return w.nodes[label], other
+}
+
+func (w *world) checkin(host string, stint, baton uint64, shards ...wire.Shard) *wire.Checkin {
+	w.tally++
+	return &wire.Checkin{Host: host, Address: "10.9.9.9:1", Rig: "g", Plot: "z", Stint: stint, Tally: w.tally, Baton: baton, Shards: shards}
+}
+
+func (n *Node) take(r *wire.Checkin) (int, any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.report(r)
+}
+
+// passes runs a node's pass and its writes.
+func (w *world) pass(n *Node) {
+	n.mu.Lock()
+	txns := n.pass()
+	n.mu.Unlock()
+	for _, t := range txns {
+		n.commit(context.Background(), t)
+	}
+}
+
+func (w *world) passAll() {
+	for range 2 {
+		for _, n := range w.nodes {
+			w.pass(n)
+		}
+		w.sync()
+	}
+}
+
+// ask sends a user's request to a node's handler.
+func ask(n *Node, method, path string, body any) (int, wire.Status, *fasthttp.RequestCtx) {
+	var c fasthttp.RequestCtx
+	c.Request.Header.SetMethod(method)
+	c.Request.SetRequestURI("http://x" + path)
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		c.Request.SetBody(b)
+	default:
+		c.Request.SetBody(wire.MustMarshal(b))
+	}
+	n.serveUser(&c)
+	var st wire.Status
+	_ = wire.Unmarshal(c.Response.Body(), &st)
+	return c.Response.StatusCode(), st, &c
+}
+
+func work(ref string, tasks int) wire.Work {
+	return wire.Work{Ref: ref, Cohort: "c", Crew: "x", Shape: wire.ShapeArray, Rank: wire.RankNormal, Shards: tasks,
+		CPUs: 1, Cards: 1, RAMGB: 1, Bundle: "img", ImageGB: 1, ReckonS: 10}
+}
+
+func service(ref string, tasks int) wire.Work {
+	w := work(ref, tasks)
+	w.Shape, w.Rank = wire.ShapeStanding, wire.RankCritical
+	return w
+}
+
+func (w *world) submit(n *Node, wk wire.Work) {
+	w.t.Helper()
+	if code, _, _ := ask(n, "POST", "/work", wk); code != 201 {
+		w.t.Fatalf("submission of %s: %d", wk.Ref, code)
+	}
+	w.sync()
+}
+
+func (n *Node) baton() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.member.Baton
+}
+
+func (n *Node) job(ref string) jobs.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Jobs[ref].Record
+}
+
+func (n *Node) claimsOn(host string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.table.Hosts[host])
+}
+
+func (w *world) exchange(from, to *Node) {
+	st, err := peer.Decode(from.ownStatus())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	to.notePeer(st)
+}
+
+func orders(t *testing.T, code int, body any) []wire.Order {
+	t.Helper()
+	o, ok := body.(wire.Orders)
+	if code != 200 || !ok {
+		t.Fatalf("a report was answered %d %v", code, body)
+	}
+	return o.Orders
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,440 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+func placeRole(s string) place.Role { return place.Role(s) }
+
+func TestUsersGetTheProtocolsAnswers(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	good := work("wk-1", 2)
+	bad := good
+	bad.Crew = "nobody"
+	huge := good
+	huge.Ref, huge.CPUs = "wk-2", 99
+	negative := good
+	negative.Ref, negative.Cards = "wk-3", -1
+	for _, c := range []struct {
+		name, method, path string
+		body               any
+		want               int
+	}{
+		{"new job", "POST", "/work", good, 201},
+		{"known job", "POST", "/work", good, 200},
+		{"known job, malformed now", "POST", "/work", map[string]any{"ref": "wk-1"}, 200},
+		{"known job, impossible now", "POST", "/work", bad, 200},
+		{"not CBOR", "POST", "/work", []byte("{"), 400},
+		{"not a map", "POST", "/work", []int{1}, 400},
+		{"a field missing", "POST", "/work", map[string]any{"ref": "wk-9"}, 400},
+		{"out of range", "POST", "/work", negative, 400},
+		{"fits no machine", "POST", "/work", huge, 422},
+		{"more than the team's limit", "POST", "/work", service("wk-4", 9), 422},
+		{"poll", "GET", "/work/wk-1", nil, 200},
+		{"unknown job", "GET", "/work/wk-77", nil, 404},
+		{"no job id", "GET", "/work/x", nil, 404},
+		{"cancel unknown", "POST", "/work/wk-77/cancel", nil, 404},
+		{"unknown path", "GET", "/nothing", nil, 404},
+		{"wrong method", "GET", "/work", nil, 405},
+		{"health", "GET", "/up", nil, 200},
+	} {
+		if code, _, _ := ask(n, c.method, c.path, c.body); code != c.want {
+			t.Errorf("%s: %d, want %d", c.name, code, c.want)
+		}
+	}
+}
+
+func TestNothingIsAcceptedBeforeTheTypesAreKnown(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	n.types = nil
+	code, _, c := ask(n, "POST", "/work", work("wk-1", 1))
+	if code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+		t.Fatalf("%d without machine types", code)
+	}
+}
+
+func TestALostAnswerIsSettledByReadingAgain(t *testing.T) {
+	w := newWorld(t, "a")
+	w.st.lose = 1
+	if code, st, _ := ask(w.nodes["a"], "POST", "/work", work("wk-1", 1)); code != 200 || st.Phase != wire.PhaseQueued {
+		t.Fatalf("submission whose answer was lost: %d %+v", code, st)
+	}
+	w.st.lose = 1
+	if code, st, _ := ask(w.nodes["a"], "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("cancellation whose answer was lost: %d %+v", code, st)
+	}
+}
+
+func TestWithoutTheStateServiceOnlyFinalStatesAreTold(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.submit(n, work("wk-1", 1))
+	w.submit(n, work("wk-2", 1))
+	if code, _, _ := ask(n, "POST", "/work/wk-2/cancel", nil); code != 200 {
+		t.Fatal(code)
+	}
+	w.st.down = true
+	w.clk.add(time.Minute)
+	for path, want := range map[string]int{"/work/wk-1": 503, "/work/wk-2": 200, "/work/wk-99": 503, "/up": 200} {
+		if code, _, _ := ask(n, "GET", path, nil); code != want {
+			t.Errorf("GET %s: %d, want %d", path, code, want)
+		}
+	}
+	if code, _, c := ask(n, "POST", "/work", work("wk-3", 1)); code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("a submission during an outage: %d", code)
+	}
+}
+
+func TestAFullIntakeRefusesAtOnce(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	for range cap(n.takes) {
+		n.takes <- struct{}{}
+	}
+	code, _, c := ask(n, "POST", "/work", work("wk-1", 1))
+	if code != 429 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+		t.Fatalf("%d from a full intake", code)
+	}
+	if code, _, _ := ask(n, "GET", "/work/wk-1", nil); code != 404 {
+		t.Fatalf("a poll beside a full intake: %d", code)
+	}
+}
+
+func TestATaskRunsFromItsStoredClaimToDone(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	b := n.baton()
+	n.take(w.checkin("h1", 1, b))
+	w.submit(n, work("wk-1", 1))
+	_, body := n.take(w.checkin("h1", 1, b))
+	if o := orders(t, 200, body); len(o) != 0 {
+		t.Fatalf("orders before a claim is stored: %v", o)
+	}
+	w.passAll()
+	_, body = n.take(w.checkin("h1", 1, b))
+	if o := orders(t, 200, body); len(o) != 1 || o[0].Verb != wire.VerbStart || o[0].Try != 1 {
+		t.Fatalf("orders for a stored claim: %v", o)
+	}
+	exited := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseDone}
+	_, body = n.take(w.checkin("h1", 1, b, exited))
+	if o := orders(t, 200, body); len(o) != 0 {
+		t.Fatalf("orders before the release is stored: %v", o)
+	}
+	if _, st, _ := ask(n, "GET", "/work/wk-1", nil); st.Phase == wire.PhaseDone {
+		t.Fatal("called done before it is stored")
+	}
+	w.passAll()
+	if _, st, _ := ask(n, "GET", "/work/wk-1", nil); st.Phase != wire.PhaseDone || st.Done != 1 {
+		t.Fatalf("after the release: %+v", st)
+	}
+	// Direct calls of the pass were not answered: a start may be under way.
+	n.mu.Lock()
+	n.workers["h1"].Unanswered = map[fleet.Attempt]int{}
+	n.mu.Unlock()
+	_, body = n.take(w.checkin("h1", 1, b, exited))
+	if o := orders(t, 200, body); len(o) != 1 || o[0].Verb != wire.VerbReap {
+		t.Fatalf("after the release: %v", o)
+	}
+	if rec := n.job("wk-1"); rec.Phase != jobs.Done || rec.Work != nil {
+		t.Fatalf("final record: %+v", rec)
+	}
+}
+
+func TestOnlyTheOwnerAnswersAWorker(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	owner, other := w.owner("h1")
+	code, body := other.take(w.checkin("h1", 1, 0))
+	if r, ok := body.(wire.Redirect); code != 421 || !ok || r.Foreman != owner.self.Label {
+		t.Fatalf("another node answered %d %v", code, body)
+	}
+	if code, _ := owner.take(w.checkin("h1", 1, owner.baton()+1)); code == 200 {
+		t.Fatal("200 to a worker that has seen a higher baton")
+	}
+	if code, _ := owner.take(w.checkin("h1", 1, 0)); code != 200 {
+		t.Fatalf("the owner answered %d", code)
+	}
+}
+
+func TestANodesDeathMovesItsMachinesAndRaisesTheBaton(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	owner, other := w.owner("h1")
+	old := owner.baton()
+	w.st.expire(owner.self.Incarnation)
+	delete(w.nodes, owner.self.Label)
+	for range 4 {
+		w.settle()
+	}
+	if other.baton() <= old {
+		t.Fatalf("baton %d after %d", other.baton(), old)
+	}
+	if code, _ := other.take(w.checkin("h1", 1, old)); code != 200 {
+		t.Fatalf("the new owner answered %d", code)
+	}
+	// The former owner has not noticed: it must not hold a worker that has.
+	if code, _ := owner.take(w.checkin("h1", 1, other.baton())); code == 200 {
+		t.Fatal("the former owner answered 200")
+	}
+}
+
+// Cancel wins over a claim that was computed before it was seen.
+func TestAStaleClaimFailsAfterACancellation(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	owner, other := w.owner("h1")
+	owner.take(w.checkin("h1", 1, owner.baton()))
+	w.exchange(owner, other)
+	w.submit(owner, work("wk-1", 1))
+	owner.mu.Lock()
+	txns := owner.pass()
+	owner.mu.Unlock()
+	if len(txns) != 1 {
+		t.Fatalf("%d writes for one claim", len(txns))
+	}
+	if code, _, _ := ask(other, "POST", "/work/wk-1/cancel", nil); code != 200 {
+		t.Fatal(code)
+	}
+	owner.commit(context.Background(), txns[0])
+	w.sync()
+	if owner.claimsOn("h1") != 0 {
+		t.Fatal("a cancelled job was claimed")
+	}
+}
+
+// Two owners claim for one team at the same time: only one write can hold, so
+// that the team's limit is checked against all claims.
+func TestClaimsOfOneTeamExcludeEachOther(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	var hosts [2]string
+	for i := 0; hosts[0] == "" || hosts[1] == ""; i++ {
+		h := "h" + string(rune('a'+i))
+		k := 0
+		if w.leader().member.Owner(h) == "b" {
+			k = 1
+		}
+		if hosts[k] == "" {
+			hosts[k] = h
+			w.addHost(h, "batch")
+		}
+	}
+	a, b := w.nodes["a"], w.nodes["b"]
+	a.take(w.checkin(hosts[0], 1, a.baton()))
+	b.take(w.checkin(hosts[1], 1, b.baton()))
+	// Without each other's status both place only on their own machines.
+	w.submit(a, work("wk-1", 4))
+	w.submit(a, work("wk-2", 4))
+	a.mu.Lock()
+	ta := a.pass()
+	a.mu.Unlock()
+	b.mu.Lock()
+	tb := b.pass()
+	b.mu.Unlock()
+	if len(ta) == 0 || len(tb) == 0 {
+		t.Fatalf("writes: %d and %d", len(ta), len(tb))
+	}
+	a.commit(context.Background(), ta[0])
+	b.commit(context.Background(), tb[0])
+	w.sync()
+	if a.claimsOn(hosts[0]) == 0 || b.claimsOn(hosts[1]) != 0 {
+		t.Fatalf("claims: %d and %d, want some and none", a.claimsOn(hosts[0]), b.claimsOn(hosts[1]))
+	}
+}
+
+// A node that can't read cancellations keeps leases alive for a while, starts
+// nothing, and then stops answering so that the leases end in time.
+func TestACutOffNodeStopsRenewingLeasesBeforeACancellationIsDue(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	n.take(w.checkin("h1", 1, n.baton()))
+	w.submit(n, work("wk-1", 1))
+	w.passAll()
+	w.st.down = true
+	w.clk.add(tuning.StateStale + time.Second)
+	_, body := n.take(w.checkin("h1", 1, n.baton()))
+	if o := orders(t, 200, body); len(o) != 0 {
+		t.Fatalf("orders without the state service: %v", o)
+	}
+	w.clk.add(n.set.AnswerBound() - tuning.StateStale)
+	if code, _ := n.take(w.checkin("h1", 1, n.baton())); code == 200 {
+		t.Fatal("200 after the bound")
+	}
+	if last := n.set.AnswerBound() + lease; last >= cancel {
+		t.Fatalf("a lease may last %v after the last read, a cancellation has %v", last, cancel)
+	}
+}
+
+func TestHealthFollowsTheSiblings(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	a, b := w.nodes["a"], w.nodes["b"]
+	w.st.down = true
+	w.clk.add(tuning.StateStale + time.Second)
+	w.exchange(b, a)
+	if !a.healthy() {
+		t.Fatal("unhealthy though no node has the state service")
+	}
+	w.st.down = false
+	if err := b.sync.Barrier(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	w.exchange(b, a)
+	if a.healthy() || !b.healthy() {
+		t.Fatalf("cut off: healthy %v, its sibling: %v", a.healthy(), b.healthy())
+	}
+}
+
+func TestADrainedMachineTakesNoClaimAndGoesBackEmpty(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	ctx := context.Background()
+	w.addHost("h1", "batch")
+	n.take(w.checkin("h1", 1, n.baton()))
+	w.submit(n, work("wk-1", 1))
+	n.mu.Lock()
+	claim := n.pass()
+	drains := n.drainChanges([]fleet.DrainPlan{{Name: "h1", Why: fleet.WhyIdle}})
+	n.mu.Unlock()
+	n.writeHosts(ctx, drains)
+	n.mu.Lock()
+	early, _ := n.toReturn(n.leadMemory(), w.clk.now())
+	n.mu.Unlock()
+	if len(early) != 0 {
+		t.Fatal("returned before all claims that the drain may have missed were read")
+	}
+	for _, c := range claim {
+		n.commit(ctx, c)
+	}
+	w.sync()
+	if n.claimsOn("h1") != 0 {
+		t.Fatal("a claim on a drained machine was stored")
+	}
+	n.mu.Lock()
+	returns, _ := n.toReturn(n.leadMemory(), w.clk.now())
+	n.mu.Unlock()
+	n.giveBack(ctx, returns)
+	if len(w.cl.returned) != 1 || n.hosts["h1"].Phase != fleet.Returned {
+		t.Fatalf("returned %v, phase %s", w.cl.returned, n.hosts["h1"].Phase)
+	}
+}
+
+// A returned machine is the proof that releases its claims.
+func TestTasksOfAGoneMachineAreReleasedAfterItsReturn(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	ctx := context.Background()
+	w.addHost("h1", "batch")
+	n.take(w.checkin("h1", 1, n.baton()))
+	w.submit(n, work("wk-1", 1))
+	w.passAll()
+	if n.claimsOn("h1") != 1 {
+		t.Fatal("no claim")
+	}
+	w.cl.list = nil
+	for range tuning.GoneLists + 1 {
+		w.clk.add(10 * time.Second)
+		n.enterList(ctx, nil)
+	}
+	w.passAll()
+	if n.claimsOn("h1") != 1 {
+		t.Fatal("absence from the list released a task")
+	}
+	n.mu.Lock()
+	l := n.leadMemory()
+	n.planInput(l, n.machines(w.clk.now()), w.clk.now())
+	l.heard["h1"] = w.clk.now().Add(-time.Minute)
+	out := fleet.Plan(n.planInput(l, n.machines(w.clk.now()), w.clk.now()))
+	drains := n.drainChanges(out.Drains)
+	n.mu.Unlock()
+	n.writeHosts(ctx, drains)
+	w.sync()
+	n.mu.Lock()
+	returns, _ := n.toReturn(l, w.clk.now())
+	n.mu.Unlock()
+	if len(returns) != 1 {
+		t.Fatalf("a machine that the list omits is not returned: drains %v", out.Drains)
+	}
+	n.giveBack(ctx, returns)
+	w.sync()
+	w.passAll()
+	if n.claimsOn("h1") != 0 {
+		t.Fatal("the return did not release the task")
+	}
+}
+
+// After a node's crash its siblings hear nothing of its machines for a while;
+// the leader once took them for silent and returned them all.
+func TestMachinesOfACrashedNodeAreNotSilent(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	l := w.leader()
+	var other *Node
+	for _, n := range w.nodes {
+		if n != l {
+			other = n
+		}
+	}
+	host := ""
+	for i := 0; host == ""; i++ {
+		if h := "h" + string(rune('a'+i)); l.member.Owner(h) == other.self.Label {
+			host = h
+		}
+	}
+	w.addHost(host, "batch")
+	units := func() fleet.Unit {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, u := range l.planInput(l.leadMemory(), l.machines(w.clk.now()), w.clk.now()).Units {
+			if u.Name == host {
+				return u
+			}
+		}
+		return fleet.Unit{}
+	}
+	for range 40 { // heard for a long time
+		w.clk.add(5 * time.Second)
+		w.sync()
+		other.take(w.checkin(host, 1, other.baton()))
+		w.exchange(other, l)
+		units()
+	}
+	other.mu.Lock()
+	clear(other.workers) // as after a restart
+	other.mu.Unlock()
+	w.exchange(other, l)
+	w.clk.add(2 * time.Second)
+	if u := units(); u.Silent || u.Missing {
+		t.Fatalf("a machine heard seconds ago: %+v", u)
+	}
+}
+
+// A former process's late write of the session key must not stand.
+func TestASessionIsStoredAgainAfterALateWriteOfAFormerProcess(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	old := member.Node{Label: "a", Incarnation: 777}
+	w.st.leases[777] = true
+	_, err := w.st.Multi(context.Background(), 0, nil, []wire.Change{{Set: member.NodeKey("a"), V: wire.MustMarshal(old), Tenure: 777}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		w.settle()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sessions["a"] != n.self || !n.entitled() {
+		t.Fatalf("session %+v, self %+v", n.sessions["a"], n.self)
+	}
+}
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -173,7 +173,7 @@
 	loaded := false
 	for ctx.Err() == nil {
 		if !loaded {
-			if err := s.load(ctx); err != nil {
+			if err := s.Load(ctx); err != nil {
 				s.log.Info("state load failed", "err", err)
 				pause(ctx, tuning.RetryPause)
 				continue
@@ -264,7 +264,8 @@
 	return nil
 }
 
-func (s *Syncer) load(ctx context.Context) error {
+// Load reads all keys and enters them.
+func (s *Syncer) Load(ctx context.Context) error {
 	var all []wire.Pair
 	var base, last uint64
 	after := ""
