--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -149,7 +149,7 @@
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	user := n.httpServer(n.serveUser, int(float64(n.set.Params.Limits.MaxConnections)*tuning.ConnShare))
-	peers := n.httpServer(n.servePeer, 4*(len(n.siblings)+1))
+	peers := n.httpServer(n.servePeer, 2*tuning.PeerConns*(len(n.siblings)+1))
 	peers.MaxRequestBodySize = 1 << 20
 	g.Go(func() error { return user.Serve(ul) })
 	g.Go(func() error { return peers.Serve(pl) })
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
+	"wheatspur/internal/peer"
 	"wheatspur/internal/place"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
@@ -438,3 +440,32 @@
 		t.Fatalf("session %+v, self %+v", n.sessions["a"], n.self)
 	}
 }
+
+// Users of a node that alone has lost the state service must not notice.
+func TestARequestIsPassedOnToASiblingWithTheStateService(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	a, b := w.nodes["a"], w.nodes["b"]
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := b.httpServer(b.servePeer, 8)
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	a.siblings["b"].client = peer.NewClient(ln.Addr().String())
+	w.clk.add(tuning.StateStale + time.Second)
+	if err := b.sync.Barrier(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	w.exchange(b, a)
+	a.svc = nil // any use of the state service by this node would panic
+	if code, _, _ := ask(a, "POST", "/work", work("wk-1", 1)); code != 201 {
+		t.Fatalf("submission: %d", code)
+	}
+	if code, st, _ := ask(a, "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("cancellation: %d %+v", code, st)
+	}
+	if code, _, _ := ask(a, "GET", "/work/wk-2", nil); code != 404 {
+		t.Fatalf("poll of an unknown job: %d", code)
+	}
+}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -77,19 +77,93 @@
 		n.serveStatus(c)
 	case "/checkin":
 		n.checkin(c)
-	case "/work":
-		n.submit(c)
 	default:
-		ref := strings.TrimPrefix(path, "/work/")
-		if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
-			n.cancel(c, id)
-		} else {
-			n.poll(c, ref)
+		n.serveWork(c, path)
+	}
+}
+
+// serveWork serves a user's request here, or passes it on to a sibling that
+// reads the state service while this node does not.
+func (n *Node) serveWork(c *fasthttp.RequestCtx, path string) {
+	if !n.hasState() && n.forward(c) {
+		return
+	}
+	n.serveHere(c, path)
+	if c.Response.StatusCode() == 503 && n.lastRefused() && !n.forward(c) {
+		// A new connection may reach a node that can serve it.
+		c.SetConnectionClose()
+	}
+}
+
+func (n *Node) serveHere(c *fasthttp.RequestCtx, path string) {
+	if path == "/work" {
+		n.submit(c)
+		return
+	}
+	ref := strings.TrimPrefix(path, "/work/")
+	if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
+		n.cancel(c, id)
+	} else {
+		n.poll(c, ref)
+	}
+}
+
+// lastRefused reports whether this node seems to have lost the state service.
+func (n *Node) lastRefused() bool {
+	return n.now().Sub(n.sync.Fresh()) > 2*tuning.WatchHold
+}
+
+// forward passes a user's request on to a sibling that has the state service;
+// false if there is none or it does not answer.
+func (n *Node) forward(c *fasthttp.RequestCtx) bool {
+	n.mu.Lock()
+	var to *sibling
+	for _, s := range n.siblings {
+		if n.freshSibling(s) && s.status.HasState && (to == nil || s.cfg.Label < to.cfg.Label) {
+			to = s
 		}
 	}
+	n.mu.Unlock()
+	if to == nil {
+		return false
+	}
+	r, err := to.client.Forward(peer.Request{Method: string(c.Method()), Path: string(c.Path()), Body: c.PostBody()}, tuning.ForwardTimeout)
+	if err != nil {
+		n.log.Debug("request not passed on", "to", to.cfg.Label, "err", err)
+		return false
+	}
+	c.Response.Reset()
+	if r.RetryAfter != "" {
+		c.Response.Header.Set("Retry-After", r.RetryAfter)
+	}
+	c.SetStatusCode(r.Status)
+	c.SetContentType(wire.ContentType)
+	c.SetBody(r.Body)
+	return true
+}
+
+// serveForwarded serves a request that a sibling passed on; it goes no further.
+func (n *Node) serveForwarded(c *fasthttp.RequestCtx) {
+	r, err := peer.DecodeRequest(c.PostBody())
+	if err != nil || r.Path != "/work" && !strings.HasPrefix(r.Path, "/work/") {
+		refuse(c, 400, "malformed request")
+		return
+	}
+	var inner fasthttp.RequestCtx
+	inner.Request.Header.SetMethod(r.Method)
+	inner.Request.SetRequestURI(r.Path)
+	inner.Request.SetBody(r.Body)
+	n.serveHere(&inner, r.Path)
+	out := peer.Reply{Status: inner.Response.StatusCode(), Body: inner.Response.Body(),
+		RetryAfter: string(inner.Response.Header.Peek("Retry-After"))}
+	c.SetBody(out.Encode())
 }
 
 func (n *Node) servePeer(c *fasthttp.RequestCtx) {
+	if c.IsPost() && string(c.Path()) == peer.ForwardPath {
+		n.serveForwarded(c)
+		return
+	}
 	if string(c.Path()) != peer.Path || !c.IsPost() {
 		refuse(c, 404, "no such path")
 		return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -19,7 +19,7 @@
 	StateCallTimeout = 1500 * time.Millisecond
 	// WatchHold is how long a watch may stay open. Short, so that the send
 	// time of the last answered one stays recent enough to prove freshness.
-	WatchHold = 2500 * time.Millisecond
+	WatchHold = 1000 * time.Millisecond
 	// WatchPause is the least time between two watches of a node: it batches
 	// changes and bounds the node's share of the request budget.
 	WatchPause = 60 * time.Millisecond
@@ -50,9 +50,8 @@
 	// RetryPause separates tries after a refusal or a lost reply.
 	RetryPause = 250 * time.Millisecond
 	// StateStale is the time without a fresh read after which a node holds
-	// that it has lost the state service: two session lifetimes' worth of
-	// watches would have come back by then.
-	StateStale = 5 * time.Second
+	// that it has lost the state service: two watches would have come back.
+	StateStale = 2500 * time.Millisecond
 )
 
 // Workers.
@@ -221,8 +220,14 @@
 	PeerEvery = 700 * time.Millisecond
 	// PeerTimeout bounds one exchange.
 	PeerTimeout = 1 * time.Second
+	// PeerConns bounds the connections to one sibling; forwarded requests
+	// beyond it are refused at once.
+	PeerConns = 16
+	// ForwardTimeout bounds a user's request that is passed on to a sibling:
+	// with a barrier's wait before it, a poll still ends within 2 s.
+	ForwardTimeout = 1500 * time.Millisecond
 	// PeerFresh is how long a sibling's status is believed.
-	PeerFresh = 4 * time.Second
+	PeerFresh = 3 * time.Second
 	// ConnShare is the share of the socket limit that the user and worker
 	// side may hold; the rest is for our own calls.
 	ConnShare = 0.8
