--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -61,6 +61,12 @@
 	Try uint64
 }
 
+// sentStart is a direct start under a baton.
+type sentStart struct {
+	Attempt
+	baton uint64
+}
+
 // Worker is the owner's view of one machine's worker.
 type Worker struct {
 	Host     string
@@ -80,9 +86,9 @@
 	TakenAt  time.Time        // when the cloud takes the machine; zero: no notice
 	Stopping map[jobs.ID]bool // tasks that we want off this machine
 
-	// Direct starts that were sent and not answered, at this baton and stint.
-	// They may yet be carried out.
-	Unanswered map[Attempt]int
+	// Direct starts of this stint that were sent and not answered, by the
+	// baton that they carry. They may yet be carried out.
+	unanswered map[sentStart]int
 
 	Images  []string              // seen here, newest last
 	Errors  map[string]bool       // jobs whose tasks failed here since the last success
@@ -95,7 +101,7 @@
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
 	return &Worker{Host: host, State: Unproven, Shards: map[jobs.ID]wire.Shard{}, Stopping: map[jobs.ID]bool{},
-		Unanswered: map[Attempt]int{}, Errors: map[string]bool{}, Sent: map[Attempt]time.Time{}}
+		unanswered: map[sentStart]int{}, Errors: map[string]bool{}, Sent: map[Attempt]time.Time{}}
 }
 
 // RaiseBaton notes that our membership has changed.
@@ -114,7 +120,7 @@
 		// Guards against taking an old session's proof for the new one's, and
 		// against waiting for starts that the worker now refuses.
 		w.State = w.State.Next(NewStint)
-		clear(w.Unanswered)
+		clear(w.unanswered)
 		clear(w.Stopping)
 	}
 	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
@@ -123,8 +129,13 @@
 	if w.State == Unproven && baton > 0 && r.Baton == baton {
 		w.State = w.State.Next(BatonShown)
 		w.ProvenAt = now
-		// Starts under lower batons are dead from here on.
-		clear(w.Unanswered)
+		// Starts under lower batons are dead from here on. Those under ours
+		// are not: one sent before the proof may still be held somewhere.
+		for k := range w.unanswered {
+			if k.baton < baton {
+				delete(w.unanswered, k)
+			}
+		}
 	}
 	if r.WarningS == nil {
 		w.TakenAt = time.Time{}
@@ -165,6 +176,33 @@
 	return w.Stopping[id] || on && s.Phase == wire.ShardExited
 }
 
+// StartSent notes direct starts that are about to be sent.
+func (w *Worker) StartSent(starts []Attempt, baton uint64) {
+	for _, a := range starts {
+		w.unanswered[sentStart{a, baton}]++
+	}
+}
+
+// StartAnswered notes that a direct call with these starts was answered.
+func (w *Worker) StartAnswered(starts []Attempt, baton uint64) {
+	for _, a := range starts {
+		k := sentStart{a, baton}
+		if w.unanswered[k]--; w.unanswered[k] <= 0 {
+			delete(w.unanswered, k)
+		}
+	}
+}
+
+// mayStart reports whether a direct start of the attempt may yet arrive.
+func (w *Worker) mayStart(a Attempt) bool {
+	for k := range w.unanswered {
+		if k.Attempt == a {
+			return true
+		}
+	}
+	return false
+}
+
 // NoteImage remembers that the machine holds an image.
 func (w *Worker) NoteImage(image string) {
 	for i, im := range w.Images {
@@ -276,7 +314,7 @@
 		case wanted && (!on || s.Try < t.Try):
 			if on && s.Phase != wire.ShardExited {
 				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
-			} else if on && w.Unanswered[Attempt{id, s.Try}] == 0 && w.State == Proven {
+			} else if on && !w.mayStart(Attempt{id, s.Try}) && w.State == Proven {
 				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
 			}
 			if mayStart {
@@ -285,7 +323,7 @@
 		case !on:
 		case s.Phase == wire.ShardExited:
 			// Reap only once the release is stored: no claim names the attempt.
-			if (j == nil || t.Try != s.Try) && w.State == Proven && w.Unanswered[Attempt{id, s.Try}] == 0 {
+			if (j == nil || t.Try != s.Try) && w.State == Proven && !w.mayStart(Attempt{id, s.Try}) {
 				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
 			}
 		case wanted && s.Try == t.Try:
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -75,6 +75,11 @@
 	for host, w := range n.workers {
 		w.KeepStopping(n.table.Hosts[host])
 	}
+	for ref, at := range n.notUntil {
+		if now.After(at) {
+			delete(n.notUntil, ref)
+		}
+	}
 	txns := n.releases(now)
 	txns = append(txns, n.finished()...)
 	machines := n.machines(now)
@@ -445,7 +450,11 @@
 	}
 	for _, ref := range t.jobs {
 		delete(n.busyJob, ref)
-		if err != nil {
+		if errors.Is(err, store.ErrBad) {
+			// It would be refused again: guards against a write every pass.
+			n.notUntil[ref] = n.now().Add(tuning.RetryCap)
+			n.log.Error("write refused as malformed", "what", t.what, "job", ref, "err", err)
+		} else if err != nil {
 			n.notUntil[ref] = n.now().Add(jitter(tuning.ConflictPause))
 		} else {
 			delete(n.notUntil, ref)
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -195,9 +195,7 @@
 		}
 	}
 	starts := fleet.Starts(orders)
-	for _, a := range starts {
-		w.Unanswered[a]++
-	}
+	w.StartSent(starts, n.member.Baton)
 	w.Called, w.Calling = now, true
 	if orders == nil {
 		orders = []wire.Order{}
@@ -216,14 +214,7 @@
 		n.log.Debug("direct call failed", "host", w.Host, "err", err)
 		return
 	}
-	for _, a := range starts {
-		if w.Unanswered[a] > 0 {
-			w.Unanswered[a]--
-		}
-		if w.Unanswered[a] == 0 {
-			delete(w.Unanswered, a)
-		}
-	}
+	w.StartAnswered(starts, cmd.Baton)
 	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Baton <= n.member.Baton {
 		n.observe(w, r, n.now())
 	}
