--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -109,12 +109,15 @@
 	return c.call("POST", "/hosts/return", wire.HostNames{Hosts: hosts}, nil)
 }
 
+// ListPage is the number of machines on a page of the list, the most allowed.
+const ListPage = 500
+
 // List reads the whole machine list.
 func (c *CloudClient) List() ([]wire.Host, error) {
 	var all []wire.Host
 	after := ""
 	for {
-		path := "/hosts?page=" + strconv.Itoa(500)
+		path := "/hosts?page=" + strconv.Itoa(ListPage)
 		if after != "" {
 			path += "&after=" + url.QueryEscape(after)
 		}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -18,6 +18,7 @@
 	WhySlowBoot = "slow boot"
 	WhyGone     = "gone from the cloud's list"
 	WhySilent   = "silent for longer than a lease"
+	WhyUnfit    = "its tasks fail, or it does not do what it is told"
 	WhyIdle     = "idle"
 	WhySpare    = "the others have room for its tasks"
 )
@@ -110,15 +111,21 @@
 }
 
 type planner struct {
-	in    PlanInput
-	types map[string]wire.Rig
-	bins  []*bin
-	hires map[HirePlan]int
+	in     PlanInput
+	types  map[string]wire.Rig
+	bins   []*bin
+	crowds map[crowd]int // bins by zone and role
+	hires  map[HirePlan]int
+}
+
+type crowd struct {
+	zone string
+	role place.Role
 }
 
 // Plan decides what to rent and what to give back. It is pure.
 func Plan(in PlanInput) PlanOutput {
-	p := &planner{in: in, types: map[string]wire.Rig{}, hires: map[HirePlan]int{}}
+	p := &planner{in: in, types: map[string]wire.Rig{}, crowds: map[crowd]int{}, hires: map[HirePlan]int{}}
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
@@ -127,19 +134,12 @@
 		// counts on it waits for the time in which another would boot.
 		late := u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
 		if !u.Suspect && !u.Silent && !u.Missing && !late && (u.Open || u.Booting) {
-			p.bins = append(p.bins, &bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
+			p.add(&bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
 	unmet := map[place.Role]bool{}
 	for _, w := range in.Wants {
-		for range w.Count {
-			if p.pack(w.Job, true) {
-				continue
-			}
-			if !p.hire(w.Job, w.Waiting, "tasks without a place") {
-				break
-			}
-		}
+		p.cover(w.Job, w.Count, true, w.Waiting, "tasks without a place")
 		if w.Job.Service() {
 			unmet[place.Service] = true
 		} else {
@@ -186,31 +186,44 @@
 	return place.Batch
 }
 
-// pack puts one task into a bin; coming: only machines that take no tasks yet,
-// since those that do have been tried.
-func (p *planner) pack(j *jobs.Job, coming bool) bool {
-	var best *bin
+func (p *planner) add(b *bin) {
+	p.bins = append(p.bins, b)
+	p.crowds[crowd{b.kind.Zone, b.role}]++
+}
+
+// cover finds room for a number of like tasks in the bins, and plans to rent
+// for the rest; coming: only bins that take no tasks yet, since those that do
+// have been tried.
+func (p *planner) cover(j *jobs.Job, count int, coming bool, waiting time.Duration, why string) {
+	var fit []*bin
 	for _, b := range p.bins {
-		if coming && b.open || !suits(j, b.kind, b.role) || !j.Need.Fits(b.free) {
-			continue
+		if !(coming && b.open) && j.Need.Fits(b.free) && suits(j, b.kind, b.role) {
+			fit = append(fit, b)
 		}
-		if best == nil || b.free.GPUs < best.free.GPUs {
-			best = b
+	}
+	sort.SliceStable(fit, func(x, y int) bool { return fit[x].free.GPUs < fit[y].free.GPUs })
+	for _, b := range fit {
+		for ; count > 0 && j.Need.Fits(b.free); count-- {
+			b.free = b.free.Sub(j.Need)
 		}
 	}
-	if best == nil {
-		return false
+	for count > 0 {
+		b := p.hire(j, waiting, why)
+		if b == nil {
+			return
+		}
+		for ; count > 0 && j.Need.Fits(b.free); count-- {
+			b.free = b.free.Sub(j.Need)
+		}
 	}
-	best.free = best.free.Sub(j.Need)
-	return true
 }
 
 // hire plans one more machine for a task: the cheapest for each task it holds,
-// in the zone with the fewest machines of the role.
-func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) bool {
+// in the zone with the fewest machines of the role; nil if none is to be had.
+func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) *bin {
 	role := roleOf(j)
 	var best Kind
-	cost, crowd := math.Inf(1), 0
+	cost, least := math.Inf(1), 0
 	for _, t := range p.in.Types {
 		tot := total(t)
 		if !j.Need.Fits(tot) {
@@ -233,29 +246,20 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				c, n := price/math.Floor(fit+1e-6), p.crowd(z, role)
-				if c < cost-1e-9 || c < cost+1e-9 && n < crowd {
-					best, cost, crowd = k, c, n
+				c, n := price/math.Floor(fit+1e-6), p.crowds[crowd{z, role}]
+				if c < cost-1e-9 || c < cost+1e-9 && n < least {
+					best, cost, least = k, c, n
 				}
 			}
 		}
 	}
 	if math.IsInf(cost, 1) {
-		return false
+		return nil
 	}
 	p.hires[HirePlan{Kind: best, Role: role, Why: why}]++
-	p.bins = append(p.bins, &bin{kind: best, role: role, free: total(p.types[best.Rig]).Sub(j.Need)})
-	return true
-}
-
-func (p *planner) crowd(zone string, role place.Role) int {
-	n := 0
-	for _, b := range p.bins {
-		if b.kind.Zone == zone && b.role == role {
-			n++
-		}
-	}
-	return n
+	b := &bin{kind: best, role: role, free: total(p.types[best.Rig])}
+	p.add(b)
+	return b
 }
 
 // spare is the number of typical tasks that a role's headroom holds.
@@ -277,11 +281,8 @@
 	if !p.in.Active[role] {
 		return
 	}
-	for range spare(l, share) {
-		j := typical(l)
-		if !p.pack(j, false) && !p.hire(j, 0, "headroom") {
-			return
-		}
+	if n := spare(l, share); n > 0 {
+		p.cover(typical(l), n, false, 0, "headroom")
 	}
 }
 
@@ -310,7 +311,7 @@
 		case u.Silent:
 			out = append(out, DrainPlan{u.Name, WhySilent})
 		case u.Suspect:
-			out = append(out, DrainPlan{u.Name, "tasks of several jobs failed"})
+			out = append(out, DrainPlan{u.Name, WhyUnfit})
 		case !u.Open:
 		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && !p.in.Moving:
 			spare = append(spare, u)
@@ -337,10 +338,11 @@
 		}
 		return x.Name < y.Name
 	})
-	gone := map[place.Role]bool{}
+	gone := map[place.Role]int{}
 	spared := map[string]bool{}
+	rooms := map[place.Role]*rooms{place.Batch: p.rooms(place.Batch), place.Service: p.rooms(place.Service)}
 	for _, u := range spare {
-		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !p.spares(u)) || u.Claims > 0 && !p.spares(u) {
+		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !rooms[u.Role].spares(u)) || u.Claims > 0 && !rooms[u.Role].spares(u) {
 			continue
 		}
 		// A busy machine is spared for as long as an idle one must be idle.
@@ -357,11 +359,12 @@
 		if u.Claims > 0 {
 			idle, why = p.in.Now.Sub(since), WhySpare
 		}
-		if idle < limit || unmet[u.Role] || gone[u.Role] || len(p.hires) > 0 {
+		if idle < limit || unmet[u.Role] || gone[u.Role] >= p.drainMost(u, holds[floor(u)]) || len(p.hires) > 0 {
 			continue
 		}
-		gone[u.Role] = true // one of each role a plan
+		gone[u.Role]++
 		holds[floor(u)]--
+		rooms[u.Role].leave(u)
 		out = append(out, DrainPlan{u.Name, why})
 	}
 	for name := range p.in.Spared {
@@ -372,32 +375,69 @@
 	return out
 }
 
-// spares reports whether the role's headroom stands without the machine, with
-// the service tasks that would have to move. Batch tasks end where they are.
-func (p *planner) spares(u Unit) bool {
+// drainMost is how many machines of a unit's role one plan may give back: a
+// share of them if they are idle, one that has to be emptied.
+func (p *planner) drainMost(u Unit, of int) int {
+	if u.Claims > 0 {
+		return 1
+	}
+	return max(1, int(float64(of)*tuning.DrainShare))
+}
+
+// rooms is the room of a role's machines in typical tasks, against what its
+// headroom must hold.
+type rooms struct {
+	job  *jobs.Job // nil: nothing typical is known
+	need int
+	all  int
+	of   map[string]int
+}
+
+func (p *planner) rooms(role place.Role) *rooms {
 	l, share := p.in.Batch, p.in.Op.BatchHeadroom
-	if u.Role == place.Service {
+	if role == place.Service {
 		l, share = p.in.Service, p.in.Op.ServiceHeadroom
 	}
-	need := spare(l, share)
-	if u.Role == place.Service {
-		need += u.Claims
-	}
-	if need == 0 {
-		return true
-	}
+	r := &rooms{need: spare(l, share), of: map[string]int{}}
 	if l.Work == nil {
-		return false
+		return r
 	}
-	j := typical(l)
-	room := 0
+	r.job = typical(l)
 	for _, v := range p.in.Units {
-		if v.Name == u.Name || !(v.Open || v.Booting) || v.Suspect || v.Silent || v.Missing || !suits(j, v.Kind, v.Role) {
+		if !(v.Open || v.Booting) || v.Suspect || v.Silent || v.Missing || !suits(r.job, v.Kind, v.Role) {
 			continue
 		}
-		for f := v.Free; j.Need.Fits(f) && room < need; f = f.Sub(j.Need) {
-			room++
+		n := 0
+		for f := v.Free; r.job.Need.Fits(f) && n < roomsMost; f = f.Sub(r.job.Need) {
+			n++
 		}
+		r.of[v.Name] = n
+		r.all += n
+	}
+	return r
+}
+
+// roomsMost bounds the count of tiny tasks on one machine.
+const roomsMost = 1000
+
+// spares reports whether the role's headroom stands without the machine, with
+// the service tasks that would have to move. Batch tasks end where they are.
+func (r *rooms) spares(u Unit) bool {
+	need := r.need
+	if u.Role == place.Service {
+		need += u.Claims
+	}
+	if need == 0 {
+		return true
+	}
+	return r.job != nil && r.all-r.of[u.Name] >= need
+}
+
+// leave takes a machine that is given back out of the room.
+func (r *rooms) leave(u Unit) {
+	r.all -= r.of[u.Name]
+	if u.Role == place.Service {
+		r.need += u.Claims
 	}
-	return room >= need
+	r.of[u.Name] = 0
 }
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -2,17 +2,29 @@
 
 import (
 	"fmt"
+	"sort"
+	"strconv"
+	"strings"
 
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
-// HostPrefix starts the keys of machine records.
-const HostPrefix = jobs.Root + "host/"
+// Key prefixes of machine records.
+const (
+	// GroupPrefix starts the keys of groups of machine records: a record for
+	// each machine would take the whole budget of changes for a minute when a
+	// fleet starts.
+	GroupPrefix = jobs.Root + "fleet/"
+	// HostPrefix starts the keys of an earlier layout, one record a machine.
+	// Such a record is read, and moves into a group with its next change.
+	HostPrefix = jobs.Root + "host/"
+)
 
-// HostKey is the key of a machine's record.
-func HostKey(host string) string { return HostPrefix + host }
+// GroupKey is the key of a group of machine records.
+func GroupKey(n int) string { return fmt.Sprintf("%s%06d", GroupPrefix, n) }
 
 // Phase is the stored state of a machine.
 type Phase string
@@ -54,9 +66,156 @@
 	Why   string     `cbor:"w,omitempty"` // of the last change, for operators
 }
 
-// DecodeRecord reads a machine record.
-func DecodeRecord(raw wire.Raw) (Record, error) {
-	var r Record
-	err := wire.Unmarshal(raw, &r)
-	return r, err
+// bytes bounds the JSON form of the record in its group, whatever becomes of
+// its role, phase and reason: a machine never has to leave its group.
+func (r Record) bytes(host string) int { return len(host) + len(r.Rig) + len(r.Plot) + recordBytes }
+
+const (
+	recordBytes = 128 // all but the names
+	whyMax      = 60  // bytes of a reason that are kept
+)
+
+// Group is the stored form of several machines.
+type Group struct {
+	Machines map[string]Record `cbor:"m"`
+}
+
+// Register is what is stored of all machines, with the key of each. It is fed
+// by the cache and changed by nothing else.
+type Register struct {
+	Hosts  map[string]Record
+	keys   map[string]string          // of each machine
+	groups map[string]map[string]bool // machines of each key
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register {
+	return &Register{Hosts: map[string]Record{}, keys: map[string]string{}, groups: map[string]map[string]bool{}}
+}
+
+// Key is the key that holds the machine's record, "" if it has none.
+func (g *Register) Key(host string) string { return g.keys[host] }
+
+// Apply enters a stored value, nil if the key is gone.
+func (g *Register) Apply(key string, raw wire.Raw) error {
+	var now map[string]Record
+	if raw != nil {
+		var err error
+		if host, old := strings.CutPrefix(key, HostPrefix); old {
+			var r Record
+			err = wire.Unmarshal(raw, &r)
+			now = map[string]Record{host: r}
+		} else {
+			var v Group
+			err = wire.Unmarshal(raw, &v)
+			now = v.Machines
+		}
+		if err != nil {
+			return err
+		}
+	}
+	for host := range g.groups[key] {
+		if _, still := now[host]; !still && g.keys[host] == key {
+			delete(g.Hosts, host)
+			delete(g.keys, host)
+		}
+	}
+	delete(g.groups, key)
+	if len(now) > 0 {
+		g.groups[key] = make(map[string]bool, len(now))
+	}
+	for host, r := range now {
+		if strings.HasPrefix(key, HostPrefix) && strings.HasPrefix(g.keys[host], GroupPrefix) {
+			continue // it has moved; its former key is about to go
+		}
+		g.Hosts[host], g.keys[host] = r, key
+		g.groups[key][host] = true
+	}
+	return nil
+}
+
+// Change is one change of a machine's record.
+type Change struct {
+	Host string
+	Was  *Record // what the change was decided on; nil: not stored
+	Now  *Record // nil: drop
+}
+
+// Write is one change of a key that stores several changes of machines.
+type Write struct {
+	Key string
+	V   *Group // nil: drop
+}
+
+// Writes turns changes of machines into changes of keys. What was decided on
+// a record that has changed since is left out. A new machine goes to a group
+// that stays below limit bytes of JSON.
+func (g *Register) Writes(list []Change, limit int) []Write {
+	touched := map[string]map[string]Record{}
+	open := func(key string) map[string]Record {
+		if touched[key] == nil {
+			touched[key] = make(map[string]Record, len(g.groups[key])+1)
+			for host := range g.groups[key] {
+				touched[key][host] = g.Hosts[host]
+			}
+		}
+		return touched[key]
+	}
+	next, last := 0, ""
+	for key := range g.groups {
+		if n, err := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix)); err == nil && n >= next {
+			next, last = n+1, key
+		}
+	}
+	for _, c := range list {
+		was, known := g.Hosts[c.Host]
+		if known != (c.Was != nil) || known && was != *c.Was {
+			continue
+		}
+		key := g.keys[c.Host]
+		switch {
+		case c.Now == nil:
+			delete(open(key), c.Host)
+			continue
+		case known && strings.HasPrefix(key, GroupPrefix):
+		case known:
+			delete(open(key), c.Host)
+			fallthrough
+		default:
+			if last == "" || !fits(open(last), *c.Now, c.Host, limit) {
+				last = GroupKey(next)
+				next++
+			}
+			key = last
+		}
+		r := *c.Now
+		r.Why = r.Why[:min(len(r.Why), whyMax)]
+		open(key)[c.Host] = r
+	}
+	out := make([]Write, 0, len(touched))
+	for key, m := range touched {
+		w := Write{Key: key}
+		if len(m) > 0 {
+			w.V = &Group{Machines: m}
+		} else if len(g.groups[key]) == 0 {
+			continue
+		}
+		out = append(out, w)
+	}
+	// A machine that moves stands in its new key before it leaves the old one.
+	sort.Slice(out, func(a, b int) bool {
+		if (out[a].V == nil) != (out[b].V == nil) {
+			return out[a].V != nil
+		}
+		return out[a].Key < out[b].Key
+	})
+	return out
+}
+
+func fits(m map[string]Record, r Record, host string, limit int) bool {
+	size := r.bytes(host)
+	for h, v := range m {
+		size += v.bytes(h)
+	}
+	return len(m) < tuning.GroupMax && size <= limit
 }
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"wheatspur/internal/jobs"
@@ -76,7 +77,8 @@
 	Spot     bool
 	State    SessionState
 	Stint    uint64
-	Tally    uint64
+	Tally    uint64 // of the newest message
+	Reported uint64 // of the newest report; answers to direct calls come between
 	Baton    uint64 // highest that the worker has shown
 	Shards   map[jobs.ID]wire.Shard
 	Heard    time.Time        // arrival of the last message
@@ -90,12 +92,59 @@
 	// baton that they carry. They may yet be carried out.
 	unanswered map[sentStart]int
 
+	// Commands in answers to reports that no report has shown as carried out,
+	// by when the first of those answers went.
+	told map[command]time.Time
+
 	Images  []string              // seen here, newest last
 	Errors  map[string]bool       // jobs whose tasks failed here since the last success
 	Refused time.Time             // last refusal for want of room
 	Sent    map[Attempt]time.Time // direct starts and kills, by when
 	Called  time.Time             // last direct call
 	Calling bool                  // a direct call is under way
+	Mute    bool                  // it reports, but nothing that it is told shows
+	Quiet   bool                  // nothing has changed since it last had no orders to send
+}
+
+// command is what a report must show to prove that it was carried out.
+type command struct{ verb, shard string }
+
+// Copy reports whether a report is a late copy of one that this node has seen,
+// or older: the network may deliver such copies minutes late. It guards against
+// a dead machine that looks alive and a lease that seems renewed.
+func (w *Worker) Copy(r *wire.Checkin) bool {
+	return r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Reported
+}
+
+// Answer notes that a report was answered with 200 and these commands. A
+// command that is due again and again is not heard: the machine's reports get
+// through to us and our answers not to it.
+func (w *Worker) Answer(r *wire.Checkin, orders []wire.Order, now time.Time) {
+	w.Answered, w.Reported = now, r.Tally
+	told := make(map[command]time.Time, len(orders))
+	late := false
+	for _, o := range orders {
+		c := command{o.Verb, o.Shard + "#" + strconv.FormatUint(o.Try, 10)}
+		at, before := w.told[c]
+		if !before {
+			at = now
+		}
+		told[c] = at
+		late = late || now.Sub(at) > tuning.ConfirmAfter
+	}
+	switch {
+	case late:
+		w.Mute = true
+	case len(told) < len(w.told):
+		w.Mute = false // something was carried out
+	}
+	w.told = told
+}
+
+// Reached notes that the worker answered a direct call.
+func (w *Worker) Reached() {
+	w.Mute = false
+	clear(w.told)
 }
 
 // NewWorker returns the view of a machine that has not been heard.
@@ -105,7 +154,10 @@
 }
 
 // RaiseBaton notes that our membership has changed.
-func (w *Worker) RaiseBaton() { w.State = w.State.Next(BatonRaised) }
+func (w *Worker) RaiseBaton() { w.State, w.Quiet = w.State.Next(BatonRaised), false }
+
+// Stop notes that a task is wanted off the machine.
+func (w *Worker) Stop(id jobs.ID) { w.Stopping[id], w.Quiet = true, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
 // baton is the one of our membership.
@@ -122,9 +174,11 @@
 		w.State = w.State.Next(NewStint)
 		clear(w.unanswered)
 		clear(w.Stopping)
+		clear(w.told)
+		w.Reported = 0
 	}
 	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
-	w.Stint, w.Tally, w.Heard = r.Stint, r.Tally, now
+	w.Stint, w.Tally, w.Heard, w.Quiet = r.Stint, r.Tally, now, false
 	w.Baton = max(w.Baton, r.Baton)
 	if w.State == Unproven && baton > 0 && r.Baton == baton {
 		w.State = w.State.Next(BatonShown)
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -67,11 +67,28 @@
 	Tasks []Task `cbor:"t"`
 }
 
-// TeamRecord is what claims write to their team's key.
+// TeamRecord shares a team's limit out to the members of one membership: what
+// a node's machines may hold of the team's claims. The grants never sum to
+// more than the limit, and a node's claims never to more than its grant.
 type TeamRecord struct {
-	Serial uint64 `cbor:"s"`
+	Baton  uint64           `cbor:"b"`
+	Frozen bool             `cbor:"f,omitempty"` // about to be shared out anew: nobody claims
+	Grants map[string]Grant `cbor:"g,omitempty"` // by node
 }
 
+// Grant is a node's part of a team's limit.
+type Grant struct {
+	_    struct{} `cbor:",toarray"`
+	CPUs float64
+	GPUs float64
+}
+
+// Resources returns the grant as an amount.
+func (g Grant) Resources() Resources { return Resources{CPUs: g.CPUs, GPUs: g.GPUs} }
+
+// GrantOf turns an amount into a grant.
+func GrantOf(r Resources) Grant { return Grant{CPUs: r.CPUs, GPUs: r.GPUs} }
+
 // taskBytes bounds the JSON form of one stored task.
 const taskBytes = 56
 
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -19,6 +19,11 @@
 	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.RAM - o.RAM}
 }
 
+// Max returns the larger amount of each.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUs, o.CPUs), max(r.GPUs, o.GPUs), max(r.RAM, o.RAM)}
+}
+
 // Times returns a multiple.
 func (r Resources) Times(f float64) Resources {
 	return Resources{r.CPUs * f, r.GPUs * f, r.RAM * f}
@@ -122,18 +127,22 @@
 	Open  map[string]*Job           // open jobs
 	Used  map[string]Resources      // claims per team
 	Hosts map[string]map[ID]*Job    // claims per machine
+	Needs map[string]Resources      // what they take
 	Team  map[string]TeamRecord     // team records
 	early map[string]map[int][]Task // chunks whose job is not known yet
 	now   func() time.Time
 
 	FailedAt map[ID]time.Time // when a task's count of failures last rose
+
+	// Moved is told of machines whose claims, or whose claims' jobs, changed.
+	Moved func(host string)
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
 	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Used: map[string]Resources{},
-		Hosts: map[string]map[ID]*Job{}, Team: map[string]TeamRecord{},
-		early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}}
+		Hosts: map[string]map[ID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
+		early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}, Moved: func(string) {}}
 }
 
 // ApplyJob enters a job record. Job records are never dropped.
@@ -161,6 +170,9 @@
 		t.Open[ref] = j
 	} else {
 		delete(t.Open, ref)
+		for _, task := range j.Live {
+			t.Moved(task.Host)
+		}
 	}
 	for c, tasks := range t.early[ref] {
 		t.replace(j, c, tasks)
@@ -203,8 +215,11 @@
 			delete(j.Live, n)
 			t.Used[team] = t.Used[team].Sub(j.Need)
 			delete(t.Hosts[task.Host], ID{j.Ref, n})
+			t.Moved(task.Host)
+			t.Needs[task.Host] = t.Needs[task.Host].Sub(j.Need)
 			if len(t.Hosts[task.Host]) == 0 {
 				delete(t.Hosts, task.Host)
+				delete(t.Needs, task.Host)
 			}
 		}
 	}
@@ -232,6 +247,8 @@
 				t.Hosts[task.Host] = map[ID]*Job{}
 			}
 			t.Hosts[task.Host][ID{j.Ref, n}] = j
+			t.Moved(task.Host)
+			t.Needs[task.Host] = t.Needs[task.Host].Add(j.Need)
 		}
 	}
 }
@@ -248,15 +265,6 @@
 	return nil
 }
 
-// HostNeed sums what the claims on a machine take.
-func (t *Table) HostNeed(host string) Resources {
-	var r Resources
-	for _, j := range t.Hosts[host] {
-		r = r.Add(j.Need)
-	}
-	return r
-}
-
 // Refusal says why a job can never run.
 type Refusal string
 
--- a/internal/peer/fb/HostView.go
+++ b/internal/peer/fb/HostView.go
@@ -65,7 +65,7 @@
 	return rcv._tab.MutateInt64Slot(8, n)
 }
 
-func (rcv *HostView) Proven() bool {
+func (rcv *HostView) Silent() bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
 	if o != 0 {
 		return rcv._tab.GetBool(o + rcv._tab.Pos)
@@ -73,12 +73,24 @@
 	return false
 }
 
-func (rcv *HostView) MutateProven(n bool) bool {
+func (rcv *HostView) MutateSilent(n bool) bool {
 	return rcv._tab.MutateBoolSlot(10, n)
 }
 
-func (rcv *HostView) WarningMs() int64 {
+func (rcv *HostView) Proven() bool {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *HostView) MutateProven(n bool) bool {
+	return rcv._tab.MutateBoolSlot(12, n)
+}
+
+func (rcv *HostView) WarningMs() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
 	if o != 0 {
 		return rcv._tab.GetInt64(o + rcv._tab.Pos)
 	}
@@ -86,11 +98,11 @@
 }
 
 func (rcv *HostView) MutateWarningMs(n int64) bool {
-	return rcv._tab.MutateInt64Slot(12, n)
+	return rcv._tab.MutateInt64Slot(14, n)
 }
 
 func (rcv *HostView) Suspect() bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
 		return rcv._tab.GetBool(o + rcv._tab.Pos)
 	}
@@ -98,11 +110,11 @@
 }
 
 func (rcv *HostView) MutateSuspect(n bool) bool {
-	return rcv._tab.MutateBoolSlot(14, n)
+	return rcv._tab.MutateBoolSlot(16, n)
 }
 
 func (rcv *HostView) Images(j int) []byte {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
 	if o != 0 {
 		a := rcv._tab.Vector(o)
 		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
@@ -111,7 +123,7 @@
 }
 
 func (rcv *HostView) ImagesLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
@@ -119,7 +131,7 @@
 }
 
 func HostViewStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func HostViewAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -130,17 +142,20 @@
 func HostViewAddAgeMs(builder *flatbuffers.Builder, ageMs int64) {
 	builder.PrependInt64Slot(2, ageMs, 0)
 }
+func HostViewAddSilent(builder *flatbuffers.Builder, silent bool) {
+	builder.PrependBoolSlot(3, silent, false)
+}
 func HostViewAddProven(builder *flatbuffers.Builder, proven bool) {
-	builder.PrependBoolSlot(3, proven, false)
+	builder.PrependBoolSlot(4, proven, false)
 }
 func HostViewAddWarningMs(builder *flatbuffers.Builder, warningMs int64) {
-	builder.PrependInt64Slot(4, warningMs, 0)
+	builder.PrependInt64Slot(5, warningMs, 0)
 }
 func HostViewAddSuspect(builder *flatbuffers.Builder, suspect bool) {
-	builder.PrependBoolSlot(5, suspect, false)
+	builder.PrependBoolSlot(6, suspect, false)
 }
 func HostViewAddImages(builder *flatbuffers.Builder, images flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(images), 0)
+	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(images), 0)
 }
 func HostViewStartImagesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer is what controller nodes say to each other: every node posts
-// its status to its siblings and gets theirs back, as FlatBuffers. Nothing
+// its status to its siblings and gets theirs back, with the machines that have
+// changed since it last did, as FlatBuffers. Nothing
 // that the rules rest on travels this way; it is advice about liveness.
 package peer
 
@@ -30,7 +31,8 @@
 type Host struct {
 	Name    string
 	Stint   uint64
-	Age     time.Duration // since its last message; negative: none
+	Age     time.Duration // since its last message, if silent
+	Silent  bool          // not heard for longer than its reports allow
 	Proven  bool
 	Warning time.Duration // negative: no notice
 	Suspect bool
@@ -44,9 +46,15 @@
 	Baton       uint64
 	Epoch       uint64
 	HasState    bool
+	View        uint64 // number of the sender's view of its machines
+	Whole       bool   // Hosts are all machines, not those that changed
+	Seen        Seen   // what the sender has of the receiver
 	Hosts       []Host
 }
 
+// Seen is the view that a node has of another node's machines.
+type Seen struct{ View, Baton, Incarnation uint64 }
+
 // Encode returns the FlatBuffers form.
 func (s *Status) Encode() []byte {
 	b := flatbuffers.NewBuilder(1024)
@@ -62,6 +70,7 @@
 		fb.HostViewAddName(b, name)
 		fb.HostViewAddStint(b, h.Stint)
 		fb.HostViewAddAgeMs(b, millis(h.Age))
+		fb.HostViewAddSilent(b, h.Silent)
 		fb.HostViewAddProven(b, h.Proven)
 		fb.HostViewAddWarningMs(b, millis(h.Warning))
 		fb.HostViewAddSuspect(b, h.Suspect)
@@ -76,6 +85,11 @@
 	fb.StatusAddBaton(b, s.Baton)
 	fb.StatusAddEpoch(b, s.Epoch)
 	fb.StatusAddHasState(b, s.HasState)
+	fb.StatusAddView(b, s.View)
+	fb.StatusAddWhole(b, s.Whole)
+	fb.StatusAddSeen(b, s.Seen.View)
+	fb.StatusAddSeenBaton(b, s.Seen.Baton)
+	fb.StatusAddSeenIncarnation(b, s.Seen.Incarnation)
 	fb.StatusAddHosts(b, vec)
 	b.Finish(fb.StatusEnd(b))
 	return b.FinishedBytes()
@@ -113,14 +127,15 @@
 		return s, ErrMalformed
 	}
 	f := fb.GetRootAsStatus(b, 0)
-	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState()}
+	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
+		View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
 	}
 	for i := range f.HostsLength() {
 		var h fb.HostView
 		f.Hosts(&h, i)
-		v := Host{Name: string(h.Name()), Stint: h.Stint(), Age: span(h.AgeMs()), Proven: h.Proven(),
+		v := Host{Name: string(h.Name()), Stint: h.Stint(), Age: span(h.AgeMs()), Silent: h.Silent(), Proven: h.Proven(),
 			Warning: span(h.WarningMs()), Suspect: h.Suspect()}
 		if h.ImagesLength() > len(b)/4 {
 			return Status{}, ErrMalformed
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -41,11 +41,49 @@
 	Total                   jobs.Resources
 	Free                    jobs.Resources // not claimed
 	Freeing                 jobs.Resources // claimed by tasks that are being stopped
-	Images                  map[string]bool
-	FetchGBPerS             float64 // 0: not known
+	Images                  []string       // held
+	FetchGBPerS             float64        // 0: not known
 	Tasks                   []Resident
 
-	placed []*wire.Work // jobs placed in this pass
+	pulls []pull // images that its tasks wait for
+}
+
+// pull is an image that a machine is to fetch.
+type pull struct {
+	bundle string
+	gb     float64
+}
+
+// Holds reports whether the machine holds an image.
+func (m *Machine) Holds(bundle string) bool {
+	for _, im := range m.Images {
+		if im == bundle {
+			return true
+		}
+	}
+	return false
+}
+
+// Refresh makes the machine ready for a pass, after its tasks and images were
+// entered.
+func (m *Machine) Refresh() {
+	m.pulls = m.pulls[:0]
+	for i := range m.Tasks {
+		m.pulling(m.Tasks[i].Job.Record.Work)
+	}
+}
+
+// pulling notes that a task with this image is on the machine or comes to it.
+func (m *Machine) pulling(w *wire.Work) {
+	if w == nil || m.Holds(w.Bundle) {
+		return
+	}
+	for _, p := range m.pulls {
+		if p.bundle == w.Bundle {
+			return
+		}
+	}
+	m.pulls = append(m.pulls, pull{w.Bundle, w.ImageGB})
 }
 
 // fetchBucket is the difference in expected fetch time, in seconds, below
@@ -57,37 +95,42 @@
 // share the machine's rate.
 func (m *Machine) wait(j *jobs.Job) float64 {
 	w := j.Record.Work
-	if m.Images[w.Bundle] {
+	if m.Holds(w.Bundle) {
 		return 0
 	}
 	rate := m.FetchGBPerS
 	if rate <= 0 {
 		rate = 1
 	}
-	gb, seen := w.ImageGB, map[string]bool{}
-	note := func(v *wire.Work) {
-		if v == nil || m.Images[v.Bundle] || seen[v.Bundle] {
-			return
-		}
-		seen[v.Bundle] = true
-		if v.Bundle == w.Bundle {
+	gb := w.ImageGB
+	for _, p := range m.pulls {
+		if p.bundle == w.Bundle {
 			gb -= w.ImageGB / 2 // joins a fetch that is under way
 		} else {
-			gb += v.ImageGB
+			gb += p.gb
 		}
 	}
-	for _, r := range m.Tasks {
-		note(r.Job.Record.Work)
-	}
-	for _, v := range m.placed {
-		note(v)
-	}
 	return math.Ceil(gb / rate / fetchBucket)
 }
 
 // Team is a team's limits and use.
 type Team struct {
 	Used, Max, Guaranteed jobs.Resources // 0 in Max or Guaranteed: none
+	// Left is what each node may still claim of the limit; nil: no limit.
+	Left map[string]jobs.Resources
+}
+
+// grant is how many of n like tasks a node may still claim.
+func (t *Team) grant(node string, need jobs.Resources, n int) int {
+	if t.Left == nil {
+		return n
+	}
+	left, k := t.Left[node], 0
+	for k < n && (t.Max.CPUs <= 0 || need.CPUs <= left.CPUs+epsilon) && (t.Max.GPUs <= 0 || need.GPUs <= left.GPUs+epsilon) {
+		left = left.Sub(need)
+		k++
+	}
+	return k
 }
 
 // room is what the team may still claim.
@@ -116,18 +159,28 @@
 	Pressed bool            // has waited long enough to displace borrowed work
 	Served  bool            // tasks were stopped for it lately; their room comes
 	Blocked bool            // a write of this node about it is under way
+	Aged    bool            // has waited so long that nothing of its rank goes before it
+
+	rank       int
+	guaranteed bool
+	latest     int64
 }
 
 // Input of a pass.
 type Input struct {
 	Me, Leader string
 	Order      func(ref string) []string // nodes in the job's hashed order
-	Machines   []*Machine
+	Fleet      *Fleet
 	Demands    []*Demand
 	Teams      map[string]*Team
 	Now        time.Time
+	// MostJobs bounds the jobs that are placed in one pass, and with them its
+	// processor time; the rest has its turn when those are stored.
+	MostJobs int
 
-	held int // rank from which borrowed room is kept for a guarantee; see one
+	held  int  // rank from which borrowed room is kept for a guarantee; see one
+	scans int  // how often makeRoom may still look through the machines
+	track bool // room only shrinks: pools may note what is left
 }
 
 // Claim is a placement for this node to store.
@@ -150,31 +203,37 @@
 	Evict  []Eviction
 	Unmet  map[string]int // tasks without a place, by job
 	Why    map[string]string
+	Short  map[string]bool // teams whose limit is not used up, but shared out so that work waits
 }
 
-// less orders demands: rank, then work within its team's guarantee, pressed
-// work first, then the latest start that keeps the deadline; what can't keep it any more, and what
-// has none, by age after that.
-func less(in *Input) func(a, b *Demand) bool {
-	return func(a, b *Demand) bool {
-		wa, wb := a.Job.Record.Work, b.Job.Record.Work
-		if ra, rb := jobs.RankOrder(wa.Rank), jobs.RankOrder(wb.Rank); ra != rb {
-			return ra < rb
-		}
-		ga, gb := in.guaranteed(a.Job), in.guaranteed(b.Job)
-		if ga != gb {
-			return ga
-		}
-		if ga && a.Pressed != b.Pressed {
-			// What others were stopped for takes the room that they leave:
-			// it went to the next in line, and more were stopped.
-			return a.Pressed
-		}
-		if la, lb := in.latest(a.Job), in.latest(b.Job); la != lb {
-			return la < lb
-		}
-		return a.Job.Ref < b.Job.Ref
+// less orders demands: rank, then what has waited too long, by age; then work
+// within its team's guarantee, pressed work first, then the latest start that
+// keeps the deadline; what can't keep it any more, and what has none, by age
+// after that.
+func less(a, b *Demand) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.Aged != b.Aged {
+		// Guards against starving a team without a guarantee, or a job that
+		// can't keep its deadline, by an endless stream of others.
+		return a.Aged
+	}
+	if a.Aged && a.Job.Record.At != b.Job.Record.At {
+		return a.Job.Record.At < b.Job.Record.At
+	}
+	if a.guaranteed != b.guaranteed {
+		return a.guaranteed
+	}
+	if a.guaranteed && a.Pressed != b.Pressed {
+		// What others were stopped for takes the room that they leave:
+		// it went to the next in line, and more were stopped.
+		return a.Pressed
 	}
+	if a.latest != b.latest {
+		return a.latest < b.latest
+	}
+	return a.Job.Ref < b.Job.Ref
 }
 
 // latest is when a job's tasks must start to keep its deadline, in Unix
@@ -204,16 +263,26 @@
 // noRank is beyond the lowest rank.
 const noRank = 1 << 10
 
-// NoRoom is why most tasks wait.
-const NoRoom = "no machine has room"
+// Why tasks wait.
+const (
+	NoRoom  = "no machine has room"
+	NoTurn  = "others are placed first"
+	NoQuota = "its team is at its limit"
+	NoShare = "its team's limit is being shared out anew"
+)
+
+// scansPerPass bounds how often a pass looks through all machines for tasks
+// to stop.
+const scansPerPass = 16
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
-	out := Output{Unmet: map[string]int{}, Why: map[string]string{}}
-	in.held = noRank
-	before := less(&in)
-	sort.Slice(in.Demands, func(a, b int) bool { return before(in.Demands[a], in.Demands[b]) })
-	sort.Slice(in.Machines, func(a, b int) bool { return in.Machines[a].Name < in.Machines[b].Name })
+	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, Short: map[string]bool{}}
+	in.held, in.scans, in.track = noRank, scansPerPass, true
+	for _, d := range in.Demands {
+		d.rank, d.guaranteed, d.latest = jobs.RankOrder(d.Job.Record.Work.Rank), in.guaranteed(d.Job), in.latest(d.Job)
+	}
+	sort.Slice(in.Demands, func(a, b int) bool { return less(in.Demands[a], in.Demands[b]) })
 	for _, d := range in.Demands {
 		in.one(d, &out)
 	}
@@ -222,16 +291,17 @@
 
 func (in *Input) one(d *Demand, out *Output) {
 	w := d.Job.Record.Work
+	wait := func(n int, why string) { out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = n, why }
 	team := in.Teams[w.Crew]
 	if team == nil {
-		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = len(d.Tasks), "its team is not in the settings"
+		wait(len(d.Tasks), "its team is not in the settings")
 		return
 	}
 	guaranteed := in.guaranteed(d.Job)
-	if !guaranteed && jobs.RankOrder(w.Rank) >= in.held {
+	if !guaranteed && d.rank >= in.held {
 		// Guards against borrowed work taking back the room that was freed for
 		// a guarantee: it was stopped and placed again many times a minute.
-		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = len(d.Tasks), "room is kept for another team's guarantee"
+		wait(len(d.Tasks), "room is kept for another team's guarantee")
 		return
 	}
 	tasks := d.Tasks
@@ -240,51 +310,104 @@
 		use.Used = use.Used.Add(d.Job.Need)
 	}
 	if quota == 0 {
-		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = len(tasks), "its team is at its limit"
+		wait(len(tasks), NoQuota)
 		return
 	}
 	tasks = tasks[:quota]
 	// The first node whose machines hold all tasks, the shortest waits for the
 	// image coming first: a fetch costs more than any other choice here.
 	placer, picks, fetches := "", []*Machine(nil), 0.0
-	for _, node := range in.Order(d.Job.Ref) {
-		p := in.fit(d, tasks, node)
-		if len(p) < len(tasks) {
-			continue
+	short := false // its place is limited by the shares of the limit alone
+	if in.Fleet.mayHold(d.Job) {
+		if in.MostJobs <= 0 {
+			wait(len(tasks), NoTurn)
+			return
+		}
+		for _, node := range in.Order(d.Job.Ref) {
+			if team.grant(node, d.Job.Need, len(tasks)) < len(tasks) {
+				continue
+			}
+			p := in.fit(d, tasks, node)
+			if len(p) < len(tasks) {
+				continue
+			}
+			k := 0.0
+			for _, m := range p {
+				k += m.wait(d.Job)
+			}
+			if placer == "" || k < fetches {
+				placer, picks, fetches = node, p, k
+			}
 		}
-		k := 0.0
-		for _, m := range p {
-			k += m.wait(d.Job)
+		if placer == "" {
+			placer = in.Leader
+			k := team.grant(in.Leader, d.Job.Need, len(tasks))
+			short = k < len(tasks)
+			picks = in.fit(d, tasks[:k], "")
 		}
-		if placer == "" || k < fetches {
-			placer, picks, fetches = node, p, k
+		if d.Job.Gang() && (len(d.Job.Live) > 0 || len(picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
+			picks = nil // all at once or not at all
+		}
+		if len(picks) > 0 {
+			in.MostJobs--
 		}
-	}
-	if placer == "" {
-		placer, picks = in.Leader, in.fit(d, tasks, "")
-	}
-	if d.Job.Gang() && (len(d.Job.Live) > 0 || len(picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
-		picks = nil // all at once or not at all
 	}
 	for i, m := range picks {
 		m.Free = m.Free.Sub(d.Job.Need)
-		m.placed = append(m.placed, w)
+		m.pulling(w)
 		team.Used = team.Used.Add(d.Job.Need)
 		if placer == in.Me && !d.Blocked {
 			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Stint})
 		}
 	}
-	if rest := len(d.Tasks) - len(picks); rest > 0 {
-		out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = rest, NoRoom
-		if d.Pressed && guaranteed && len(tasks) > len(picks) {
-			in.held = min(in.held, jobs.RankOrder(w.Rank))
+	if team.Left != nil && len(picks) > 0 {
+		team.Left[placer] = team.Left[placer].Sub(d.Job.Need.Times(float64(len(picks))))
+	}
+	if len(d.Tasks) == len(picks) {
+		return
+	}
+	if short {
+		out.Short[w.Crew] = true
+		wait(len(d.Tasks)-len(picks), NoShare)
+		return
+	}
+	if len(picks) == len(tasks) {
+		wait(len(d.Tasks)-len(picks), NoQuota) // no machine helps these
+		return
+	}
+	wait(len(tasks)-len(picks), NoRoom)
+	if d.Pressed && guaranteed {
+		in.held = min(in.held, d.rank)
+	}
+	if d.Aged && len(picks) == 0 && len(d.Job.Live) == 0 {
+		in.hold(d)
+	}
+	for range len(tasks) - len(picks) {
+		if !in.makeRoom(d, out) {
+			break
 		}
-		for range len(tasks) - len(picks) {
-			if !in.makeRoom(d, out) {
-				break
+	}
+}
+
+// hold keeps the machine that comes closest to holding a task of the job from
+// what comes later in the pass. It guards against small tasks taking all room
+// as it comes free, so that a large one never finds enough on one machine.
+func (in *Input) hold(d *Demand) {
+	var best *Machine
+	for _, p := range in.Fleet.pools {
+		if !p.suits(d.Job) {
+			continue
+		}
+		for _, m := range p.machines {
+			if m.Open && !d.Avoid[m.Name] && d.Job.Need.Fits(m.Total) &&
+				(best == nil || m.Free.Share(m.Total) > best.Free.Share(best.Total)) {
+				best = m
 			}
 		}
 	}
+	if best != nil {
+		best.Free = jobs.Resources{}
+	}
 }
 
 // Suits reports whether the job may use the machine, leaving aside zones of
@@ -307,92 +430,112 @@
 // the image.
 func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
 	w := d.Job.Record.Work
-	var cand []*Machine
-	for _, m := range in.Machines {
-		if m.Open && (node == "" || m.Owner == node) && !d.Avoid[m.Name] && Suits(d.Job, m) && d.Job.Need.Fits(m.Free) {
-			cand = append(cand, m)
+	cand := in.Fleet.scratch[:0]
+	for _, p := range in.Fleet.pools {
+		if node != "" && p.Owner != node || !p.suits(d.Job) || !d.Job.Need.Fits(p.room) {
+			continue
+		}
+		var room jobs.Resources
+		for _, m := range p.machines {
+			if !m.Open {
+				continue
+			}
+			room = room.Max(m.Free)
+			if d.Job.Need.Fits(m.Free) && !d.Avoid[m.Name] {
+				cand = append(cand, candidate{m, m.wait(d.Job), m.Free.Sub(d.Job.Need).Share(m.Total)})
+			}
+		}
+		if in.track {
+			p.room = room
 		}
 	}
+	in.Fleet.scratch = cand
 	if len(cand) == 0 {
 		return nil
 	}
-	zones := Zones(d.Job, in.Machines)
+	zones := map[string]int{}
+	if w.Apart || w.Together {
+		zones = in.Fleet.Zones(d.Job)
+		if zones[""] > 0 {
+			return nil
+		}
+	}
 	if !w.Together {
-		return in.greedy(d, tasks, cand, zones)
+		return greedy(d, tasks, cand, zones, "")
 	}
 	var best []*Machine
 	seen := map[string]bool{}
-	for _, m := range cand {
-		if seen[m.Zone] || len(zones) > 0 && zones[m.Zone] == 0 {
+	for _, c := range cand {
+		z := c.m.Zone
+		if seen[z] || len(zones) > 0 && zones[z] == 0 {
 			continue
 		}
-		seen[m.Zone] = true
-		var same []*Machine
-		for _, c := range cand {
-			if c.Zone == m.Zone {
-				same = append(same, c)
-			}
-		}
-		if p := in.greedy(d, tasks, same, zones); len(p) > len(best) {
+		seen[z] = true
+		if p := greedy(d, tasks, cand, zones, z); len(p) > len(best) {
 			best = p
 		}
 	}
 	return best
 }
 
-// Zones counts the live claims of a job per zone. A machine that is not known
-// counts for the zone "": such a job gets no constrained placement.
-func Zones(j *jobs.Job, machines []*Machine) map[string]int {
-	out := map[string]int{}
-	if len(j.Live) == 0 {
-		return out
-	}
-	zone := map[string]string{}
-	for _, m := range machines {
-		zone[m.Name] = m.Zone
+// candidate is a machine that a task of the demand fits.
+type candidate struct {
+	m    *Machine
+	wait float64
+	left float64 // share that stays free
+}
+
+// before orders candidates: the shortest wait, least free room left, the name.
+func (c *candidate) before(o *candidate) bool {
+	if c.wait != o.wait {
+		return c.wait < o.wait
 	}
-	for _, t := range j.Live {
-		out[zone[t.Host]]++
+	if c.left != o.left {
+		return c.left < o.left
 	}
-	return out
+	return c.m.Name < o.m.Name
 }
 
 // ApartCap is the most tasks that an apart job may have in one zone.
 func ApartCap(tasks int) int { return (tasks + 1) / 2 }
 
-func (in *Input) greedy(d *Demand, tasks []int, cand []*Machine, zones map[string]int) []*Machine {
+func greedy(d *Demand, tasks []int, cand []candidate, zones map[string]int, only string) []*Machine {
 	w := d.Job.Record.Work
-	free := make(map[*Machine]jobs.Resources, len(cand))
-	wait := make(map[*Machine]float64, len(cand))
-	for _, m := range cand {
-		free[m], wait[m] = m.Free, m.wait(d.Job)
-	}
-	used := map[string]int{}
-	for z, n := range zones {
-		used[z] = n
-	}
-	if (w.Apart || w.Together) && used[""] > 0 {
-		return nil
+	used := zones
+	if w.Apart {
+		used = make(map[string]int, len(zones))
+		for z, n := range zones {
+			used[z] = n
+		}
 	}
-	var picks []*Machine
-	for range tasks {
-		var best *Machine
-		bestKey := [2]float64{}
-		for _, m := range cand {
-			if !d.Job.Need.Fits(free[m]) || w.Apart && used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
+	picks := make([]*Machine, 0, len(tasks))
+	full := make([]bool, len(cand))
+	for len(picks) < len(tasks) {
+		// The best machine has less room after each task, so it stays the best
+		// until it is full: one look through the others for each machine.
+		best := -1
+		for i := range cand {
+			if full[i] || only != "" && cand[i].m.Zone != only || w.Apart && used[cand[i].m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 				continue
 			}
-			key := [2]float64{wait[m], free[m].Sub(d.Job.Need).Share(m.Total)}
-			if best == nil || key[0] < bestKey[0] || key[0] == bestKey[0] && key[1] < bestKey[1] {
-				best, bestKey = m, key
+			if best < 0 || cand[i].before(&cand[best]) {
+				best = i
 			}
 		}
-		if best == nil {
+		if best < 0 {
 			break
 		}
-		free[best] = free[best].Sub(d.Job.Need)
-		used[best.Zone]++
-		picks = append(picks, best)
+		m := cand[best].m
+		full[best] = true
+		for free := m.Free; len(picks) < len(tasks) && d.Job.Need.Fits(free); free = free.Sub(d.Job.Need) {
+			if w.Apart {
+				if used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
+					break
+				}
+				used[m.Zone]++
+			}
+			picks = append(picks, m)
+		}
 	}
 	return picks
 }
@@ -420,44 +563,41 @@
 func (in *Input) makeRoom(d *Demand, out *Output) bool {
 	var best *Machine
 	var victims []Resident
-	w, zones := d.Job.Record.Work, Zones(d.Job, in.Machines)
-	for _, m := range in.Machines {
-		if !m.Open || d.Avoid[m.Name] || !Suits(d.Job, m) {
-			continue
+	w := d.Job.Record.Work
+	var zones map[string]int
+	if w.Apart || w.Together {
+		zones = in.Fleet.Zones(d.Job)
+	}
+	scanned := false
+	for _, p := range in.Fleet.pools {
+		if !p.suits(d.Job) || !p.freeing && (d.Served || p.worst <= d.rank && !(d.Pressed && d.guaranteed)) {
+			continue // nothing there is being stopped, or may be
 		}
-		if w.Apart && zones[m.Zone] >= ApartCap(d.Job.Record.Tasks) || w.Together && len(zones) > 0 && zones[m.Zone] == 0 {
+		if w.Apart && zones[p.Zone] >= ApartCap(d.Job.Record.Tasks) || w.Together && len(zones) > 0 && zones[p.Zone] == 0 {
 			// Guards against stopping tasks for room that the job may not use:
 			// they came back to it and were stopped again, every few seconds.
 			continue
 		}
-		room := m.Free.Add(m.Freeing)
-		if d.Job.Need.Fits(room) {
-			m.Freeing = m.Freeing.Sub(d.Job.Need)
-			return true
-		}
-		if d.Served {
-			continue
-		}
-		var list []Resident
-		for _, r := range m.Tasks {
-			if !r.Stopping && in.mayPreempt(d, r) {
-				list = append(list, r)
+		if !scanned {
+			if in.scans--; in.scans < 0 {
+				return false
 			}
+			scanned = true
 		}
-		sort.Slice(list, func(a, b int) bool {
-			ra, rb := jobs.RankOrder(list[a].Job.Record.Work.Rank), jobs.RankOrder(list[b].Job.Record.Work.Rank)
-			if ra != rb {
-				return ra > rb
+		for _, m := range p.machines {
+			if !m.Open || d.Avoid[m.Name] {
+				continue
 			}
-			return list[a].Job.Record.At > list[b].Job.Record.At
-		})
-		for i, r := range list {
-			room = room.Add(r.Job.Need)
+			room := m.Free.Add(m.Freeing)
 			if d.Job.Need.Fits(room) {
-				if best == nil || i+1 < len(victims) {
-					best, victims = m, list[:i+1]
-				}
-				break
+				m.Freeing = m.Freeing.Sub(d.Job.Need)
+				return true
+			}
+			if d.Served {
+				continue
+			}
+			if list := in.victims(d, m, room); list != nil && (best == nil || len(list) < len(victims)) {
+				best, victims = m, list
 			}
 		}
 	}
@@ -479,13 +619,37 @@
 	return true
 }
 
+// victims is the shortest list of tasks whose stop makes room for a task of
+// the job, the lowest rank and the youngest first; nil if there is none.
+func (in *Input) victims(d *Demand, m *Machine, room jobs.Resources) []Resident {
+	var list []Resident
+	for _, r := range m.Tasks {
+		if !r.Stopping && in.mayPreempt(d, r) {
+			list = append(list, r)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		ra, rb := jobs.RankOrder(list[a].Job.Record.Work.Rank), jobs.RankOrder(list[b].Job.Record.Work.Rank)
+		if ra != rb {
+			return ra > rb
+		}
+		return list[a].Job.Record.At > list[b].Job.Record.At
+	})
+	for i, r := range list {
+		if room = room.Add(r.Job.Need); d.Job.Need.Fits(room) {
+			return list[:i+1]
+		}
+	}
+	return nil
+}
+
 // Elsewhere finds another machine with room for a running task, given where
 // the job's other tasks are; nil if there is none.
-func Elsewhere(machines []*Machine, j *jobs.Job, task int, from string) *Machine {
-	in := Input{Machines: machines}
+func Elsewhere(fleet *Fleet, j *jobs.Job, task int, from string) *Machine {
+	in := Input{Fleet: fleet}
 	// The task's own claim is released before it starts elsewhere.
 	others := *j
-	others.Live = map[int]jobs.Task{}
+	others.Live = make(map[int]jobs.Task, len(j.Live))
 	for i, t := range j.Live {
 		if i != task {
 			others.Live[i] = t
--- /dev/null
+++ b/internal/server/grants_test.go
@@ -0,0 +1,183 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// twoNodes is a world of two nodes with machines of each, all reporting, and
+// a team limit.
+func twoNodes(t *testing.T, limit float64, machines int) *world {
+	t.Helper()
+	w := newWorld(t, "a", "b")
+	for _, n := range w.nodes {
+		n.set.Params.Teams[0].GPUsMax = limit
+	}
+	for i := range machines {
+		w.addHost(fmt.Sprintf("h%d", i), "batch")
+	}
+	w.raise()
+	for i := range machines {
+		h := fmt.Sprintf("h%d", i)
+		owner, _ := w.owner(h)
+		owner.take(w.checkin(h, 1, owner.baton()))
+	}
+	w.tell()
+	return w
+}
+
+// tell lets all nodes exchange their statuses.
+func (w *world) tell() {
+	for _, n := range w.nodes {
+		for _, m := range w.nodes {
+			if m != n {
+				w.exchange(n, m)
+			}
+		}
+	}
+}
+
+// raise restarts the session of a node that does not lead, which raises the
+// baton, so that limits are shared out anew.
+func (w *world) raise() {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		if n != w.leader() {
+			w.st.expire(n.self.Incarnation)
+			w.sync()
+			n.endSession()
+			n.self.Incarnation, _ = w.st.Lease(context.Background(), time.Second)
+			n.session = n.session.Next("got lease")
+			break
+		}
+	}
+	for range 4 {
+		w.settle()
+	}
+	w.passAll()
+}
+
+// stored reads the grants and claims of the team as they stand in the store.
+func (w *world) checkLimit(limit float64) (claimed float64) {
+	w.t.Helper()
+	n := w.leader()
+	w.sync()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held, sum := n.heldByNode(), 0.0
+	rec := n.table.Team["x"]
+	for label, by := range held {
+		claimed += by["x"].GPUs
+		if g := rec.Grants[label].GPUs; rec.Baton == n.member.Baton && !rec.Frozen && by["x"].GPUs > g+1e-6 {
+			w.t.Fatalf("%s holds %v, its grant is %v", label, by["x"].GPUs, g)
+		}
+	}
+	for _, g := range rec.Grants {
+		sum += g.GPUs
+	}
+	if sum > limit+1e-6 || claimed > limit+1e-6 {
+		w.t.Fatalf("grants of %v and claims of %v under a limit of %v", sum, claimed, limit)
+	}
+	return claimed
+}
+
+func TestGrantsSumToTheLimitAndAllOfItIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		limit       float64
+		jobs, tasks int
+	}{{8, 4, 3}, {40, 20, 3}, {13, 1, 13}, {30, 6, 8}} {
+		w := twoNodes(t, c.limit, 12)
+		for i := range c.jobs {
+			w.submit(w.leader(), work(fmt.Sprintf("wk-%d", i), c.tasks))
+		}
+		for range 12 {
+			// Writes of one round are computed before any is stored.
+			var all []*txn
+			var by []*Node
+			for _, n := range w.nodes {
+				n.mu.Lock()
+				for _, x := range n.pass() {
+					all, by = append(all, x), append(by, n)
+				}
+				n.mu.Unlock()
+			}
+			for i, x := range all {
+				by[i].commit(context.Background(), x)
+				w.checkLimit(c.limit)
+			}
+			w.clk.add(tuning.ShareOutPause)
+			w.keepAlive()
+		}
+		want := min(c.limit, float64(c.jobs*c.tasks))
+		if got := w.checkLimit(c.limit); got != want {
+			n := w.leader()
+			t.Errorf("limit %v, %d jobs of %d: %v claimed, want %v; %v %v %v", c.limit, c.jobs, c.tasks, got, want, n.unmet, n.why, n.table.Team["x"])
+		}
+	}
+}
+
+// keepAlive lets all machines report, so that none falls silent.
+func (w *world) keepAlive() {
+	w.sync()
+	for _, h := range w.cl.list {
+		owner, _ := w.owner(h.Ref)
+		owner.take(w.checkin(h.Ref, 1, owner.baton()))
+	}
+	w.tell()
+}
+
+// A claim whose answer was lost may yet be applied: its room in the limit
+// must not be claimed by another job meanwhile.
+func TestAClaimInDoubtCountsAgainstTheLimit(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	for i := range 4 {
+		w.addHost(fmt.Sprintf("h%d", i), "batch")
+		n.take(w.checkin(fmt.Sprintf("h%d", i), 1, n.baton()))
+	}
+	w.submit(n, work("wk-1", 8)) // the team's whole limit
+	n.mu.Lock()
+	txns := n.pass()
+	n.mu.Unlock()
+	if len(txns) != 1 {
+		t.Fatalf("%d writes", len(txns))
+	}
+	late := txns[0]
+	w.st.down = true // never applied so far, and no answer
+	n.mu.Lock()
+	n.settled(late, context.DeadlineExceeded)
+	delete(n.busyJob, "wk-1")
+	n.notUntil["wk-1"] = w.clk.now().Add(time.Second)
+	n.mu.Unlock()
+	w.st.down = false
+	w.submit(n, work("wk-2", 8))
+	w.passAll()
+	if n.table.Jobs["wk-2"].Counts[jobs.Claimed] != 0 {
+		t.Fatal("the room of a claim in doubt was given to another job")
+	}
+	// It arrives late; the limit stands.
+	var guards []wire.Guard
+	for k, s := range late.guards {
+		guards = append(guards, wire.Guard{Key: k, Stamp: s})
+	}
+	_, _ = w.st.Multi(context.Background(), late.class, guards, late.then)
+	for range 6 {
+		w.clk.add(tuning.ShareOutPause)
+		w.keepAlive()
+		w.passAll()
+	}
+	if got := w.checkLimit(8); got != 8 {
+		t.Fatalf("%v claimed", got)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.teams(); len(n.doubts) != 0 {
+		t.Fatal("the doubt stands after its claim was applied")
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -24,13 +24,14 @@
 		n.leading = leading{baton: n.member.Baton, listed: map[string]wire.Host{}, absent: map[string]int{},
 			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}}
+			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}}
 		if old.baton > 0 && old.baton == n.member.Baton-1 && old.hired != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
+			n.leading.unfit = old.unfit
 			n.leading.spared, n.leading.active = old.spared, old.active
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
@@ -77,7 +78,7 @@
 		l, now := n.leadMemory(), n.now()
 		machines := n.machines(now)
 		n.noteArrivals(l, now)
-		var moves []hostChange
+		var moves []fleet.Change
 		if now.Sub(stepped) >= tuning.RoleStep {
 			stepped = now
 			moves = n.stepRoles(l, machines, now)
@@ -140,7 +141,7 @@
 }
 
 // split describes one type's ordinary machines and demand; mu is held.
-func (n *Node) split(t wire.Rig, machines []*place.Machine) roles.Split {
+func (n *Node) split(t wire.Rig, machines *place.Fleet) roles.Split {
 	s := roles.Split{Type: t.Label, Complete: true}
 	for _, sib := range n.siblings {
 		if n.member.Has(member.Node{Label: sib.cfg.Label, Incarnation: sib.status.Incarnation}) && !n.freshSibling(sib) {
@@ -149,8 +150,8 @@
 	}
 	count := map[string]int{}    // machines that take tasks, by type
 	coming := []jobs.Resources{} // room on batch machines of the type that still boot
-	for _, m := range machines {
-		if n.hosts[m.Name].Phase != fleet.In {
+	for _, m := range machines.Machines {
+		if n.reg.Hosts[m.Name].Phase != fleet.In {
 			continue
 		}
 		if !m.Open && len(m.Tasks) == 0 {
@@ -221,16 +222,16 @@
 }
 
 // stepRoles evaluates every type's split and returns the moves; mu is held.
-func (n *Node) stepRoles(l *leading, machines []*place.Machine, now time.Time) []hostChange {
-	var out []hostChange
+func (n *Node) stepRoles(l *leading, machines *place.Fleet, now time.Time) []fleet.Change {
+	var out []fleet.Change
 	for _, t := range n.types {
 		c := l.control[t.Label]
 		if c == nil {
 			continue
 		}
 		var service, batch []*place.Machine
-		for _, m := range machines {
-			if m.Type == t.Label && !m.Spot && n.hosts[m.Name].Phase == fleet.In && (m.Open || len(m.Tasks) > 0) {
+		for _, m := range machines.Machines {
+			if m.Type == t.Label && !m.Spot && n.reg.Hosts[m.Name].Phase == fleet.In && (m.Open || len(m.Tasks) > 0) {
 				if m.Role == place.Service {
 					service = append(service, m)
 				} else {
@@ -255,9 +256,10 @@
 		if m == nil {
 			continue
 		}
-		rec := n.hosts[m.Name]
-		rec.Role, rec.Why = role, string(d.Proposal.Rule)
-		out = append(out, hostChange{m.Name, &rec})
+		rec := n.reg.Hosts[m.Name]
+		moved := rec
+		moved.Role, moved.Why = role, string(d.Proposal.Rule)
+		out = append(out, fleet.Change{Host: m.Name, Was: &rec, Now: &moved})
 		n.log.Info("role move", "host", m.Name, "type", t.Label, "to", string(role), "rule", string(d.Proposal.Rule),
 			"batch_load", d.BatchLoad, "service_load", d.ServiceLoad)
 	}
@@ -266,34 +268,59 @@
 
 // fitElsewhere reports whether all service tasks of a machine have room on the
 // others at once; held: on machines that hold their images.
-func fitElsewhere(machines []*place.Machine, victim *place.Machine, held bool) bool {
-	copies := make([]*place.Machine, len(machines))
-	for i, m := range machines {
-		c := *m
-		copies[i] = &c
+func fitElsewhere(f *place.Fleet, victim *place.Machine, held bool) bool {
+	type booked struct {
+		m    *place.Machine
+		need jobs.Resources
 	}
+	var taken []booked
+	defer func() {
+		for _, b := range taken {
+			b.m.Free = b.m.Free.Add(b.need)
+		}
+	}()
 	for _, r := range victim.Tasks {
 		if !r.Job.Service() || r.Job.Record.Phase != jobs.Open {
 			continue
 		}
-		to := place.Elsewhere(copies, r.Job, r.ID.Task, victim.Name)
-		if to == nil || held && !to.Images[r.Job.Record.Work.Bundle] {
+		to := place.Elsewhere(f, r.Job, r.ID.Task, victim.Name)
+		if to == nil || held && !to.Holds(r.Job.Record.Work.Bundle) {
 			return false
 		}
 		to.Free = to.Free.Sub(r.Job.Need)
+		taken = append(taken, booked{to, r.Job.Need})
 	}
 	return true
 }
 
+// movable finds the service machines, the emptiest first, whose tasks have
+// room elsewhere; only a few are looked at.
+func (n *Node) movable(f *place.Fleet) map[string]bool {
+	var list []*place.Machine
+	for _, m := range f.Machines {
+		if m.Open && m.Role == place.Service && len(m.Tasks) > 0 {
+			list = append(list, m)
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool { return len(list[a].Tasks) < len(list[b].Tasks) })
+	out := map[string]bool{}
+	for _, m := range list[:min(len(list), tuning.MovableTries)] {
+		if fitElsewhere(f, m, true) {
+			out[m.Name] = true
+		}
+	}
+	return out
+}
+
 // planInput builds the capacity plan's input; mu is held.
-func (n *Node) planInput(l *leading, machines []*place.Machine, now time.Time) fleet.PlanInput {
+func (n *Node) planInput(l *leading, machines *place.Fleet, now time.Time) fleet.PlanInput {
 	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
-	up := n.lastHeard(now)
+	up, movable := n.lastHeard(now), n.movable(machines)
 	batch := 0.0
 	var service fleet.Load
-	for _, m := range machines {
-		rec := n.hosts[m.Name]
+	for _, m := range machines.Machines {
+		rec := n.reg.Hosts[m.Name]
 		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
 			Open: m.Open, Claims: len(m.Tasks), Free: m.Free}
 		listed, isListed := l.listed[m.Name]
@@ -335,7 +362,16 @@
 		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && m.Role == place.Service {
 			in.Moving = true
 		}
-		u.Movable = m.Open && m.Role == place.Service && len(m.Tasks) > 0 && fitElsewhere(machines, m, true)
+		u.Movable = movable[m.Name]
+		if m.Open || u.Booting || rec.Phase != fleet.In || quiet > n.silentAfter() {
+			delete(l.unfit, m.Name)
+		} else if since, ok := l.unfit[m.Name]; !ok {
+			l.unfit[m.Name] = now
+		} else {
+			// It reports and takes no tasks, for instance because it does not
+			// hear: another takes its place.
+			u.Suspect = now.Sub(since) > tuning.UnfitLeases*lease
+		}
 		if rec.Phase == fleet.In {
 			if w := n.workers[m.Name]; m.Owner == n.self.Label && w != nil && len(w.Errors) >= tuning.HostErrorsMax {
 				u.Suspect = true
@@ -344,7 +380,7 @@
 		}
 	}
 	for host, h := range l.hired {
-		if _, known := n.hosts[host]; known || now.Sub(h.at) > time.Minute {
+		if _, known := n.reg.Hosts[host]; known || now.Sub(h.at) > time.Minute {
 			delete(l.hired, host)
 			continue
 		}
@@ -415,13 +451,16 @@
 		}
 	}
 	for _, s := range n.siblings {
-		if s.at.IsZero() || now.Sub(s.at) > 5*tuning.PeerFresh {
+		if s.seenAt.IsZero() || now.Sub(s.seenAt) > 5*tuning.PeerFresh {
 			continue
 		}
-		for _, h := range s.status.Hosts {
-			age := h.Age + now.Sub(s.at)
-			if old, ok := out[h.Name]; !ok || age < old {
-				out[h.Name] = age
+		for name, h := range s.hosts {
+			if h.Silent {
+				continue // entered when it was told
+			}
+			age := now.Sub(s.seenAt)
+			if old, ok := out[name]; !ok || age < old {
+				out[name] = age
 			}
 		}
 	}
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -39,7 +39,11 @@
 		} else {
 			n.enterList(ctx, list)
 		}
-		sleep(ctx, tuning.ListEvery)
+		// A list of several pages takes as many calls of the cloud's budget.
+		n.mu.Lock()
+		pages := len(n.leading.listed)/fleet.ListPage + 1
+		n.mu.Unlock()
+		sleep(ctx, tuning.ListEvery*time.Duration(pages))
 	}
 	return nil
 }
@@ -65,31 +69,29 @@
 	return n.write(ctx, guards, []wire.Change{{Set: typesKey, V: wire.MustMarshal(wire.Rigs{Rigs: list})}})
 }
 
-type hostChange struct {
-	host string
-	rec  *fleet.Record // nil: drop
-}
-
-func (n *Node) writeHosts(ctx context.Context, list []hostChange) {
-	for len(list) > 0 {
-		k := min(len(list), n.set.Params.State.TxnOps)
+// writeHosts stores changes of machine records, each guarded by the stamp of
+// its group's key. Several go in one change, and one call at a time, so that
+// the leader's own writes don't race for a group.
+func (n *Node) writeHosts(ctx context.Context, list []fleet.Change) {
+	if len(list) == 0 {
+		return
+	}
+	n.hostWrites.Lock()
+	defer n.hostWrites.Unlock()
+	n.mu.Lock()
+	writes := n.reg.Writes(list, int(n.set.Params.State.ValueKB*1024*tuning.GroupShare))
+	n.mu.Unlock()
+	for _, w := range writes {
 		n.mu.Lock()
-		guards := []wire.Guard{n.cache.Guard(member.Key)}
-		var then []wire.Change
-		for _, c := range list[:k] {
-			key := fleet.HostKey(c.host)
-			guards = append(guards, n.cache.Guard(key))
-			if c.rec == nil {
-				then = append(then, wire.Change{Drop: key})
-			} else {
-				then = append(then, wire.Change{Set: key, V: wire.MustMarshal(c.rec)})
-			}
-		}
+		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(w.Key)}
 		n.mu.Unlock()
+		then := []wire.Change{{Drop: w.Key}}
+		if w.V != nil {
+			then = []wire.Change{{Set: w.Key, V: wire.MustMarshal(w.V)}}
+		}
 		if err := n.write(ctx, guards, then); err != nil {
-			n.log.Info("machine records not stored", "machines", k, "err", err)
+			n.log.Info("machine records not stored", "group", w.Key, "err", err)
 		}
-		list = list[k:]
 	}
 }
 
@@ -103,7 +105,7 @@
 	now := n.now()
 	l.listAt = now
 	seen := map[string]bool{}
-	var changes []hostChange
+	var changes []fleet.Change
 	for _, h := range list {
 		seen[h.Ref] = true
 		if _, ok := l.since[h.Ref]; !ok {
@@ -111,31 +113,33 @@
 		}
 		l.listed[h.Ref] = h
 		delete(l.absent, h.Ref)
-		rec, known := n.hosts[h.Ref]
+		rec, known := n.reg.Hosts[h.Ref]
 		switch {
 		case h.Phase == wire.HostFailed:
+			was := &rec
 			if !known {
 				// Its record is dropped already; the entry stays until deleted.
-				rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Role: place.Batch}
+				was, rec = nil, fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Role: place.Batch}
 			}
 			if next, err := rec.Phase.Next(fleet.Gone); err == nil && rec.Phase != fleet.Returned {
-				rec.Phase, rec.Why = next, "listed as failed"
-				changes = append(changes, hostChange{h.Ref, &rec})
+				gone := rec
+				gone.Phase, gone.Why = next, "listed as failed"
+				changes = append(changes, fleet.Change{Host: h.Ref, Was: was, Now: &gone})
 				n.log.Info("machine failed", "host", h.Ref)
 			}
 		case !known:
 			rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Phase: fleet.In, Role: n.firstRole(l, h, changes)}
-			changes = append(changes, hostChange{h.Ref, &rec})
+			changes = append(changes, fleet.Change{Host: h.Ref, Now: &rec})
 			n.log.Info("machine joins", "host", h.Ref, "type", h.Rig, "zone", h.Plot, "spot", h.Windfall, "role", string(rec.Role))
 		}
-		if n.member.Owner(h.Ref) == n.self.Label && h.Phase == wire.HostRunning {
+		if n.ownerOf(h.Ref) == n.self.Label && h.Phase == wire.HostRunning {
 			if w := n.worker(h.Ref); w.Address == "" {
 				w.Address = h.Address
 			}
 		}
 	}
 	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
-	for host, rec := range n.hosts {
+	for host, rec := range n.reg.Hosts {
 		if seen[host] {
 			continue
 		}
@@ -157,7 +161,7 @@
 	n.writeHosts(ctx, changes)
 }
 
-func (n *Node) firstRole(l *leading, h wire.Host, joining []hostChange) place.Role {
+func (n *Node) firstRole(l *leading, h wire.Host, joining []fleet.Change) place.Role {
 	if h.Windfall {
 		return place.Batch
 	}
@@ -170,11 +174,11 @@
 			count[r.Role]++
 		}
 	}
-	for _, r := range n.hosts {
+	for _, r := range n.reg.Hosts {
 		add(r)
 	}
 	for _, c := range joining {
-		add(*c.rec)
+		add(*c.Now)
 	}
 	waiting := false
 	for ref := range n.unmet {
@@ -192,10 +196,10 @@
 	return place.Batch
 }
 
-func (n *Node) drainChanges(drains []fleet.DrainPlan) []hostChange {
-	var out []hostChange
+func (n *Node) drainChanges(drains []fleet.DrainPlan) []fleet.Change {
+	var out []fleet.Change
 	for _, d := range drains {
-		rec, ok := n.hosts[d.Name]
+		rec, ok := n.reg.Hosts[d.Name]
 		if !ok {
 			continue
 		}
@@ -203,18 +207,19 @@
 		if err != nil {
 			continue
 		}
-		rec.Phase, rec.Why = next, d.Why
-		out = append(out, hostChange{d.Name, &rec})
+		drained := rec
+		drained.Phase, drained.Why = next, d.Why
+		out = append(out, fleet.Change{Host: d.Name, Was: &rec, Now: &drained})
 		n.log.Info("machine drains", "host", d.Name, "why", d.Why)
 	}
 	return out
 }
 
-func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []hostChange) {
-	for host, rec := range n.hosts {
+func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []fleet.Change) {
+	for host, rec := range n.reg.Hosts {
 		switch rec.Phase {
 		case fleet.Draining:
-			if n.cache.Rev() < n.cache.Stamp(fleet.HostKey(host)) {
+			if n.cache.Rev() < n.cache.Stamp(n.reg.Key(host)) {
 				continue // claims stored before the drain may not be seen yet
 			}
 			open := 0
@@ -232,12 +237,13 @@
 				continue // its owner releases them first
 			}
 			if l.absent[host] >= tuning.GoneLists {
-				drops = append(drops, hostChange{host, nil})
+				drops = append(drops, fleet.Change{Host: host, Was: &rec})
 				delete(l.listed, host)
 				delete(l.absent, host)
 				delete(l.heard, host)
 				delete(l.since, host)
 				delete(l.idle, host)
+				delete(l.unfit, host)
 			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
 			}
@@ -257,15 +263,16 @@
 	}
 	n.log.Info("machines returned", "hosts", hosts)
 	n.mu.Lock()
-	var changes []hostChange
+	var changes []fleet.Change
 	for _, h := range hosts {
-		rec, ok := n.hosts[h]
+		rec, ok := n.reg.Hosts[h]
 		if !ok || rec.Phase == fleet.Returned {
 			continue
 		}
 		if next, err := rec.Phase.Next(fleet.Gone); err == nil {
-			rec.Phase = next
-			changes = append(changes, hostChange{h, &rec})
+			gone := rec
+			gone.Phase = next
+			changes = append(changes, fleet.Change{Host: h, Was: &rec, Now: &gone})
 		}
 	}
 	n.mu.Unlock()
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,7 @@
 
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/store"
 )
 
 // metrics are gathered when they are asked for; only the counts of answers
@@ -17,6 +19,7 @@
 type metrics struct {
 	reg     *prometheus.Registry
 	answers *prometheus.CounterVec
+	writes  *prometheus.CounterVec
 }
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
@@ -37,8 +40,10 @@
 
 func newMetrics(n *Node) *metrics {
 	m := &metrics{reg: prometheus.NewRegistry(), answers: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wheatspur_answers_total", Help: "Answers by kind of request and status."}, []string{"request", "status"})}
-	m.reg.MustRegister(m.answers, nodeCollector{n})
+		Name: "wheatspur_answers_total", Help: "Answers by kind of request and status."}, []string{"request", "status"}),
+		writes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheatspur_writes_total", Help: "Decision writes by kind and outcome."}, []string{"kind", "outcome"})}
+	m.reg.MustRegister(m.answers, m.writes, nodeCollector{n})
 	return m
 }
 
@@ -84,7 +89,7 @@
 		phase           fleet.Phase
 	}
 	hosts := map[group]int{}
-	for _, h := range n.hosts {
+	for _, h := range n.reg.Hosts {
 		kind := "ordinary"
 		if h.Spot {
 			kind = "spot"
@@ -115,6 +120,20 @@
 	m.answers.WithLabelValues(request, strconv.Itoa(status)).Inc()
 }
 
+// wrote notes the outcome of a decision write.
+func (m *metrics) wrote(kind string, err error) {
+	outcome := "stored"
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		outcome = "conflict"
+	case errors.Is(err, store.ErrRefused), errors.Is(err, store.ErrBusy):
+		outcome = "refused"
+	case err != nil:
+		outcome = "lost"
+	}
+	m.writes.WithLabelValues(kind, outcome).Inc()
+}
+
 func (n *Node) serveMetrics(c *fasthttp.RequestCtx) {
 	families, err := n.metrics.reg.Gather()
 	if err != nil {
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,6 +39,15 @@
 	client *peer.Client
 	status peer.Status
 	at     time.Time
+	seen   peer.Seen            // the view of its machines that hosts holds
+	seenAt time.Time            // when that was last confirmed
+	hosts  map[string]peer.Host // its machines
+}
+
+// told is what siblings are told of one of this node's machines.
+type told struct {
+	host peer.Host
+	view uint64 // of its last change
 }
 
 // Node is one controller.
@@ -65,13 +75,23 @@
 	deafAt   time.Time
 	lead     *member.Node
 	member   *member.Record
-	hosts    map[string]fleet.Record
+	reg      *fleet.Register
+	owners   map[string]string // of machines under the present membership
+	fleet    *place.Fleet      // of the last pass; nil: its machines have changed
+	told     map[string]*told
+	view     uint64 // number of the last change in told
+	viewAt   time.Time
 	types    []wire.Rig
 	rigs     map[string]wire.Rig
 	workers  map[string]*fleet.Worker
 	siblings map[string]*sibling
-	busyJob  map[string]bool // a write about the job is under way
-	busyTeam map[string]bool
+	busyJob  map[string]bool           // a write about the job is under way
+	busyTeam map[string]bool           // a write of the team's key is under way
+	flying   map[string]jobs.Resources // claims under way, by team
+	doubts   []doubt
+	shortAt  map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt map[string]time.Time // when a team's limit was last frozen
+	dueSince map[string]time.Time // chunks with ends to store, since when
 	notUntil map[string]time.Time // jobs that lost a race, by when to try again
 	served   map[string]time.Time // jobs that others were stopped for, by when
 	unmet    map[string]int       // tasks without a place, by job, of the last pass
@@ -80,6 +100,8 @@
 	raisedAt time.Time // when our membership last changed
 	leading  leading
 
+	hostWrites sync.Mutex // held while the leader stores machine records
+
 	kick  chan struct{} // wakes the pass
 	mkick chan struct{} // wakes the membership
 	calls chan struct{} // bounds direct calls
@@ -100,6 +122,7 @@
 	seenJobs  map[string]bool
 	idle      map[string]time.Time     // since when a machine has no claims
 	spared    map[string]time.Time     // see fleet.PlanInput
+	unfit     map[string]time.Time     // since when a machine reports but takes no tasks
 	heard     map[string]time.Time     // when a machine was last heard by anybody
 	since     map[string]time.Time     // when a machine was first listed
 	active    map[place.Role]time.Time // when a role last had an open job
@@ -129,7 +152,8 @@
 func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
 	n := &Node{
 		set: set, log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
-		session: member.NoLease, sessions: map[string]member.Node{}, hosts: map[string]fleet.Record{},
+		session: member.NoLease, sessions: map[string]member.Node{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
+		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
 		rigs: map[string]wire.Rig{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
 		served: map[string]time.Time{}, deaf: map[string]bool{},
@@ -140,10 +164,15 @@
 	n.self.Label = set.Label
 	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
+	n.table.Moved = func(host string) {
+		if w := n.workers[host]; w != nil {
+			w.Quiet = false
+		}
+	}
 	n.cache = store.NewCache(n.sink)
 	n.sync = store.NewSyncer(svc, jobs.Root, &n.mu, n.cache, n.changed, set.Operator.PollQueue, now, log)
 	for _, s := range set.Siblings {
-		n.siblings[s.Label] = &sibling{cfg: s, client: peer.NewClient(s.Endpoint)}
+		n.siblings[s.Label] = &sibling{cfg: s, client: peer.NewClient(s.Endpoint), hosts: map[string]peer.Host{}}
 	}
 	return n
 }
@@ -227,18 +256,9 @@
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
 		return n.table.ApplyTeam(strings.TrimPrefix(key, jobs.TeamPrefix), v)
-	case strings.HasPrefix(key, fleet.HostPrefix):
-		host := strings.TrimPrefix(key, fleet.HostPrefix)
-		if v == nil {
-			delete(n.hosts, host)
-			delete(n.workers, host)
-			return nil
-		}
-		r, err := fleet.DecodeRecord(v)
-		if err == nil {
-			n.hosts[host] = r
-		}
-		return err
+	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
+		n.fleet = nil
+		return n.reg.Apply(key, v)
 	case strings.HasPrefix(key, member.NodePrefix):
 		label := strings.TrimPrefix(key, member.NodePrefix)
 		if v == nil {
@@ -275,7 +295,7 @@
 		if err := wire.Unmarshal(v, &r); err != nil {
 			return err
 		}
-		n.types = r.Rigs
+		n.types, n.fleet = r.Rigs, nil
 		clear(n.rigs)
 		for _, t := range r.Rigs {
 			n.rigs[t.Label] = t
@@ -295,9 +315,12 @@
 	}
 	n.member = &r
 	n.raisedAt = n.now()
+	n.fleet = nil
+	clear(n.owners)
+	clear(n.told)
 	for host, w := range n.workers {
 		w.RaiseBaton()
-		if r.Owner(host) != n.self.Label {
+		if n.ownerOf(host) != n.self.Label {
 			// What another owner does meanwhile makes this view worthless.
 			delete(n.workers, host)
 		}
@@ -308,6 +331,18 @@
 	return nil
 }
 
+// ownerOf is the member that a machine is hashed to; mu is held.
+func (n *Node) ownerOf(host string) string {
+	o, ok := n.owners[host]
+	if !ok {
+		o = n.member.Owner(host)
+		if n.reg.Key(host) != "" {
+			n.owners[host] = o // bounded by what is stored
+		}
+	}
+	return o
+}
+
 // entitled reports whether this node is a member of the newest membership it
 // knows; mu is held.
 func (n *Node) entitled() bool {
@@ -488,9 +523,9 @@
 		}
 		return e
 	}
-	silent := time.Duration(tuning.SilentReports * float64(n.set.Report()))
+	silent := n.silentAfter()
 	for host, w := range n.workers {
-		if n.member.Owner(host) != n.self.Label || w.Heard.IsZero() {
+		if n.ownerOf(host) != n.self.Label || w.Heard.IsZero() {
 			continue
 		}
 		if now.Sub(w.Heard) < silent {
@@ -500,9 +535,13 @@
 		}
 	}
 	for _, s := range n.siblings {
-		for _, h := range s.status.Hosts {
-			if n.freshSibling(s) && h.Age >= 0 && h.Age < silent {
+		if !n.freshSibling(s) {
+			continue
+		}
+		for _, h := range s.hosts {
+			if !h.Silent {
 				e.SiblingsHear = true
+				break
 			}
 		}
 	}
@@ -560,53 +599,107 @@
 // runPeer exchanges statuses with one sibling.
 func (n *Node) runPeer(ctx context.Context, s *sibling) error {
 	for ctx.Err() == nil {
-		st, err := s.client.Exchange(n.ownStatus(), tuning.PeerTimeout)
+		n.mu.Lock()
+		own := n.ownStatus(peer.Seen{})
+		own.Seen = s.seen
+		n.mu.Unlock()
+		own.Hosts, own.Whole = nil, false // they come with the answer to the sibling's own
+		st, err := s.client.Exchange(own.Encode(), tuning.PeerTimeout)
 		if err == nil {
-			n.notePeer(st)
+			n.notePeer(st, true)
 		}
 		sleep(ctx, tuning.PeerEvery)
 	}
 	return nil
 }
 
-func (n *Node) notePeer(st peer.Status) {
+// notePeer enters a sibling's status; answer: with the changes of its machines
+// since the view that we have.
+func (n *Node) notePeer(st peer.Status, answer bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.siblings[st.Label]
 	if s == nil {
 		return
 	}
-	s.status, s.at = st, n.now()
+	now := n.now()
+	seen := peer.Seen{View: st.View, Baton: st.Baton, Incarnation: st.Incarnation}
+	if answer && (st.Whole || seen.Baton == s.seen.Baton && seen.Incarnation == s.seen.Incarnation) {
+		if st.Whole {
+			clear(s.hosts)
+		}
+		for _, h := range st.Hosts {
+			s.hosts[h.Name] = h
+			if h.Silent && n.leading.heard != nil {
+				n.leading.hear(h.Name, now.Add(-h.Age))
+			}
+		}
+		s.seen, s.seenAt = seen, now
+	}
+	st.Hosts = nil
+	s.status, s.at = st, now
 	if n.member != nil && st.Baton > n.member.Baton {
 		wake(n.mkick)
 	}
 }
 
-func (n *Node) ownStatus() []byte {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+// ownStatus is this node's status, with what has changed of its machines since
+// the view that a sibling has; mu is held.
+func (n *Node) ownStatus(seen peer.Seen) peer.Status {
 	now := n.now()
 	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
 	if n.member != nil {
 		st.Baton = n.member.Baton
 	}
+	if n.entitled() && now.Sub(n.viewAt) >= tuning.ViewEvery {
+		n.viewAt = now
+		n.lookOver(now)
+	}
+	st.View = n.view
+	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
-		for host, w := range n.workers {
-			if w.Heard.IsZero() {
-				continue
+		for _, t := range n.told {
+			if st.Whole || t.view > seen.View {
+				st.Hosts = append(st.Hosts, t.host)
 			}
-			h := peer.Host{Name: host, Stint: w.Stint, Age: now.Sub(w.Heard), Proven: w.State == fleet.Proven,
-				Warning: -1, Suspect: n.unfit(w), Images: w.Images}
-			if !w.TakenAt.IsZero() {
-				h.Warning = max(0, w.TakenAt.Sub(now))
-			}
-			st.Hosts = append(st.Hosts, h)
 		}
 	}
-	return st.Encode()
+	return st
+}
+
+// lookOver notes what has changed of this node's machines; mu is held.
+func (n *Node) lookOver(now time.Time) {
+	silent := n.silentAfter()
+	for host, w := range n.workers {
+		if w.Heard.IsZero() {
+			continue
+		}
+		h := peer.Host{Name: host, Stint: w.Stint, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
+			Warning: -1, Suspect: n.unfit(w)}
+		if !w.TakenAt.IsZero() {
+			h.Warning = 0
+		}
+		t := n.told[host]
+		if t == nil {
+			t = &told{}
+			n.told[host] = t
+		} else if o := t.host; o.Stint == h.Stint && o.Silent == h.Silent && o.Proven == h.Proven && o.Warning == h.Warning &&
+			o.Suspect == h.Suspect && slices.Equal(o.Images, w.Images) {
+			continue
+		}
+		h.Age = now.Sub(w.Heard)
+		h.Images = slices.Clone(w.Images)
+		n.view++
+		t.host, t.view = h, n.view
+	}
+}
+
+// silentAfter is how long after its last message a machine counts as silent.
+func (n *Node) silentAfter() time.Duration {
+	return time.Duration(tuning.SilentReports * float64(n.set.Report()))
 }
 
 // unfit reports whether a machine should get no tasks for now.
 func (n *Node) unfit(w *fleet.Worker) bool {
-	return len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
+	return w.Mute || len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
 }
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -22,13 +22,19 @@
 	then   []wire.Change
 	bytes  int
 	jobs   []string
-	teams  []string
+	team   string         // whose limit is shared out otherwise by the write
+	claims string         // team whose claims it stores
+	need   jobs.Resources // what they take
 	what   string
 	notes  [][]any // log lines for when it is stored
 }
 
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
 
+func (n *Node) newTxn(what string) *txn {
+	return &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Stamp(member.Key)}}
+}
+
 // room reports whether n more changes of the given size fit.
 func (n *Node) room(t *txn, changes, bytes, guards int) bool {
 	ops := n.set.Params.State.TxnOps
@@ -54,13 +60,16 @@
 		case <-n.kick:
 		case <-time.After(tuning.TickEvery):
 		}
+		start := time.Now()
 		n.mu.Lock()
 		txns := n.pass()
 		n.mu.Unlock()
+		took := time.Since(start)
 		for _, t := range txns {
 			go n.commit(ctx, t)
 		}
-		sleep(ctx, tuning.PassPause)
+		// Guards against passes that leave no processor for reports and polls.
+		sleep(ctx, min(max(tuning.PassPause, tuning.PassRest*took), tuning.PassPauseMax))
 	}
 	return nil
 }
@@ -85,23 +94,48 @@
 			delete(n.notUntil, ref)
 		}
 	}
-	txns := n.releases(now)
-	txns = append(txns, n.finished()...)
-	machines := n.machines(now)
-	out := place.Pass(n.placeInput(machines, now))
+	// What can't be written now is not decided now: it would wait in the
+	// budget's queue until its guards are old, and fail.
+	most := n.lim.Writes() - tuning.WriteReserve
+	txns := n.shareOut(now, &most)
+	due := n.releases(now)
+	fleet := n.machines(now)
+	out := place.Pass(n.placeInput(fleet, now))
 	n.noteUnmet(out, now)
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
-			w.Stopping[r.ID] = true
+			w.Stop(r.ID)
 			n.served[r.For] = now
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
-	n.displace(machines)
-	txns = append(txns, n.claims(out.Claims)...)
+	n.displace(fleet)
+	// Ends of jobs and old releases first, but no more than half of what can
+	// be written while tasks wait for their claims.
+	early := most
+	if len(out.Claims) > 0 {
+		early = (most + 1) / 2
+	}
+	most -= early
+	rest := due[:0]
+	for _, r := range due {
+		if r.urgent {
+			txns = n.release(txns, r, &early)
+		} else {
+			rest = append(rest, r)
+		}
+	}
+	most += early
+	txns = n.claims(txns, out.Claims, &most)
+	for _, r := range rest {
+		txns = n.release(txns, r, &most)
+	}
+	txns = n.finished(txns, &most)
 	for host, w := range n.workers {
-		if n.member.Owner(host) == n.self.Label {
+		if n.ownerOf(host) == n.self.Label {
 			n.direct(w, now)
+		} else if n.reg.Key(host) == "" && now.Sub(w.Heard) > 2*n.set.Lease() {
+			delete(n.workers, host)
 		}
 	}
 	return txns
@@ -111,6 +145,7 @@
 
 func (n *Node) noteUnmet(out place.Output, now time.Time) {
 	n.unmet, n.why = out.Unmet, out.Why
+	n.noteShort(out.Short, now)
 	for ref := range n.unmetAt {
 		if out.Unmet[ref] == 0 {
 			delete(n.unmetAt, ref)
@@ -124,31 +159,30 @@
 }
 
 // placeInput builds the pass's input; mu is held.
-func (n *Node) placeInput(machines []*place.Machine, now time.Time) place.Input {
+func (n *Node) placeInput(fleet *place.Fleet, now time.Time) place.Input {
 	in := place.Input{Me: n.self.Label, Leader: n.member.Leader.Label, Order: n.member.Order,
-		Machines: machines, Teams: map[string]*place.Team{}, Now: now}
-	for _, t := range n.set.Params.Teams {
-		in.Teams[t.Name] = &place.Team{Used: n.table.Used[t.Name],
-			Max:        jobs.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax},
-			Guaranteed: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs}}
+		Fleet: fleet, Teams: n.teams(), Now: now, MostJobs: tuning.JobsPerPass}
+	avoid := map[string]map[string]bool{}
+	for host, w := range n.workers {
+		for ref := range w.Errors {
+			if avoid[ref] == nil {
+				avoid[ref] = map[string]bool{}
+			}
+			avoid[ref][host] = true
+		}
 	}
-	budget := tuning.ClaimsPerPass
 	for ref, j := range n.table.Open {
 		if j.Counts[jobs.Pending] == 0 {
 			continue
 		}
-		d := &place.Demand{Job: j, Avoid: map[string]bool{}}
-		d.Tasks = n.pending(j, min(budget, tuning.TasksPerJob), now)
-		for host, w := range n.workers {
-			if w.Errors[ref] {
-				d.Avoid[host] = true
-			}
-		}
+		d := &place.Demand{Job: j, Avoid: avoid[ref]}
+		d.Tasks = n.pending(j, tuning.TasksPerJob, now)
 		// The cloud may still bring room for a guarantee; work that is stopped
 		// for it is lost.
 		if at, ok := n.unmetAt[ref]; ok {
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
+		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Record.At > tuning.AgedAfter.Milliseconds()
 		d.Served = now.Sub(n.served[ref]) < tuning.PreemptPause
 		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
 		if len(d.Tasks) > 0 {
@@ -205,8 +239,17 @@
 	return tasks, true
 }
 
-// releases collects the claims whose end is proven on this node's machines.
-func (n *Node) releases(now time.Time) []*txn {
+// ends is what may be stored of the ends of one chunk's tasks.
+type ends struct {
+	*chunkChange
+	key    string
+	since  time.Time
+	urgent bool
+}
+
+// releases collects the claims whose end is proven on this node's machines,
+// by chunk; what matters most comes first.
+func (n *Node) releases(now time.Time) []ends {
 	changes := map[string]*chunkChange{}
 	add := func(id jobs.ID, kind jobs.TaskEventKind) {
 		j := n.table.Jobs[id.Ref]
@@ -218,10 +261,10 @@
 		changes[key].events[id.Task] = jobs.TaskEvent{Kind: kind}
 	}
 	for host, claims := range n.table.Hosts {
-		if n.member.Owner(host) != n.self.Label {
+		if n.ownerOf(host) != n.self.Label {
 			continue
 		}
-		if n.hosts[host].Phase == fleet.Returned {
+		if n.reg.Hosts[host].Phase == fleet.Returned {
 			for id := range claims {
 				add(id, jobs.Release)
 			}
@@ -233,34 +276,75 @@
 			}
 		}
 	}
-	keys := make([]string, 0, len(changes))
-	for k, c := range changes {
-		if !n.busyJob[c.job.Ref] && !now.Before(n.notUntil[c.job.Ref]) {
-			keys = append(keys, k)
+	for key := range n.dueSince {
+		if changes[key] == nil {
+			delete(n.dueSince, key)
 		}
 	}
-	sort.Strings(keys)
-	var out []*txn
-	for _, key := range keys {
-		c := changes[key]
-		tasks, ok := c.apply()
+	var out []ends
+	for key, c := range changes {
+		since, ok := n.dueSince[key]
 		if !ok {
-			continue
+			since = now
+			n.dueSince[key] = now
 		}
-		t := n.current(&out, "release", 2, n.chunkBytes(c.job), 2, c.job.Ref)
-		if t == nil {
-			continue
+		over := 0
+		for _, e := range c.events {
+			if e.Kind == jobs.Complete {
+				over++
+			}
 		}
-		t.guards[key] = n.cache.Stamp(key)
-		t.guards[jobs.JobKey(c.job.Ref)] = n.cache.Stamp(jobs.JobKey(c.job.Ref))
-		n.putChunk(t, c, key, tasks)
-		for id, e := range c.events {
-			t.note("task released", "task", jobs.ID{Ref: c.job.Ref, Task: id}, "as", string(e.Kind), "host", c.job.Live[id].Host)
+		j := c.job
+		last := j.Counts[jobs.Completed]+over == j.Record.Tasks
+		wait := now.Sub(since)
+		if n.busyJob[j.Ref] || now.Before(n.notUntil[j.Ref]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
+			continue
 		}
+		out = append(out, ends{c, key, since, last || j.Service() || wait > tuning.ReleaseLate})
 	}
+	sort.Slice(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		if x.urgent != y.urgent {
+			return x.urgent
+		}
+		if len(x.events) != len(y.events) && !x.urgent {
+			return len(x.events) > len(y.events)
+		}
+		if !x.since.Equal(y.since) {
+			return x.since.Before(y.since)
+		}
+		return x.key < y.key
+	})
 	return out
 }
 
+// release adds the write of one chunk's ends, if the budget has room for it.
+func (n *Node) release(txns []*txn, d ends, most *float64) []*txn {
+	if *most < 1 || n.busyJob[d.job.Ref] {
+		return txns
+	}
+	tasks, ok := d.apply()
+	if !ok {
+		return txns
+	}
+	t := n.newTxn("release")
+	t.guards[d.key] = n.cache.Stamp(d.key)
+	t.guards[jobs.JobKey(d.job.Ref)] = n.cache.Stamp(jobs.JobKey(d.job.Ref))
+	n.putChunk(t, d.chunkChange, d.key, tasks)
+	for id, e := range d.events {
+		t.note("task released", "task", jobs.ID{Ref: d.job.Ref, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
+	}
+	return n.under(txns, t, d.job.Ref, most)
+}
+
+// under adds a write about a job, and marks it as under way.
+func (n *Node) under(txns []*txn, t *txn, ref string, most *float64) []*txn {
+	t.jobs = append(t.jobs, ref)
+	n.busyJob[ref] = true
+	*most -= float64(len(t.then))
+	return append(txns, t)
+}
+
 func (n *Node) chunkBytes(j *jobs.Job) int { return min(j.Record.Chunk, j.Record.Tasks)*56 + 600 }
 
 // putChunk stores a chunk; the write that makes a job's last task done also
@@ -303,59 +387,27 @@
 	return jobs.Record{Phase: phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk}
 }
 
-// finished ends jobs whose chunks were completed by different owners, and
-// drops what is left of their chunks; the job's first node does it.
-func (n *Node) finished() []*txn {
-	var out []*txn
+// finished ends jobs whose chunks were completed by different owners; the
+// job's first node does it.
+func (n *Node) finished(txns []*txn, most *float64) []*txn {
 	for ref, j := range n.table.Open {
-		if !j.AllDone() || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+		if *most < 1 || !j.AllDone() || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
 			continue
 		}
-		if t := n.current(&out, "finish", 1, 600, 1, ref); t != nil {
-			t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
-			t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted))
-		}
-	}
-	return out
-}
-
-// current returns the open transaction of a kind, or a new one, and marks the
-// job as under way; nil if the job is in another transaction already.
-func (n *Node) current(out *[]*txn, what string, changes, bytes, guards int, ref string) *txn {
-	var t *txn
-	if len(*out) > 0 {
-		t = (*out)[len(*out)-1]
-	}
-	mine := t != nil && contains(t.jobs, ref)
-	if n.busyJob[ref] && !mine {
-		return nil
-	}
-	if t == nil || !n.room(t, changes, bytes, guards) {
-		if mine {
-			return nil
-		}
-		t = &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Stamp(member.Key)}}
-		*out = append(*out, t)
-	}
-	if !mine {
-		t.jobs = append(t.jobs, ref)
+		t := n.newTxn("finish")
+		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
+		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted))
+		txns = n.under(txns, t, ref, most)
 	}
-	n.busyJob[ref] = true
-	return t
-}
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
+	return txns
 }
 
-// claims turns placements into guarded writes: each job's chunk, its team's
-// key, and for constraints that span chunks the job's record.
-func (n *Node) claims(list []place.Claim) []*txn {
+// claims turns placements into guarded writes, one for each job: its chunks,
+// and for constraints that span chunks its record. One write a job: if one
+// loses a race, the others stand. A claim stays within this node's grant of
+// the team's limit; the leader, which also claims on others' machines, hands
+// their owners the part of the limit that the claims take in the same write.
+func (n *Node) claims(txns []*txn, list []place.Claim, most *float64) []*txn {
 	type group struct {
 		job    *jobs.Job
 		claims []place.Claim
@@ -371,63 +423,67 @@
 		}
 		g.claims = append(g.claims, c)
 	}
-	var out []*txn
-	var mine = map[string]bool{} // teams of the transactions of this pass
 	for _, g := range groups {
 		j, team := g.job, g.job.Record.Work.Crew
-		if n.busyTeam[team] && !mine[team] {
+		if *most < 1 {
+			break
+		}
+		if n.busyJob[j.Ref] || n.busyTeam[team] {
 			continue
 		}
-		// One chunk of a job at a time keeps the write small.
-		chunk := g.claims[0].Task / j.Record.Chunk
-		c := &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
-		hosts := map[string]bool{}
+		t := n.newTxn("claim")
+		changes := map[string]*chunkChange{}
+		moved := map[string]jobs.Resources{} // what others' machines get
 		for _, cl := range g.claims {
-			if cl.Task/j.Record.Chunk == chunk {
-				c.events[cl.Task] = jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}
-				hosts[cl.Host] = true
+			chunk := cl.Task / j.Record.Chunk
+			key, hkey := jobs.ChunkKey(j.Ref, chunk), n.reg.Key(cl.Host)
+			c := changes[key]
+			if c == nil {
+				if !n.room(t, len(changes)+3, (len(changes)+1)*n.chunkBytes(j), len(changes)+5) {
+					break
+				}
+				c = &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
+				changes[key] = c
+			}
+			if _, ok := t.guards[hkey]; !ok && !n.room(t, 0, 0, len(changes)+4) {
+				continue // more machines than one write may name
+			}
+			t.guards[hkey] = n.cache.Stamp(hkey)
+			c.events[cl.Task] = jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}
+			t.need = t.need.Add(j.Need)
+			if owner := n.ownerOf(cl.Host); owner != n.self.Label {
+				moved[owner] = moved[owner].Add(j.Need)
 			}
 		}
-		tasks, ok := c.apply()
-		if !ok {
-			continue
-		}
-		if mine[team] && !contains(out[len(out)-1].teams, team) {
-			continue // its key is in a transaction that is already full
+		jkey := jobs.JobKey(j.Ref)
+		t.guards[jkey] = n.cache.Stamp(jkey)
+		ok := len(changes) > 0
+		for key, c := range changes {
+			tasks, due := c.apply()
+			if ok = ok && due; !ok {
+				break
+			}
+			t.guards[key] = n.cache.Stamp(key)
+			t.set(key, jobs.ChunkRecord{Tasks: tasks})
+			for id, e := range c.events {
+				t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
+			}
 		}
-		before := len(out)
-		t := n.current(&out, "claim", 3, n.chunkBytes(j), 3+len(hosts), j.Ref)
-		if t == nil {
-			continue
+		claimed := 0
+		for _, c := range changes {
+			claimed += len(c.events)
 		}
-		if len(out) > before && mine[team] {
-			// The team's key went into the former transaction.
-			out = out[:before]
-			delete(n.busyJob, j.Ref)
+		if !ok || j.Gang() && claimed < len(g.claims) || !n.charge(t, team, moved) {
 			continue
 		}
-		key, jkey, tkey := jobs.ChunkKey(j.Ref, chunk), jobs.JobKey(j.Ref), jobs.TeamKey(team)
-		t.guards[key], t.guards[jkey] = n.cache.Stamp(key), n.cache.Stamp(jkey)
-		for h := range hosts {
-			t.guards[fleet.HostKey(h)] = n.cache.Stamp(fleet.HostKey(h))
-		}
-		t.set(key, jobs.ChunkRecord{Tasks: tasks})
-		for id, e := range c.events {
-			t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.hosts[e.Host].Role))
-		}
 		if j.SpansChunks() {
 			rec := j.Record
 			rec.Serial++
 			t.set(jkey, rec)
 		}
-		if !contains(t.teams, team) {
-			t.guards[tkey] = n.cache.Stamp(tkey)
-			t.set(tkey, jobs.TeamRecord{Serial: n.table.Team[team].Serial + 1})
-			t.teams = append(t.teams, team)
-			n.busyTeam[team], mine[team] = true, true
-		}
+		txns = n.under(txns, t, j.Ref, most)
 	}
-	return out
+	return txns
 }
 
 // commit runs one transaction and enters its outcome.
@@ -441,7 +497,7 @@
 	epoch, err := n.svc.Multi(cctx, t.class, guards, t.then)
 	stop()
 	if err != nil {
-		n.log.Debug("write failed", "what", t.what, "jobs", len(t.jobs), "err", err)
+		n.log.Debug("write failed", "what", t.what, "jobs", t.jobs, "err", err)
 		if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLost) {
 			// What is stored now decides; read it before the next try.
 			_ = n.sync.Barrier(tuning.BarrierWait)
@@ -449,12 +505,14 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.metrics.wrote(t.what, err)
 	if err == nil {
 		n.cache.Own(t.then, epoch)
 		for _, l := range t.notes {
 			n.log.Debug(l[0].(string), l[1:]...)
 		}
 	}
+	n.settled(t, err)
 	for _, ref := range t.jobs {
 		delete(n.busyJob, ref)
 		if errors.Is(err, store.ErrBad) {
@@ -467,15 +525,16 @@
 			delete(n.notUntil, ref)
 		}
 	}
-	for _, team := range t.teams {
-		delete(n.busyTeam, team)
+	if t.team != "" {
+		delete(n.busyTeam, t.team)
 	}
 	wake(n.kick)
 }
 
 // displace moves service tasks off machines that are to lose them, one at a
 // time, each once another machine has room; mu is held.
-func (n *Node) displace(machines []*place.Machine) {
+func (n *Node) displace(f *place.Fleet) {
+	machines, tries := f.Machines, 0
 	for _, m := range machines {
 		for _, r := range m.Tasks {
 			if r.Job.Service() && r.Stopping && r.Job.Record.Phase == jobs.Open {
@@ -489,7 +548,7 @@
 		}
 	}
 	for _, m := range machines {
-		rec := n.hosts[m.Name]
+		rec := n.reg.Hosts[m.Name]
 		w := n.workers[m.Name]
 		if m.Owner != n.self.Label || w == nil || m.Role == place.Service && rec.Phase == fleet.In && w.TakenAt.IsZero() {
 			continue
@@ -498,11 +557,17 @@
 			if !r.Job.Service() || r.Stopping || r.Job.Record.Phase != jobs.Open {
 				continue
 			}
-			if place.Elsewhere(machines, r.Job, r.ID.Task, m.Name) != nil {
-				w.Stopping[r.ID] = true
+			if tries++; tries > displaceTries {
+				return
+			}
+			if place.Elsewhere(f, r.Job, r.ID.Task, m.Name) != nil {
+				w.Stop(r.ID)
 				n.log.Info("service task moves", "task", r.ID, "host", m.Name, "role", string(m.Role), "phase", string(rec.Phase))
 				return
 			}
 		}
 	}
 }
+
+// displaceTries bounds the tasks that a pass tries to move.
+const displaceTries = 16
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -31,7 +31,7 @@
 	}
 	fmt.Fprintf(&b, "jobs open %d tasks_pending %d\n", len(n.table.Open), pending)
 	phases := map[fleet.Phase]int{}
-	for _, h := range n.hosts {
+	for _, h := range n.reg.Hosts {
 		phases[h.Phase]++
 	}
 	fmt.Fprintf(&b, "machines in %d draining %d returned %d\n", phases[fleet.In], phases[fleet.Draining], phases[fleet.Returned])
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -189,8 +189,11 @@
 		refuse(c, 400, "malformed status")
 		return
 	}
-	n.notePeer(st)
-	c.SetBody(n.ownStatus())
+	n.notePeer(st, false)
+	n.mu.Lock()
+	own := n.ownStatus(st.Seen)
+	n.mu.Unlock()
+	c.SetBody(own.Encode())
 }
 
 // known returns a job's status if it is known; final tells that it can't
@@ -210,6 +213,9 @@
 	if st, known, final := n.known(ref); final {
 		return st, known, nil
 	}
+	if !n.hasState() {
+		return st, false, store.ErrRefused // answered at once: a read would not come back
+	}
 	if err := n.sync.Barrier(tuning.BarrierWait); err != nil {
 		return st, false, err
 	}
@@ -293,6 +299,10 @@
 		refuse(c, status, err.Error())
 		return
 	}
+	if !n.hasState() {
+		n.later(c, 503, "the state service can't be reached")
+		return
+	}
 	select {
 	case n.takes <- struct{}{}:
 		defer func() { <-n.takes }()
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -45,26 +45,33 @@
 		// can't read is due.
 		return 421, wire.Redirect{}
 	}
-	if owner := n.member.Owner(r.Host); owner != n.self.Label {
+	if owner := n.ownerOf(r.Host); owner != n.self.Label {
 		return 421, wire.Redirect{Foreman: owner}
 	}
 	w := n.worker(r.Host)
+	if w.Copy(r) {
+		return 503, wire.Failure{Error: "a newer report has been seen"}
+	}
 	if w.State == fleet.Expired && r.Stint <= w.Stint {
 		return 503, wire.Failure{Error: "session has ended"}
 	}
 	n.observe(w, r, now)
-	w.Answered = now
 	orders := w.Orders(n.table.Hosts[r.Host], stale < tuning.StateStale && n.open(r.Host))
 	if orders == nil {
 		orders = []wire.Order{}
 	}
+	mute := w.Mute
+	w.Answer(r, orders, now)
+	if w.Mute != mute {
+		n.log.Info("machine's hearing changes", "host", w.Host, "mute", w.Mute)
+	}
 	return 200, wire.Orders{Baton: n.member.Baton, Orders: orders}
 }
 
 // open reports whether stored claims on a machine may be started: it is not
 // known to be gone; mu is held.
 func (n *Node) open(host string) bool {
-	rec, ok := n.hosts[host]
+	rec, ok := n.reg.Hosts[host]
 	return ok && rec.Phase != fleet.Returned
 }
 
@@ -113,7 +120,7 @@
 		left := time.Duration(float64(w.TakenAt.Sub(now)) * tuning.WarningKillFactor)
 		for id, j := range n.table.Hosts[w.Host] {
 			if wk := j.Record.Work; wk != nil && (j.Service() || wk.ReckonS > left.Seconds()) {
-				w.Stopping[id] = true
+				w.Stop(id)
 			}
 		}
 	}
@@ -160,19 +167,22 @@
 		return
 	}
 	var orders []wire.Order
-	if w.Stint > 0 && now.Sub(w.Heard) < time.Duration(tuning.SilentReports*float64(n.set.Report())) {
+	if !w.Quiet && w.Stint > 0 && now.Sub(w.Heard) < n.silentAfter() {
+		w.Quiet = true
 		for _, o := range w.Orders(n.table.Hosts[w.Host], n.open(w.Host)) {
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Orders
 			}
 			ref, task, ok := jobs.ParseShard(o.Shard)
 			a := fleet.Attempt{ID: jobs.ID{Ref: ref, Task: task}, Try: o.Try}
+			w.Quiet = false
 			if ok && now.Sub(w.Sent[a]) > n.set.Report() {
 				orders = append(orders, o)
 			}
 		}
 	}
 	greet := w.State == fleet.Unproven && now.Sub(w.Heard) > n.set.Report()*5/4 && now.Sub(n.raisedAt) > time.Second/2
+	greet = greet || w.Mute && now.Sub(w.Called) > tuning.MutePause
 	if len(orders) == 0 && !greet || len(orders) == 0 && now.Sub(w.Called) < tuning.GreetPause {
 		return
 	}
@@ -212,64 +222,54 @@
 		return
 	}
 	w.StartAnswered(starts, cmd.Baton)
+	w.Reached()
 	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Baton <= n.member.Baton {
 		n.observe(w, r, n.now())
 	}
 	wake(n.kick)
 }
 
-// machines builds the pass's picture of the fleet; mu is held.
-func (n *Node) machines(now time.Time) []*place.Machine {
-	views := map[string]hostRef{}
-	for label, s := range n.siblings {
-		if !n.freshSibling(s) || s.status.Baton != n.member.Baton {
-			continue
-		}
-		for i := range s.status.Hosts {
-			views[s.status.Hosts[i].Name] = hostRef{label, i}
+// machines brings the picture of the fleet up to date; mu is held. It is
+// shared: a pass, a plan or a role decision starts from a new one.
+func (n *Node) machines(now time.Time) *place.Fleet {
+	if n.fleet == nil {
+		list := make([]*place.Machine, 0, len(n.reg.Hosts))
+		for host, rec := range n.reg.Hosts {
+			t := n.rigs[rec.Rig]
+			list = append(list, &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
+				Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
+				Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
 		}
+		n.fleet = place.NewFleet(list)
 	}
-	silent := time.Duration(tuning.SilentReports * float64(n.set.Report()))
-	out := make([]*place.Machine, 0, len(n.hosts))
-	for host, rec := range n.hosts {
-		t := n.rigs[rec.Rig]
-		m := &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
-			Owner: n.member.Owner(host), Images: map[string]bool{}, FetchGBPerS: t.FetchGBPerS,
-			Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}}
-		m.Free = m.Total.Sub(n.table.HostNeed(host))
-		w := n.workers[host]
-		for id, j := range n.table.Hosts[host] {
+	silent := n.silentAfter()
+	for _, m := range n.fleet.Machines {
+		rec, w := n.reg.Hosts[m.Name], n.workers[m.Name]
+		m.Free, m.Freeing = m.Total.Sub(n.table.Needs[m.Name]), jobs.Resources{}
+		m.Tasks = m.Tasks[:0]
+		for id, j := range n.table.Hosts[m.Name] {
 			stopping := j.Record.Phase != jobs.Open || w != nil && w.Leaves(id)
 			m.Tasks = append(m.Tasks, place.Resident{ID: id, Job: j, Stopping: stopping})
 			if stopping {
 				m.Freeing = m.Freeing.Add(j.Need)
 			}
 		}
+		m.Open, m.Stint, m.Images = false, 0, nil
 		if m.Owner == n.self.Label {
 			if w != nil {
-				m.Stint = w.Stint
-				m.Open = rec.Phase == fleet.In && w.State != fleet.Expired && w.Stint > 0 &&
+				m.Stint, m.Images = w.Stint, w.Images
+				// Only a machine that has shown our token takes tasks. It guards
+				// against a late copy of a report of a machine that is gone.
+				m.Open = rec.Phase == fleet.In && w.State == fleet.Proven &&
 					now.Sub(w.Heard) < silent && w.TakenAt.IsZero() && !n.unfit(w)
-				for _, im := range w.Images {
-					m.Images[im] = true
-				}
 			}
-		} else if v, ok := views[host]; ok && v.label == m.Owner {
-			s := n.siblings[v.label]
-			h := &s.status.Hosts[v.i]
-			m.Stint = h.Stint
-			m.Open = rec.Phase == fleet.In && h.Stint > 0 && h.Age >= 0 && h.Age+now.Sub(s.at) < silent && h.Warning < 0 && !h.Suspect
-			for _, im := range h.Images {
-				m.Images[im] = true
+		} else if s := n.siblings[m.Owner]; s != nil && n.freshSibling(s) && s.seen.Baton == n.member.Baton {
+			if h, ok := s.hosts[m.Name]; ok {
+				m.Stint, m.Images = h.Stint, h.Images
+				m.Open = rec.Phase == fleet.In && h.Proven && !h.Silent && h.Warning < 0 && !h.Suspect
 			}
 		}
-		out = append(out, m)
 	}
-	return out
-}
-
-// hostRef points at a machine in a sibling's status.
-type hostRef struct {
-	label string
-	i     int
+	n.fleet.Refresh()
+	return n.fleet
 }
--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// Writes is the number of changes that could go now without waiting: what
+// decides on the stored state asks before it decides, so that the decision is
+// not old when it goes.
+func (l *Limiter) Writes() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill()
+	if l.ahead(ClassClaim) > 0 || l.tokens[0] < 1 {
+		return 0
+	}
+	return max(l.tokens[1], 0)
+}
+
 // Acquire waits for the budget of one request with the given writes.
 func (l *Limiter) Acquire(ctx context.Context, c Class, writes int) error {
 	cost := [2]float64{1, float64(writes)}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -44,6 +44,23 @@
 	// ChunkMaxKB bounds a chunk record, in KiB of JSON, below the state
 	// service's own limit: several fit one transaction of 64 KiB.
 	ChunkMaxKB = 4.0
+	// GroupMax is the most machines whose records share a key: more save
+	// changes when a fleet starts, fewer fail less often by each other's changes.
+	GroupMax = 32
+	// GroupShare is the part of the value limit that a group of machine
+	// records may fill.
+	GroupShare = 0.9
+	// WriteReserve is the number of changes that claims and releases leave in
+	// the budget for submissions, which then never wait behind them.
+	WriteReserve = 1.0
+	// ReleaseGather is how long the ends of tasks of one chunk are gathered
+	// before they are stored in one change; a user expects a job's end within
+	// 3 s, so the change that ends a job goes at once.
+	ReleaseGather = 1500 * time.Millisecond
+	// ReleaseLate is when a gathered release goes before new claims.
+	ReleaseLate = 4 * time.Second
+	// ShareOutPause separates two times that a team's limit is shared out anew.
+	ShareOutPause = 3 * time.Second
 	// TxnBytes is the most JSON that a transaction may hold; the service's
 	// limit is 64 KiB.
 	TxnBytes = 48 << 10
@@ -70,6 +87,16 @@
 	WorkerCallTimeout = 2 * time.Second
 	// GreetPause separates direct calls to one worker that does not answer.
 	GreetPause = 2 * time.Second
+	// ConfirmAfter is how long after an answer with a command a report must
+	// show its effect: workers drop answers after 4 s and report changes
+	// within half a second.
+	ConfirmAfter = 6 * time.Second
+	// MutePause separates direct calls that ask whether a machine whose reports
+	// show nothing of what it is told hears again.
+	MutePause = 5 * time.Second
+	// UnfitLeases is after how many leases a machine that reports but takes no
+	// tasks is given back.
+	UnfitLeases = 2
 	// WorkerCallsMax is how many direct calls a node has open at once; bounds
 	// sockets and memory.
 	WorkerCallsMax = 32
@@ -102,13 +129,21 @@
 	// TickEvery is the pause between passes when nothing happens.
 	TickEvery = 500 * time.Millisecond
 	// PassPause is the least time between two passes; it batches events.
-	PassPause = 50 * time.Millisecond
+	PassPause = 80 * time.Millisecond
 	// ConflictPause is the mean wait after a placement lost a race for a
 	// record; jittered, so that two nodes don't meet again.
 	ConflictPause = 120 * time.Millisecond
-	// ClaimsPerPass bounds the placements computed in one pass, and with them
-	// the processor time that a pass takes.
-	ClaimsPerPass = 256
+	// JobsPerPass bounds the jobs placed in one pass, and with them the
+	// processor time that it takes; all nodes together store fewer in a second.
+	JobsPerPass = 24
+	// PassRest is how many times as long as a pass the node rests after it:
+	// passes take at most a tenth of its processor.
+	PassRest = 9
+	// PassPauseMax bounds that rest.
+	PassPauseMax = 1500 * time.Millisecond
+	// AgedAfter is how long a job waits without any task begun before nothing
+	// of its rank goes before it: half of the four minutes that users grant.
+	AgedAfter = 100 * time.Second
 	// GuaranteePreemptAfter is how long work within a guarantee waits before
 	// another team's borrowed work is stopped for it: by then the cloud has had
 	// time for two boots.
@@ -117,7 +152,7 @@
 	// before it stops more for it: a stop, its report and the next claim.
 	PreemptPause = 8 * time.Second
 	// TasksPerJob bounds the tasks of one job that a pass tries to place.
-	TasksPerJob = 64
+	TasksPerJob = 128
 )
 
 // Role control. The design's figures; those marked ours may be tuned by the
@@ -197,9 +232,14 @@
 	// was listed before it is taken to be gone and returned for proof.
 	GoneLists = 2
 	// ReturnMax is the most machines named in one return.
-	ReturnMax = 50
+	ReturnMax = 100
 	// HireMax is the most machines asked for in one call.
-	HireMax = 20
+	HireMax = 50
+	// MovableTries is how many half-empty service machines a plan looks at.
+	MovableTries = 6
+	// DrainShare is the part of a role's machines that one plan may drain as
+	// idle, at least one: a large fleet shrinks as fast as a small one.
+	DrainShare = 0.02
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
@@ -257,6 +297,9 @@
 	RetryAfter = 2
 	// PeerEvery is the pause between two exchanges of status with a sibling.
 	PeerEvery = 700 * time.Millisecond
+	// ViewEvery is how often a node looks over its machines for what has
+	// changed for its siblings.
+	ViewEvery = 300 * time.Millisecond
 	// PeerTimeout bounds one exchange.
 	PeerTimeout = 1 * time.Second
 	// PeerConns bounds the connections to one sibling; forwarded requests
