--- a/cmd/wheatspur/main.go
+++ b/cmd/wheatspur/main.go
@@ -71,6 +71,9 @@
 	// add switches.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Params.Limits.MemMB * tuning.MemoryShare * (1 << 20)))
+	// With that limit, garbage may pile up to several times the live memory
+	// before it is collected: processor time is scarcer than memory here.
+	debug.SetGCPercent(tuning.GCPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := server.New(set, log).Run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/fleet/worker_test.go
+++ b/internal/fleet/worker_test.go
@@ -191,3 +191,70 @@
 		t.Fatal("an older report was taken")
 	}
 }
+
+// A late copy of a report once counted as an answered report: the lease of a
+// machine that was gone seemed renewed for as long as copies came.
+func TestALateCopyIsNoNewReport(t *testing.T) {
+	w := NewWorker("h1")
+	first := &wire.Checkin{Host: "h1", Stint: 2, Tally: 5, Baton: 7}
+	if w.Copy(first) {
+		t.Fatal("the first report is no copy")
+	}
+	w.Observe(first, 7, t0)
+	w.Answer(first, nil, t0)
+	for _, c := range []struct {
+		stint, tally uint64
+		want         bool
+	}{{2, 5, true}, {2, 4, true}, {1, 99, true}, {2, 6, false}, {3, 1, false}} {
+		if got := w.Copy(&wire.Checkin{Host: "h1", Stint: c.stint, Tally: c.tally}); got != c.want {
+			t.Errorf("stint %d tally %d: copy %v", c.stint, c.tally, got)
+		}
+	}
+	// The answer to a direct call overtook a report that is still under way:
+	// that report is answered, and its answer renews the lease.
+	w.Observe(&wire.Checkin{Host: "h1", Stint: 2, Tally: 9, Baton: 7}, 7, t0)
+	if w.Copy(&wire.Checkin{Host: "h1", Stint: 2, Tally: 8}) {
+		t.Fatal("an overtaken report is taken for a copy")
+	}
+}
+
+func TestAMachineThatDoesNothingItIsToldIsMute(t *testing.T) {
+	w := NewWorker("h1")
+	tally, now := uint64(0), t0
+	report := func(orders ...wire.Order) {
+		tally++
+		r := &wire.Checkin{Host: "h1", Stint: 1, Tally: tally, Baton: 7}
+		w.Observe(r, 7, now)
+		w.Answer(r, orders, now)
+	}
+	start := wire.Order{Verb: wire.VerbStart, Shard: "wk-1/0", Try: 1}
+	report(start)
+	now = now.Add(tuning.ConfirmAfter / 2)
+	report(start) // the first answer may still be under way
+	if w.Mute {
+		t.Fatal("mute before an answer could show")
+	}
+	now = now.Add(tuning.ConfirmAfter)
+	report(start)
+	if !w.Mute {
+		t.Fatal("a start that never shows is not noticed")
+	}
+	report() // it shows now: nothing is left to order
+	if w.Mute {
+		t.Fatal("mute though the start was carried out")
+	}
+	report(start)
+	now = now.Add(2 * tuning.ConfirmAfter)
+	report(start)
+	if w.Reached(); w.Mute {
+		t.Fatal("mute though it answered a direct call")
+	}
+	report(start)
+	now = now.Add(2 * tuning.ConfirmAfter)
+	w.Observe(&wire.Checkin{Host: "h1", Stint: 2, Tally: tally + 1, Baton: 7}, 7, now)
+	r := &wire.Checkin{Host: "h1", Stint: 2, Tally: tally + 2, Baton: 7}
+	w.Observe(r, 7, now)
+	if w.Answer(r, []wire.Order{start}, now); w.Mute {
+		t.Fatal("orders of an earlier session count against the new one")
+	}
+}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -278,3 +278,75 @@
 		t.Fatal("more was stopped for a job before the first stop could help it")
 	}
 }
+
+// A stream of small tasks takes room as it comes free; a task that needs a
+// whole machine once waited for ever.
+func TestAnAgedLargeTaskHasAMachineHeldForIt(t *testing.T) {
+	large := job("wk-9", wire.ShapeArray, wire.RankNormal, 1, func(w *wire.Work) { w.CPUs, w.Cards, w.RAMGB = 8, 4, 64 })
+	ms := func() []*Machine {
+		a, b := machine("a", "a", "z", Batch, 4), machine("b", "a", "z", Batch, 4)
+		a.Free, b.Free = jobs.Resources{CPUs: 6, GPUs: 2, RAM: 40}, jobs.Resources{CPUs: 1, GPUs: 1, RAM: 8}
+		return []*Machine{a, b}
+	}
+	run := func(aged bool) map[string]int {
+		small := job("wk-1", wire.ShapeArray, wire.RankNormal, 8, nil)
+		in := input("L", ms(), small, large)
+		in.Leader = "L"
+		in.Demands[1].Aged = aged
+		hosts := map[string]int{}
+		for _, c := range Pass(in).Claims {
+			hosts[c.Host]++
+		}
+		return hosts
+	}
+	if got := run(false); got["a"] != 2 || got["b"] != 1 {
+		t.Fatalf("small tasks get %v", got)
+	}
+	if got := run(true); got["a"] != 0 || got["b"] != 1 {
+		t.Fatalf("small tasks get %v beside an aged large one", got)
+	}
+}
+
+// A team without a guarantee, and jobs that can't keep their deadline, come
+// after all others until they have waited too long.
+func TestAgeBreaksTiesAgainstAStreamOfBetterWork(t *testing.T) {
+	run := func(aged bool) string {
+		better := job("wk-1", wire.ShapeArray, wire.RankNormal, 1, nil)
+		old := job("wk-2", wire.ShapeArray, wire.RankNormal, 1, func(w *wire.Work) { w.Crew = "y" })
+		in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, better, old)
+		in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+		in.Teams["y"] = &Team{}
+		in.Demands[1].Aged = aged
+		return Pass(in).Claims[0].Job.Ref
+	}
+	if run(false) != "wk-1" || run(true) != "wk-2" {
+		t.Fatalf("first without age %s, with age %s", run(false), run(true))
+	}
+	urgent := job("wk-1", wire.ShapeArray, wire.RankUrgent, 1, nil)
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, urgent, job("wk-2", wire.ShapeArray, wire.RankNormal, 1, nil))
+	in.Demands[1].Aged = true
+	if Pass(in).Claims[0].Job.Ref != "wk-1" {
+		t.Fatal("age goes before rank")
+	}
+}
+
+func TestAPassPlacesABoundedNumberOfJobs(t *testing.T) {
+	var list []*jobs.Job
+	for i := range 9 {
+		list = append(list, job("wk-"+string(rune('1'+i)), wire.ShapeArray, wire.RankNormal, 1, nil))
+	}
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 8)}, list...)
+	in.MostJobs = 3
+	out := Pass(in)
+	if len(out.Claims) != 3 || len(out.Unmet) != 6 || out.Why["wk-9"] != NoTurn {
+		t.Fatalf("%d claims, waiting %v", len(out.Claims), out.Why)
+	}
+}
+
+func TestTasksBeyondTheTeamsLimitWantNoMachine(t *testing.T) {
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 8)}, job("wk-1", wire.ShapeArray, wire.RankNormal, 5, nil))
+	in.Teams["x"].Max = jobs.Resources{GPUs: 3}
+	if out := Pass(in); len(out.Claims) != 3 || out.Why["wk-1"] != NoQuota {
+		t.Fatalf("%d claims, waits because %s", len(out.Claims), out.Why["wk-1"])
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -137,10 +137,11 @@
 	// processor time that it takes; all nodes together store fewer in a second.
 	JobsPerPass = 24
 	// PassRest is how many times as long as a pass the node rests after it:
-	// passes take at most a tenth of its processor.
-	PassRest = 9
+	// passes take little of its processor, and there is no more than
+	// a handful of changes a second to decide on.
+	PassRest = 60
 	// PassPauseMax bounds that rest.
-	PassPauseMax = 1500 * time.Millisecond
+	PassPauseMax = time.Second
 	// AgedAfter is how long a job waits without any task begun before nothing
 	// of its rank goes before it: half of the four minutes that users grant.
 	AgedAfter = 100 * time.Second
@@ -316,4 +317,7 @@
 	// MemoryShare is the share of the memory limit given to the Go runtime as
 	// its soft limit; the rest covers the binary, stacks and the C library.
 	MemoryShare = 0.65
+	// GCPercent is how much garbage, as a share of the live memory, may pile
+	// up below that limit before it is collected.
+	GCPercent = 400
 )
