--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -42,8 +42,9 @@
 	Claims  int
 	Free    jobs.Resources
 	Suspect bool
-	Silent  bool // up before, not heard for longer than a lease
-	Missing bool // was listed, is no more
+	Silent  bool   // up before, not heard for longer than a lease
+	Missing bool   // was listed, is no more
+	Group   string // key of its record: machines of one key go back in one change
 }
 
 // Want is a number of like tasks without a place.
@@ -75,7 +76,8 @@
 	// Spared says since when the plan could do without a busy machine; the
 	// plan keeps it up to date.
 	Spared map[string]time.Time
-	Moving bool // a machine is being drained of service tasks
+	Moving int // machines that are being drained of service tasks
+	Movers int // how many may be at once
 
 	// Active says which roles have had work lately; the others need neither
 	// floor nor headroom.
@@ -313,7 +315,7 @@
 		case u.Suspect:
 			out = append(out, DrainPlan{u.Name, WhyUnfit})
 		case !u.Open:
-		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && !p.in.Moving:
+		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1):
 			spare = append(spare, u)
 		}
 	}
@@ -338,9 +340,10 @@
 		}
 		return x.Name < y.Name
 	})
-	gone := map[place.Role]int{}
 	spared := map[string]bool{}
 	rooms := map[place.Role]*rooms{place.Batch: p.rooms(place.Batch), place.Service: p.rooms(place.Service)}
+	busy := map[place.Role]bool{}
+	idle := map[string][]Unit{} // ready to go, by group
 	for _, u := range spare {
 		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !rooms[u.Role].spares(u)) || u.Claims > 0 && !rooms[u.Role].spares(u) {
 			continue
@@ -352,20 +355,41 @@
 			since = p.in.Now
 			p.in.Spared[u.Name] = since
 		}
-		limit, idle, why := p.in.Op.IdleOrdinary, u.Idle, WhyIdle
+		limit, rest := p.in.Op.IdleOrdinary, u.Idle
 		if u.Kind.Spot {
 			limit = p.in.Op.IdleSpot
 		}
 		if u.Claims > 0 {
-			idle, why = p.in.Now.Sub(since), WhySpare
+			rest = p.in.Now.Sub(since)
 		}
-		if idle < limit || unmet[u.Role] || gone[u.Role] >= p.drainMost(u, holds[floor(u)]) || len(p.hires) > 0 {
+		if rest < limit || unmet[u.Role] || len(p.hires) > 0 || u.Claims > 0 && busy[u.Role] {
 			continue
 		}
-		gone[u.Role]++
 		holds[floor(u)]--
 		rooms[u.Role].leave(u)
-		out = append(out, DrainPlan{u.Name, why})
+		if u.Claims > 0 {
+			busy[u.Role] = true // one that has to be emptied of each role a plan
+			out = append(out, DrainPlan{u.Name, WhySpare})
+			continue
+		}
+		idle[u.Group] = append(idle[u.Group], u)
+	}
+	// The groups with the most idle machines go first, a few a plan: each
+	// group costs a change, however many of its machines go.
+	groups := make([]string, 0, len(idle))
+	for g := range idle {
+		groups = append(groups, g)
+	}
+	sort.Slice(groups, func(a, b int) bool {
+		if x, y := len(idle[groups[a]]), len(idle[groups[b]]); x != y {
+			return x > y
+		}
+		return groups[a] < groups[b]
+	})
+	for _, g := range groups[:min(len(groups), tuning.DrainGroups)] {
+		for _, u := range idle[g] {
+			out = append(out, DrainPlan{u.Name, WhyIdle})
+		}
 	}
 	for name := range p.in.Spared {
 		if !spared[name] {
@@ -375,15 +399,6 @@
 	return out
 }
 
-// drainMost is how many machines of a unit's role one plan may give back: a
-// share of them if they are idle, one that has to be emptied.
-func (p *planner) drainMost(u Unit, of int) int {
-	if u.Claims > 0 {
-		return 1
-	}
-	return max(1, int(float64(of)*tuning.DrainShare))
-}
-
 // rooms is the room of a role's machines in typical tasks, against what its
 // headroom must hold.
 type rooms struct {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -140,7 +140,7 @@
 	if d := Plan(in).Drains; len(d) != 1 || d[0].Why != WhySpare {
 		t.Fatalf("after a while: %v", d)
 	}
-	in.Moving = true
+	in.Moving = 1
 	if d := Plan(in).Drains; len(d) != 0 {
 		t.Fatalf("beside another that is being drained: %v", d)
 	}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -24,14 +24,14 @@
 		n.leading = leading{baton: n.member.Baton, listed: map[string]wire.Host{}, absent: map[string]int{},
 			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}}
+			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
 		if old.baton > 0 && old.baton == n.member.Baton-1 && old.hired != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
 			n.leading.hired, n.leading.refused = old.hired, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
-			n.leading.unfit = old.unfit
+			n.leading.unfit, n.leading.gone = old.unfit, old.gone
 			n.leading.spared, n.leading.active = old.spared, old.active
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
@@ -317,12 +317,12 @@
 	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up, movable := n.lastHeard(now), n.movable(machines)
-	batch := 0.0
+	batch, serving := 0.0, 0
 	var service fleet.Load
 	for _, m := range machines.Machines {
 		rec := n.reg.Hosts[m.Name]
 		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
-			Open: m.Open, Claims: len(m.Tasks), Free: m.Free}
+			Open: m.Open, Claims: len(m.Tasks), Free: m.Free, Group: n.reg.Key(m.Name)}
 		listed, isListed := l.listed[m.Name]
 		if age, ok := up[m.Name]; ok {
 			l.hear(m.Name, now.Add(-age))
@@ -359,8 +359,11 @@
 				l.batch.Need, l.batch.Work = r.Job.Need, wk
 			}
 		}
+		if m.Open && m.Role == place.Service {
+			serving++
+		}
 		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && m.Role == place.Service {
-			in.Moving = true
+			in.Moving++
 		}
 		u.Movable = movable[m.Name]
 		if m.Open || u.Booting || rec.Phase != fleet.In || quiet > n.silentAfter() {
@@ -379,6 +382,7 @@
 			in.Units = append(in.Units, u)
 		}
 	}
+	in.Movers = int(float64(serving) * tuning.MoversShare)
 	for host, h := range l.hired {
 		if _, known := n.reg.Hosts[host]; known || now.Sub(h.at) > time.Minute {
 			delete(l.hired, host)
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -106,7 +106,15 @@
 	l.listAt = now
 	seen := map[string]bool{}
 	var changes []fleet.Change
+	for host, at := range l.gone {
+		if now.Sub(at) > tuning.GoneKept {
+			delete(l.gone, host)
+		}
+	}
 	for _, h := range list {
+		if _, ok := l.gone[h.Ref]; ok {
+			continue
+		}
 		seen[h.Ref] = true
 		if _, ok := l.since[h.Ref]; !ok {
 			l.since[h.Ref] = now
@@ -238,12 +246,7 @@
 			}
 			if l.absent[host] >= tuning.GoneLists {
 				drops = append(drops, fleet.Change{Host: host, Was: &rec})
-				delete(l.listed, host)
-				delete(l.absent, host)
-				delete(l.heard, host)
-				delete(l.since, host)
-				delete(l.idle, host)
-				delete(l.unfit, host)
+				l.forget(host)
 			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
 			}
@@ -256,6 +259,16 @@
 	return returns, drops
 }
 
+// forget drops what the leader remembers of a machine.
+func (l *leading) forget(host string) {
+	delete(l.listed, host)
+	delete(l.absent, host)
+	delete(l.heard, host)
+	delete(l.since, host)
+	delete(l.idle, host)
+	delete(l.unfit, host)
+}
+
 func (n *Node) giveBack(ctx context.Context, hosts []string) {
 	if err := n.cloud.Return(hosts); err != nil {
 		n.log.Info("machines not returned", "hosts", hosts, "err", err)
@@ -269,6 +282,14 @@
 		if !ok || rec.Phase == fleet.Returned {
 			continue
 		}
+		if len(n.table.Hosts[h]) == 0 && n.leads() {
+			// Drained and empty: there is nothing that its end would prove.
+			l := n.leadMemory()
+			l.gone[h] = n.now()
+			l.forget(h)
+			changes = append(changes, fleet.Change{Host: h, Was: &rec})
+			continue
+		}
 		if next, err := rec.Phase.Next(fleet.Gone); err == nil {
 			gone := rec
 			gone.Phase = next
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -122,6 +122,7 @@
 	seenJobs  map[string]bool
 	idle      map[string]time.Time     // since when a machine has no claims
 	spared    map[string]time.Time     // see fleet.PlanInput
+	gone      map[string]time.Time     // machines given back, which late lists still show
 	unfit     map[string]time.Time     // since when a machine reports but takes no tasks
 	heard     map[string]time.Time     // when a machine was last heard by anybody
 	since     map[string]time.Time     // when a machine was first listed
@@ -325,8 +326,14 @@
 			delete(n.workers, host)
 		}
 	}
+	// The leader also stores machines, roles and limits, and claims what is
+	// too large for one node: it has two parts of the changes, the others one.
 	live := float64(max(1, len(r.Nodes)))
-	n.lim.SetRate(n.set.Params.State.RPS*tuning.BudgetShare/live, n.set.Params.State.WriteRPS*tuning.BudgetShare/live)
+	parts := 1 / (live + 1)
+	if r.Leader == n.self {
+		parts *= 2
+	}
+	n.lim.SetRate(n.set.Params.State.RPS*tuning.BudgetShare/live, n.set.Params.State.WriteRPS*tuning.BudgetShare*parts)
 	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -290,8 +290,10 @@
 	returns, _ := n.toReturn(n.leadMemory(), w.clk.now())
 	n.mu.Unlock()
 	n.giveBack(ctx, returns)
-	if len(w.cl.returned) != 1 || n.reg.Hosts["h1"].Phase != fleet.Returned {
-		t.Fatalf("returned %v, phase %s", w.cl.returned, n.reg.Hosts["h1"].Phase)
+	// A list that is late still shows it; it must not join again.
+	n.enterList(ctx, w.cl.list)
+	if rec, known := n.reg.Hosts["h1"]; len(w.cl.returned) != 1 || known {
+		t.Fatalf("returned %v, still known: %+v", w.cl.returned, rec)
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -139,9 +139,9 @@
 	// PassRest is how many times as long as a pass the node rests after it:
 	// passes take little of its processor, and there is no more than
 	// a handful of changes a second to decide on.
-	PassRest = 60
+	PassRest = 30
 	// PassPauseMax bounds that rest.
-	PassPauseMax = time.Second
+	PassPauseMax = 400 * time.Millisecond
 	// AgedAfter is how long a job waits without any task begun before nothing
 	// of its rank goes before it: half of the four minutes that users grant.
 	AgedAfter = 100 * time.Second
@@ -238,9 +238,15 @@
 	HireMax = 50
 	// MovableTries is how many half-empty service machines a plan looks at.
 	MovableTries = 6
-	// DrainShare is the part of a role's machines that one plan may drain as
-	// idle, at least one: a large fleet shrinks as fast as a small one.
-	DrainShare = 0.02
+	// DrainGroups is how many groups of machine records one plan may touch to
+	// give idle machines back: two of the leader's changes a second.
+	DrainGroups = 2
+	// MoversShare is the part of the service machines that may be emptied at
+	// once, at least one; each owner still moves its tasks singly.
+	MoversShare = 0.03
+	// GoneKept is how long the leader remembers that a machine was given back,
+	// while lists that are late still show it.
+	GoneKept = 60 * time.Second
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
