--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -125,7 +125,11 @@
 		l.mu.Unlock()
 		return nil
 	}
-	if l.ahead(c) == 0 && l.affordable(cost) {
+	free := l.ahead(c) == 0
+	if writes == 0 {
+		free = len(l.queues[c]) == 0 // see grant
+	}
+	if free && l.affordable(cost) {
 		l.take(cost)
 		l.mu.Unlock()
 		return nil
@@ -176,13 +180,24 @@
 	}
 }
 
+// grant lets waiters go in order of class. What only reads does not wait for
+// changes that wait for their budget. Guards against a node that holds that it
+// has lost the state service because many submissions wait.
 func (l *Limiter) grant() {
+	full := false // the budget of changes is spent
 	for c := range l.queues {
 		for len(l.queues[c]) > 0 {
 			w := l.queues[c][0]
 			if !w.gone {
+				if full && w.cost[1] > 0 {
+					break
+				}
 				if !l.affordable(w.cost) {
-					return
+					if w.cost[1] == 0 || !l.affordable([2]float64{w.cost[0]}) {
+						return // no request can go
+					}
+					full = true
+					break
 				}
 				l.take(w.cost)
 				close(w.ready)
--- a/internal/store/limiter_test.go
+++ b/internal/store/limiter_test.go
@@ -92,3 +92,37 @@
 		t.Fatalf("a full buffer answered %v", err)
 	}
 }
+
+// While submissions waited for their changes, no read went: the node held that
+// it had lost the state service and decided nothing.
+func TestReadsDoNotWaitForChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLimiter(100, 1, 8, func() time.Time { return now })
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := l.Acquire(ctx, ClassIntake, 1); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		go func() { _ = l.Acquire(ctx, ClassIntake, 1) }()
+	}
+	for waiting := 0; waiting < 3; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		waiting = len(l.queues[ClassIntake])
+		l.mu.Unlock()
+	}
+	for range 50 {
+		quick, end := context.WithTimeout(ctx, time.Second)
+		if err := l.Acquire(quick, ClassRead, 0); err != nil {
+			t.Fatal("a read waits behind submissions")
+		}
+		end()
+	}
+	if l.Writes(1) != 0 {
+		t.Fatalf("%v changes are free though submissions wait", l.Writes(1))
+	}
+	now = now.Add(10 * time.Second)
+	if l.Writes(1) < 1 {
+		t.Fatal("claims have no part of the changes while submissions wait")
+	}
+}
