--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -59,6 +59,7 @@
 type Load struct {
 	Tasks float64        // tasks held, a mean over time for batch
 	Least int            // tasks that the headroom holds at least
+	Wait  float64        // tasks that wait for machines to boot
 	Need  jobs.Resources // of a typical task
 	Work  *wire.Work     // a typical job
 }
@@ -120,6 +121,7 @@
 	bins   []*bin
 	crowds map[crowd]int // bins by zone and role
 	hires  map[HirePlan]int
+	whys   map[HirePlan]string // why the first of them is rented
 }
 
 type crowd struct {
@@ -129,7 +131,7 @@
 
 // Plan decides what to rent and what to give back. It is pure.
 func Plan(in PlanInput) PlanOutput {
-	p := &planner{in: in, types: map[string]wire.Rig{}, crowds: map[crowd]int{}, hires: map[HirePlan]int{}}
+	p := &planner{in: in, types: map[string]wire.Rig{}, crowds: map[crowd]int{}, hires: map[HirePlan]int{}, whys: map[HirePlan]string{}}
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
@@ -158,7 +160,7 @@
 
 	var out PlanOutput
 	for h, n := range p.hires {
-		h.Number = n
+		h.Number, h.Why = n, p.whys[h]
 		out.Hires = append(out.Hires, h)
 	}
 	sort.Slice(out.Hires, func(a, b int) bool {
@@ -254,6 +256,9 @@
 					price = t.SpotPrice
 				}
 				c, n := price/math.Floor(fit+1e-6), p.crowds[crowd{z, role}]
+				if k := p.hires[HirePlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.HireMax > 0 {
+					n = -1 // batch work fills one call before the next
+				}
 				if c < cost-1e-9 || c < cost+1e-9 && n < least {
 					best, cost, least = k, c, n
 				}
@@ -263,7 +268,10 @@
 	if math.IsInf(cost, 1) {
 		return nil
 	}
-	p.hires[HirePlan{Kind: best, Role: role, Why: why}]++
+	h := HirePlan{Kind: best, Role: role}
+	if p.hires[h]++; p.whys[h] == "" {
+		p.whys[h] = why
+	}
 	b := &bin{kind: best, role: role, free: total(p.types[best.Rig])}
 	p.add(b)
 	return b
@@ -288,11 +296,35 @@
 	if !p.in.Active[role] {
 		return
 	}
-	if n := spare(l, share); n > 0 {
+	n := spare(l, share)
+	if l.Work != nil && l.Wait > 0 {
+		n += p.hedge(typical(l), l.Wait)
+	}
+	if n > 0 {
 		p.cover(typical(l), n, false, 0, "headroom")
 	}
 }
 
+// hedge is the room to rent beside that for waiting tasks, since some of the
+// machines take much longer to boot than usual: their expected number and a
+// little over a deviation, which is most of a machine for one, and a sixth of
+// the machines for a hundred.
+func (p *planner) hedge(j *jobs.Job, waiting float64) int {
+	each := 0.0 // tasks a machine, of the type that holds the fewest
+	for _, t := range p.in.Types {
+		if jobs.Allowed(j.Record.Work, t.Label) && j.Need.Fits(total(t)) {
+			if n := math.Floor(1/max(j.Need.Share(total(t)), 1e-9) + 1e-6); each == 0 || n < each {
+				each = n
+			}
+		}
+	}
+	if each == 0 {
+		return 0
+	}
+	late := tuning.LateBootShare * waiting / each
+	return int(math.Ceil(each * (late + tuning.LateBootSpread*math.Sqrt(late))))
+}
+
 // drains chooses machines to give back: those that are of no use, and idle
 // ones whose loss leaves the headroom and the role floors.
 func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -161,3 +161,31 @@
 		t.Fatalf("without work: %+v", out)
 	}
 }
+
+// A few machines in ten boot late. One spare machine a few is much for a small
+// order and little for a large one.
+func TestTheHedgeForLateBootsGrowsSlowerThanTheOrder(t *testing.T) {
+	w := want(wire.ShapeStanding, 8)
+	p := &planner{in: input()}
+	few, many := p.hedge(w.Job, 8), p.hedge(w.Job, 800)
+	if few < 2 || few > 8 || many < 80 || many > 200 {
+		t.Fatalf("%d tasks beside 8, %d beside 800", few, many)
+	}
+}
+
+// Work that had no turn in the pass takes the free machines first; nothing is
+// rented for what they hold, and the rest is not left for later.
+func TestWorkWithoutATurnIsRentedForBeyondTheFreeRoom(t *testing.T) {
+	in := input()
+	in.Units = []Unit{unit("a", place.Batch, true), unit("b", place.Batch, true)}
+	w := want(wire.ShapeArray, 20)
+	w.Untried = true
+	in.Wants = []Want{w}
+	n := 0
+	for _, h := range Plan(in).Hires {
+		n += h.Number
+	}
+	if n != 1 {
+		t.Fatalf("%d machines of 8 rented for 20 tasks beside 16 free places", n)
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
@@ -41,7 +43,6 @@
 	return &n.leading
 }
 
-// runCloud reads the machine types and the machine list while leading.
 // write runs a guarded write of the leader and enters it.
 func (n *Node) write(ctx context.Context, guards []wire.Guard, then []wire.Change) error {
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
@@ -60,11 +61,6 @@
 	return nil
 }
 
-// hostChange is one change of a machine's record.
-// writeHosts stores changes of machine records, each guarded by its stamp.
-// enterList compares the cloud's list with the stored machines.
-// firstRole is the role of a machine that is new to the store: what it was
-// rented for; else the role floors, then what waits, then the smaller role.
 // runLead plans capacity and moves roles while leading.
 func (n *Node) runLead(ctx context.Context) error {
 	var stepped time.Time
@@ -92,13 +88,19 @@
 		returns, drops := n.toReturn(l, now)
 		n.mu.Unlock()
 
-		n.writeHosts(ctx, append(append(moves, drains...), drops...))
-		if len(returns) > 0 {
-			n.giveBack(ctx, returns)
-		}
+		// Rentals don't wait for the budget of changes.
+		var g errgroup.Group
+		g.Go(func() error {
+			n.writeHosts(ctx, append(append(moves, drains...), drops...))
+			if len(returns) > 0 {
+				n.giveBack(ctx, returns)
+			}
+			return nil
+		})
 		for _, h := range out.Hires {
 			n.hire(ctx, h)
 		}
+		_ = g.Wait()
 	}
 	return nil
 }
@@ -304,7 +306,7 @@
 	}
 	sort.SliceStable(list, func(a, b int) bool { return len(list[a].Tasks) < len(list[b].Tasks) })
 	out := map[string]bool{}
-	for _, m := range list[:min(len(list), tuning.MovableTries)] {
+	for _, m := range list[:min(len(list), max(tuning.MovableTries, int(float64(len(list))*tuning.MoversShare)))] {
 		if fitElsewhere(f, m, true) {
 			out[m.Name] = true
 		}
@@ -443,9 +445,9 @@
 			continue
 		}
 		if j.Service() {
-			// The headroom is for what will run too, and larger while it waits:
-			// some machines take several times as long to boot.
-			in.Service.Tasks += tuning.BootHedge * float64(n.unmet[ref])
+			// The headroom is for what will run too.
+			in.Service.Tasks += float64(n.unmet[ref])
+			in.Service.Wait += float64(n.unmet[ref])
 			in.Service.Need, in.Service.Work = j.Need, j.Record.Work
 		}
 		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
@@ -484,11 +486,3 @@
 	}
 	return out
 }
-
-// drainChanges stores that machines take no more tasks; mu is held.
-// toReturn lists drained machines to give back, and records to drop; mu is
-// held. A machine goes back when it is empty, or when it is dead: then its
-// return is the proof that its tasks are gone.
-// giveBack returns machines to the cloud and stores that they are gone.
-// hire rents machines. A request's name holds the baton, which only one leader
-// ever has, and a counter: no name is used twice.
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -16,6 +16,7 @@
 	"wheatspur/wire"
 )
 
+// runCloud reads the machine types and the machine list while leading.
 func (n *Node) runCloud(ctx context.Context) error {
 	var types time.Time
 	for ctx.Err() == nil {
@@ -48,6 +49,7 @@
 	return nil
 }
 
+// readTypes stores the machine types, if they have changed.
 func (n *Node) readTypes(ctx context.Context) error {
 	list, err := n.cloud.Types()
 	if err != nil {
@@ -95,6 +97,7 @@
 	}
 }
 
+// enterList compares the cloud's list with the stored machines.
 func (n *Node) enterList(ctx context.Context, list []wire.Host) {
 	n.mu.Lock()
 	if !n.leads() {
@@ -169,6 +172,8 @@
 	n.writeHosts(ctx, changes)
 }
 
+// firstRole is the role of a machine that is new to the store: what it was
+// rented for; else the role floors, then what waits, then the smaller role.
 func (n *Node) firstRole(l *leading, h wire.Host, joining []fleet.Change) place.Role {
 	if h.Windfall {
 		return place.Batch
@@ -204,6 +209,7 @@
 	return place.Batch
 }
 
+// drainChanges stores that machines take no more tasks; mu is held.
 func (n *Node) drainChanges(drains []fleet.DrainPlan) []fleet.Change {
 	var out []fleet.Change
 	for _, d := range drains {
@@ -223,6 +229,9 @@
 	return out
 }
 
+// toReturn lists drained machines to give back, and records to drop; mu is
+// held. A machine goes back when it is empty, or when it is dead: then its
+// return is the proof that its tasks are gone.
 func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []fleet.Change) {
 	for host, rec := range n.reg.Hosts {
 		switch rec.Phase {
@@ -269,6 +278,7 @@
 	delete(l.unfit, host)
 }
 
+// giveBack returns machines to the cloud and stores that they are gone.
 func (n *Node) giveBack(ctx context.Context, hosts []string) {
 	if err := n.cloud.Return(hosts); err != nil {
 		n.log.Info("machines not returned", "hosts", hosts, "err", err)
@@ -300,6 +310,8 @@
 	n.writeHosts(ctx, changes)
 }
 
+// hire rents machines. A request's name holds the baton, which only one leader
+// ever has, and a counter: no name is used twice.
 func (n *Node) hire(ctx context.Context, h fleet.HirePlan) {
 	n.mu.Lock()
 	if !n.leads() || ctx.Err() != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -34,7 +34,7 @@
 	DecisionWait = 3 * time.Second
 	// BudgetShare is the part of the state service's published limits that
 	// the nodes plan to use; the rest absorbs clock drift and uneven shares.
-	BudgetShare = 0.9
+	BudgetShare = 0.95
 	// BudgetQueue is how many calls may wait in a node's limiter per class
 	// before new ones are refused at once.
 	BudgetQueue = 64
@@ -236,7 +236,8 @@
 	ReturnMax = 100
 	// HireMax is the most machines asked for in one call.
 	HireMax = 50
-	// MovableTries is how many half-empty service machines a plan looks at.
+	// MovableTries is how many half-empty service machines a plan looks at, at
+	// least; in a large fleet, as many as may be emptied at once.
 	MovableTries = 6
 	// DrainGroups is how many groups of machine records one plan may touch to
 	// give idle machines back, and DrainGroupsMost how many while the budget
@@ -252,10 +253,11 @@
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
-	// BootHedge is how much more a service task that waits counts for the
-	// headroom than one that runs: a spare machine for every 20 tasks or so
-	// covers one slow boot, and costs a minute's price if all boot in time.
-	BootHedge = 3.0
+	// LateBootShare is the share of machines that take much longer to boot than
+	// usual, and LateBootSpread how many deviations of their number are rented
+	// beside it: each costs a minute's price if all boot in time.
+	LateBootShare  = 0.1
+	LateBootSpread = 1.2
 	// BatchHeadroom is the spare batch capacity kept, as a share of the mean
 	// of what batch holds.
 	BatchHeadroom = 0.25
