--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -339,7 +339,7 @@
 			u.Age = time.Duration(listed.HeldS*float64(time.Second)) + now.Sub(l.listAt)
 		}
 		u.Silent = wasUp && quiet > 2*lease
-		u.Missing = l.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > 2*n.set.Report()
+		u.Missing = l.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > time.Duration(tuning.MissingReports*float64(n.set.Report()))
 		if len(m.Tasks) > 0 || rec.Phase != fleet.In {
 			delete(l.idle, m.Name)
 		} else if _, ok := l.idle[m.Name]; !ok {
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -40,11 +40,11 @@
 		} else {
 			n.enterList(ctx, list)
 		}
-		// A list of several pages takes as many calls of the cloud's budget.
+		// A list of many pages takes as many calls of the cloud's budget.
 		n.mu.Lock()
 		pages := len(n.leading.listed)/fleet.ListPage + 1
 		n.mu.Unlock()
-		sleep(ctx, tuning.ListEvery*time.Duration(pages))
+		sleep(ctx, tuning.ListEvery*time.Duration(max(1, pages/2)))
 	}
 	return nil
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -200,8 +200,9 @@
 const (
 	// CloudCallTimeout bounds one call to the cloud.
 	CloudCallTimeout = 4 * time.Second
-	// ListEvery is the pause between reads of the machine list: a quarter of
-	// the smallest published call budget.
+	// ListEvery is the pause between reads of the machine list, longer for a
+	// list of more than three pages: a quarter of the smallest published call
+	// budget. What was taken without a notice shows here first.
 	ListEvery = 2 * time.Second
 	// TypesEvery is the pause between reads of the machine types; spot prices
 	// move slowly.
@@ -232,6 +233,9 @@
 	// GoneLists is the number of lists in a row that must omit a machine that
 	// was listed before it is taken to be gone and returned for proof.
 	GoneLists = 2
+	// MissingReports is how many report intervals a machine that lists omit must
+	// be silent: reports come up to a quarter late, so one was missed.
+	MissingReports = 1.5
 	// ReturnMax is the most machines named in one return.
 	ReturnMax = 100
 	// HireMax is the most machines asked for in one call.
