--- a/internal/peer/fb/Status.go
+++ b/internal/peer/fb/Status.go
@@ -89,8 +89,20 @@
 	return rcv._tab.MutateBoolSlot(12, n)
 }
 
-func (rcv *Status) View() uint64 {
+func (rcv *Status) Want() uint32 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Status) MutateWant(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(14, n)
+}
+
+func (rcv *Status) View() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
@@ -98,11 +110,11 @@
 }
 
 func (rcv *Status) MutateView(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(14, n)
+	return rcv._tab.MutateUint64Slot(16, n)
 }
 
 func (rcv *Status) Whole() bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
 	if o != 0 {
 		return rcv._tab.GetBool(o + rcv._tab.Pos)
 	}
@@ -110,11 +122,11 @@
 }
 
 func (rcv *Status) MutateWhole(n bool) bool {
-	return rcv._tab.MutateBoolSlot(16, n)
+	return rcv._tab.MutateBoolSlot(18, n)
 }
 
 func (rcv *Status) Seen() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
@@ -122,11 +134,11 @@
 }
 
 func (rcv *Status) MutateSeen(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(18, n)
+	return rcv._tab.MutateUint64Slot(20, n)
 }
 
 func (rcv *Status) SeenBaton() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
@@ -134,11 +146,11 @@
 }
 
 func (rcv *Status) MutateSeenBaton(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(20, n)
+	return rcv._tab.MutateUint64Slot(22, n)
 }
 
 func (rcv *Status) SeenIncarnation() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
 	if o != 0 {
 		return rcv._tab.GetUint64(o + rcv._tab.Pos)
 	}
@@ -146,11 +158,11 @@
 }
 
 func (rcv *Status) MutateSeenIncarnation(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(22, n)
+	return rcv._tab.MutateUint64Slot(24, n)
 }
 
 func (rcv *Status) Hosts(obj *HostView, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
 		x += flatbuffers.UOffsetT(j) * 4
@@ -162,7 +174,7 @@
 }
 
 func (rcv *Status) HostsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
@@ -170,7 +182,7 @@
 }
 
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(12)
 }
 func StatusAddLabel(builder *flatbuffers.Builder, label flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(label), 0)
@@ -187,23 +199,26 @@
 func StatusAddHasState(builder *flatbuffers.Builder, hasState bool) {
 	builder.PrependBoolSlot(4, hasState, false)
 }
+func StatusAddWant(builder *flatbuffers.Builder, want uint32) {
+	builder.PrependUint32Slot(5, want, 0)
+}
 func StatusAddView(builder *flatbuffers.Builder, view uint64) {
-	builder.PrependUint64Slot(5, view, 0)
+	builder.PrependUint64Slot(6, view, 0)
 }
 func StatusAddWhole(builder *flatbuffers.Builder, whole bool) {
-	builder.PrependBoolSlot(6, whole, false)
+	builder.PrependBoolSlot(7, whole, false)
 }
 func StatusAddSeen(builder *flatbuffers.Builder, seen uint64) {
-	builder.PrependUint64Slot(7, seen, 0)
+	builder.PrependUint64Slot(8, seen, 0)
 }
 func StatusAddSeenBaton(builder *flatbuffers.Builder, seenBaton uint64) {
-	builder.PrependUint64Slot(8, seenBaton, 0)
+	builder.PrependUint64Slot(9, seenBaton, 0)
 }
 func StatusAddSeenIncarnation(builder *flatbuffers.Builder, seenIncarnation uint64) {
-	builder.PrependUint64Slot(9, seenIncarnation, 0)
+	builder.PrependUint64Slot(10, seenIncarnation, 0)
 }
 func StatusAddHosts(builder *flatbuffers.Builder, hosts flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(hosts), 0)
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(hosts), 0)
 }
 func StatusStartHostsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,6 +46,7 @@
 	Baton       uint64
 	Epoch       uint64
 	HasState    bool
+	Want        uint32 // changes of the state service that wait for its budget
 	View        uint64 // number of the sender's view of its machines
 	Whole       bool   // Hosts are all machines, not those that changed
 	Seen        Seen   // what the sender has of the receiver
@@ -85,6 +86,7 @@
 	fb.StatusAddBaton(b, s.Baton)
 	fb.StatusAddEpoch(b, s.Epoch)
 	fb.StatusAddHasState(b, s.HasState)
+	fb.StatusAddWant(b, s.Want)
 	fb.StatusAddView(b, s.View)
 	fb.StatusAddWhole(b, s.Whole)
 	fb.StatusAddSeen(b, s.Seen.View)
@@ -128,7 +130,7 @@
 	}
 	f := fb.GetRootAsStatus(b, 0)
 	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
-		View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
+		Want: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,7 +7,7 @@
 )
 
 func sample() Status {
-	return Status{Label: "n1", Incarnation: 7, Baton: 9, Epoch: 100, HasState: true, View: 12, Whole: true, Seen: Seen{3, 9, 6}, Hosts: []Host{
+	return Status{Label: "n1", Incarnation: 7, Baton: 9, Epoch: 100, HasState: true, Want: 5, View: 12, Whole: true, Seen: Seen{3, 9, 6}, Hosts: []Host{
 		{Name: "host-1", Stint: 2, Age: 1500 * time.Millisecond, Proven: true, Warning: -1, Images: []string{"a", "b"}},
 		{Name: "host-2", Stint: 1, Age: -1, Silent: true, Warning: 8 * time.Second, Suspect: true},
 	}}
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -83,8 +83,14 @@
 	n.mu.Lock()
 	writes := n.reg.Writes(list, int(n.set.Params.State.ValueKB*1024*tuning.GroupShare))
 	n.mu.Unlock()
-	for _, w := range writes {
+	defer func() {
 		n.mu.Lock()
+		n.storing = 0
+		n.mu.Unlock()
+	}()
+	for i, w := range writes {
+		n.mu.Lock()
+		n.storing = len(writes) - i
 		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(w.Key)}
 		n.mu.Unlock()
 		then := []wire.Change{{Drop: w.Key}}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -89,6 +90,8 @@
 	busyTeam map[string]bool           // a write of the team's key is under way
 	flying   map[string]jobs.Resources // claims under way, by team
 	doubts   []doubt
+	want     float64              // changes that wait for the budget, a mean over the last passes
+	storing  int                  // changes of machine records that the leader has yet to write
 	shortAt  map[string]time.Time // teams whose work waits for a new share, since when
 	sharedAt map[string]time.Time // when a team's limit was last frozen
 	dueSince map[string]time.Time // chunks with ends to store, since when
@@ -326,14 +329,7 @@
 			delete(n.workers, host)
 		}
 	}
-	// The leader also stores machines, roles and limits, and claims what is
-	// too large for one node: it has two parts of the changes, the others one.
-	live := float64(max(1, len(r.Nodes)))
-	parts := 1 / (live + 1)
-	if r.Leader == n.self {
-		parts *= 2
-	}
-	n.lim.SetRate(n.set.Params.State.RPS*tuning.BudgetShare/live, n.set.Params.State.WriteRPS*tuning.BudgetShare*parts)
+	n.shareBudget()
 	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
 }
@@ -350,6 +346,35 @@
 	return o
 }
 
+// shareBudget sets this node's part of the state service's budget: requests in
+// equal parts; of the changes one half in equal parts, two of them to the
+// leader, which also stores machines, roles and limits, and the other half by
+// what waits at each node, while every member tells it. Guards against most of
+// the budget lying idle at nodes that have little to store. mu is held.
+func (n *Node) shareBudget() {
+	live := float64(max(1, len(n.member.Nodes)))
+	parts := 1 / (live + 1)
+	if n.member.Leader == n.self {
+		parts *= 2
+	}
+	told, sum := true, n.want
+	for _, m := range n.member.Nodes {
+		if m == n.self {
+			continue
+		}
+		s := n.siblings[m.Label]
+		if told = told && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !told {
+			break
+		}
+		sum += float64(s.status.Want)
+	}
+	if told && sum >= 1 {
+		parts = (parts + n.want/sum) / 2
+	}
+	state := n.set.Params.State
+	n.lim.SetRate(state.RPS*tuning.BudgetShare/live, state.WriteRPS*tuning.BudgetShare*parts)
+}
+
 // entitled reports whether this node is a member of the newest membership it
 // knows; mu is held.
 func (n *Node) entitled() bool {
@@ -662,6 +687,7 @@
 		n.viewAt = now
 		n.lookOver(now)
 	}
+	st.Want = uint32(math.Ceil(n.want))
 	st.View = n.view
 	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -117,7 +117,7 @@
 		early = (most + 1) / 2
 	}
 	most -= early
-	rest := due[:0]
+	rest := make([]ends, 0, len(due))
 	for _, r := range due {
 		if r.urgent {
 			txns = n.release(txns, r, &early)
@@ -131,6 +131,13 @@
 		txns = n.release(txns, r, &most)
 	}
 	txns = n.finished(txns, &most)
+	jobsToClaim := map[string]bool{}
+	for _, c := range out.Claims {
+		jobsToClaim[c.Job.Ref] = true
+	}
+	waits := n.lim.Waiting() + float64(n.storing+max(0, len(due)+len(jobsToClaim)-len(txns)))
+	n.want += (waits - n.want) / 2
+	n.shareBudget()
 	for host, w := range n.workers {
 		if n.ownerOf(host) == n.self.Label {
 			n.direct(w, now)
--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -111,6 +111,21 @@
 	return max(l.tokens[1]-reserve, math.Floor(l.claims))
 }
 
+// Waiting is the number of changes that wait for the budget.
+func (l *Limiter) Waiting() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0.0
+	for _, q := range l.queues {
+		for _, w := range q {
+			if !w.gone {
+				n += w.cost[1]
+			}
+		}
+	}
+	return n
+}
+
 // Acquire waits for the budget of one request with the given writes.
 func (l *Limiter) Acquire(ctx context.Context, c Class, writes int) error {
 	cost := [2]float64{1, float64(writes)}
