Claims before ends of tasks that only free room; machines found up serve services

And the machines found up at the start were split evenly, so half of them waited for batch work, which has spot machines, while services waited for boots.

--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -179,7 +179,7 @@
 }
 
 // firstRole is the role of a machine that is new to the store: what it was
-// rented for; else the role floors, then what waits, then the smaller role.
+// rented for; else the role floors, then what waits, then services.
 func (n *Node) firstRole(l *leading, h wire.Host, joining []fleet.Change) place.Role {
 	if h.Windfall {
 		return place.Batch
@@ -199,20 +199,23 @@
 	for _, c := range joining {
 		add(*c.Now)
 	}
-	waiting := false
+	services, arrays := false, false
 	for ref := range n.unmet {
-		j := n.table.Open[ref]
-		waiting = waiting || j != nil && j.Service()
+		if j := n.table.Open[ref]; j != nil && j.Service() {
+			services = true
+		} else if j != nil {
+			arrays = true
+		}
 	}
 	switch {
 	case count[place.Service] < tuning.RoleFloor:
 		return place.Service
-	case count[place.Batch] < tuning.RoleFloor:
+	case count[place.Batch] < tuning.RoleFloor, arrays && !services && count[place.Batch] < count[place.Service]:
 		return place.Batch
-	case waiting || count[place.Service] <= count[place.Batch]:
-		return place.Service
 	}
-	return place.Batch
+	// Services have ordinary machines only, and people wait for them; most
+	// batch work may use spot machines, which are rented when it comes.
+	return place.Service
 }
 
 // drainChanges stores that machines take no more tasks; mu is held.
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -110,8 +110,11 @@
 		}
 	}
 	n.displace(fleet)
-	// Ends of jobs and old releases first, but no more than half of what can
-	// be written while tasks wait for their claims.
+	// Ends of jobs and of tasks that are to start again come first, but no more
+	// than half of what can be written while tasks wait for their claims. The
+	// other ends only free room, which is not short while there are claims.
+	// Guards against a half-empty fleet beside a queue: the ends of hundreds of
+	// tasks took the budget from the claims.
 	early := most
 	if len(out.Claims) > 0 {
 		early = (most + 1) / 2
@@ -295,10 +298,12 @@
 			since = now
 			n.dueSince[key] = now
 		}
-		over := 0
+		over, again := 0, false
 		for _, e := range c.events {
 			if e.Kind == jobs.Complete {
 				over++
+			} else {
+				again = true // it waits for a new start
 			}
 		}
 		j := c.job
@@ -307,7 +312,7 @@
 		if n.busyJob[j.Ref] || now.Before(n.notUntil[j.Ref]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
 			continue
 		}
-		out = append(out, ends{c, key, since, last || j.Service() || wait > tuning.ReleaseLate})
+		out = append(out, ends{c, key, since, last || j.Service() || again || wait > tuning.ReleaseLate})
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -58,7 +58,7 @@
 	// 3 s, so the change that ends a job goes at once.
 	ReleaseGather = 1500 * time.Millisecond
 	// ReleaseLate is when a gathered release goes before new claims.
-	ReleaseLate = 4 * time.Second
+	ReleaseLate = 12 * time.Second
 	// ShareOutPause separates two times that a team's limit is shared out anew.
 	ShareOutPause = 3 * time.Second
 	// TxnBytes is the most JSON that a transaction may hold; the service's
