--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -101,6 +101,11 @@
 	Why  string
 }
 
+// Dead reports whether the machine holds nothing any more, or never came up.
+func (d DrainPlan) Dead() bool {
+	return d.Why == WhyGone || d.Why == WhySilent || d.Why == WhySlowBoot
+}
+
 // PlanOutput is what to rent and to give back.
 type PlanOutput struct {
 	Hires  []HirePlan
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -84,17 +84,16 @@
 		if listed {
 			out = fleet.Plan(n.planInput(l, machines, now))
 		}
-		drains := n.drainChanges(out.Drains)
+		drains, dead := n.drainChanges(out.Drains)
 		returns, drops := n.toReturn(l, now)
+		returns = append(dead, returns...)
 		n.mu.Unlock()
 
 		// Rentals don't wait for the budget of changes.
 		var g errgroup.Group
 		g.Go(func() error {
+			n.giveBack(ctx, returns)
 			n.writeHosts(ctx, append(append(moves, drains...), drops...))
-			if len(returns) > 0 {
-				n.giveBack(ctx, returns)
-			}
 			return nil
 		})
 		for _, h := range out.Hires {
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -219,8 +219,9 @@
 }
 
 // drainChanges stores that machines take no more tasks; mu is held.
-func (n *Node) drainChanges(drains []fleet.DrainPlan) []fleet.Change {
-	var out []fleet.Change
+// Machines that are dead go back at once, by name: what would drain them is
+// over, and their tasks wait for the proof of their return.
+func (n *Node) drainChanges(drains []fleet.DrainPlan) (changes []fleet.Change, dead []string) {
 	for _, d := range drains {
 		rec, ok := n.reg.Hosts[d.Name]
 		if !ok {
@@ -230,17 +231,20 @@
 		if err != nil {
 			continue
 		}
+		n.log.Info("machine drains", "host", d.Name, "why", d.Why)
+		if d.Dead() {
+			dead = append(dead, d.Name)
+			continue
+		}
 		drained := rec
 		drained.Phase, drained.Why = next, d.Why
-		out = append(out, fleet.Change{Host: d.Name, Was: &rec, Now: &drained})
-		n.log.Info("machine drains", "host", d.Name, "why", d.Why)
+		changes = append(changes, fleet.Change{Host: d.Name, Was: &rec, Now: &drained})
 	}
-	return out
+	return changes, dead
 }
 
 // toReturn lists drained machines to give back, and records to drop; mu is
-// held. A machine goes back when it is empty, or when it is dead: then its
-// return is the proof that its tasks are gone.
+// held. A drained machine goes back when it is empty.
 func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []fleet.Change) {
 	for host, rec := range n.reg.Hosts {
 		switch rec.Phase {
@@ -254,8 +258,7 @@
 					open++
 				}
 			}
-			dead := rec.Why == fleet.WhyGone || rec.Why == fleet.WhySilent || rec.Why == fleet.WhySlowBoot
-			if open == 0 || dead {
+			if open == 0 {
 				returns = append(returns, host)
 			}
 		case fleet.Returned:
@@ -271,9 +274,6 @@
 		}
 	}
 	sort.Strings(returns)
-	if len(returns) > tuning.ReturnMax {
-		returns = returns[:tuning.ReturnMax]
-	}
 	return returns, drops
 }
 
@@ -288,12 +288,20 @@
 }
 
 // giveBack returns machines to the cloud and stores that they are gone.
-func (n *Node) giveBack(ctx context.Context, hosts []string) {
-	if err := n.cloud.Return(hosts); err != nil {
-		n.log.Info("machines not returned", "hosts", hosts, "err", err)
-		return
+// Its answer is the proof that everything on them is gone. All calls go before
+// the writes: a wave of hundreds of lost machines once took a minute.
+func (n *Node) giveBack(ctx context.Context, list []string) {
+	var hosts []string
+	for len(list) > 0 {
+		some := list[:min(len(list), tuning.ReturnMax)]
+		list = list[len(some):]
+		if err := n.cloud.Return(some); err != nil {
+			n.log.Info("machines not returned", "hosts", some, "err", err)
+			break
+		}
+		n.log.Info("machines returned", "hosts", some)
+		hosts = append(hosts, some...)
 	}
-	n.log.Info("machines returned", "hosts", hosts)
 	n.mu.Lock()
 	var changes []fleet.Change
 	for _, h := range hosts {
@@ -301,8 +309,9 @@
 		if !ok || rec.Phase == fleet.Returned {
 			continue
 		}
-		if len(n.table.Hosts[h]) == 0 && n.leads() {
-			// Drained and empty: there is nothing that its end would prove.
+		if rec.Phase == fleet.Draining && len(n.table.Hosts[h]) == 0 && n.leads() {
+			// Drained and empty: there is nothing that its end would prove. A
+			// machine that was not drained may yet get a claim that is under way.
 			l := n.leadMemory()
 			l.gone[h] = n.now()
 			l.forget(h)
