--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -155,17 +155,22 @@
 			}
 		}
 	}
+	newest := ""
+	for _, h := range list {
+		newest = max(newest, h.Ref)
+	}
 	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
 	for host, rec := range n.reg.Hosts {
 		if seen[host] {
 			continue
 		}
 		// A stored machine was listed once, perhaps to a former leader. A list
-		// may be older than that: a new machine may be missing from it.
+		// may be older than that: a new machine may be missing from it. Names
+		// come in the order of creation, so a list with a later name is newer.
 		if _, ok := l.since[host]; !ok {
 			l.since[host] = now
 		}
-		if rec.Phase == fleet.Returned || now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
+		if rec.Phase == fleet.Returned || host < newest || now.Sub(l.since[host]) > tuning.ListLagFactor*lag {
 			l.absent[host]++
 		}
 	}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -103,6 +103,7 @@
 	raisedAt time.Time // when our membership last changed
 	leading  leading
 
+	open       func() int // connections of users and workers
 	hostWrites sync.Mutex // held while the leader stores machine records
 
 	kick  chan struct{} // wakes the pass
@@ -166,6 +167,7 @@
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 	}
 	n.self.Label = set.Label
+	n.open = func() int { return 0 }
 	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
 	n.table.Moved = func(host string) {
@@ -193,7 +195,8 @@
 		return fmt.Errorf("peer_listen: %w", err)
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	user := n.httpServer(n.serveUser, int(float64(n.set.Params.Limits.MaxConnections)*tuning.ConnShare))
+	user := n.httpServer(n.serveUser, n.userConns())
+	n.open = func() int { return int(user.GetOpenConnectionsCount()) }
 	peers := n.httpServer(n.servePeer, 2*tuning.PeerConns*(len(n.siblings)+1))
 	peers.MaxRequestBodySize = 1 << 20
 	g.Go(func() error { return user.Serve(ul) })
@@ -216,6 +219,11 @@
 	return g.Wait()
 }
 
+// userConns is how many connections of users and workers this node takes.
+func (n *Node) userConns() int {
+	return int(float64(n.set.Params.Limits.MaxConnections) * tuning.ConnShare)
+}
+
 func (n *Node) httpServer(h fasthttp.RequestHandler, conns int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: h, Name: "wheatspur", Concurrency: max(conns, 8),
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -395,3 +395,45 @@
 		t.Fatalf("a submission after its cancellation: %d %+v", code, st)
 	}
 }
+
+// With its siblings down a node holds the workers of all; between their
+// reports they must not keep users and health checks out.
+func TestACrowdedNodeClosesWorkersConnectionsNotUsers(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	n.set.Params.Limits.MaxConnections = 1000
+	w.addHost("h1", "batch")
+	for _, c := range []struct {
+		open  int
+		close bool
+	}{{100, false}, {700, true}} {
+		n.open = func() int { return c.open }
+		if _, _, ctx := ask(n, "POST", "/checkin", w.checkin("h1", 1, n.baton())); ctx.Response.ConnectionClose() != c.close {
+			t.Errorf("%d open connections: a worker's is closed %v", c.open, ctx.Response.ConnectionClose())
+		}
+		if code, _, ctx := ask(n, "GET", "/up", nil); code != 200 || ctx.Response.ConnectionClose() {
+			t.Errorf("%d open connections: health check %d", c.open, code)
+		}
+	}
+}
+
+// A list that shows a machine created later is newer than all before it: what
+// it omits is gone. A list that does not may be older than a new machine.
+func TestAbsenceCountsAtOnceInAListWithALaterName(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	w.addHost("h2", "batch")
+	w.addHost("h3", "batch")
+	n.mu.Lock()
+	n.leadMemory().since = map[string]time.Time{} // as after a change of leader
+	n.mu.Unlock()
+	n.enterList(context.Background(), []wire.Host{w.cl.list[0], w.cl.list[2]})
+	if l := n.leadMemory(); l.absent["h2"] != 1 {
+		t.Fatalf("absences %v beside a later machine", l.absent)
+	}
+	n.enterList(context.Background(), w.cl.list[:2])
+	if l := n.leadMemory(); l.absent["h3"] != 0 || l.absent["h2"] != 0 {
+		t.Fatalf("absences %v in a list that may be older", l.absent)
+	}
+}
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -24,6 +24,11 @@
 	n.mu.Lock()
 	status, body := n.report(&r)
 	n.mu.Unlock()
+	if float64(n.open()) > float64(n.userConns())*tuning.CrowdedShare {
+		// Guards against the workers of nodes that are down holding all
+		// connections between their reports: users and health checks need some.
+		c.SetConnectionClose()
+	}
 	reply(c, status, body)
 }
 
@@ -56,7 +61,7 @@
 		return 503, wire.Failure{Error: "session has ended"}
 	}
 	n.observe(w, r, now)
-	orders := w.Orders(n.table.Hosts[r.Host], stale < tuning.StateStale && n.open(r.Host))
+	orders := w.Orders(n.table.Hosts[r.Host], stale < tuning.StateStale && n.startable(r.Host))
 	if orders == nil {
 		orders = []wire.Order{}
 	}
@@ -68,9 +73,9 @@
 	return 200, wire.Orders{Baton: n.member.Baton, Orders: orders}
 }
 
-// open reports whether stored claims on a machine may be started: it is not
-// known to be gone; mu is held.
-func (n *Node) open(host string) bool {
+// startable reports whether stored claims on a machine may be started: it is
+// not known to be gone; mu is held.
+func (n *Node) startable(host string) bool {
 	rec, ok := n.reg.Hosts[host]
 	return ok && rec.Phase != fleet.Returned
 }
@@ -169,7 +174,7 @@
 	var orders []wire.Order
 	if !w.Quiet && w.Stint > 0 && now.Sub(w.Heard) < n.silentAfter() {
 		w.Quiet = true
-		for _, o := range w.Orders(n.table.Hosts[w.Host], n.open(w.Host)) {
+		for _, o := range w.Orders(n.table.Hosts[w.Host], n.startable(w.Host)) {
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Orders
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -235,7 +235,7 @@
 	GoneLists = 2
 	// MissingReports is how many report intervals a machine that lists omit must
 	// be silent: reports come up to a quarter late, so one was missed.
-	MissingReports = 1.5
+	MissingReports = 1.25
 	// ReturnMax is the most machines named in one return.
 	ReturnMax = 100
 	// HireMax is the most machines asked for in one call.
@@ -328,6 +328,9 @@
 	// ConnShare is the share of the socket limit that the user and worker
 	// side may hold; the rest is for our own calls.
 	ConnShare = 0.8
+	// CrowdedShare is the share of those connections from which workers'
+	// connections are closed after each report.
+	CrowdedShare = 0.6
 	// MemoryShare is the share of the memory limit given to the Go runtime as
 	// its soft limit; the rest covers the binary, stacks and the C library.
 	MemoryShare = 0.65
