Jobs take few owners; tasks of gone machines are released by their job's first node

Each owner stores its part of a chunk, and jobs lay on the machines of all five: three tasks a change.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -343,7 +343,7 @@
 			placer = in.Leader
 			k := team.grant(in.Leader, d.Job.Need, len(tasks))
 			short = k < len(tasks)
-			picks = in.fit(d, tasks[:k], "")
+			picks = in.spread(d, tasks[:k])
 		}
 		if d.Job.Gang() && (len(d.Job.Live) > 0 || len(picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
 			picks = nil // all at once or not at all
@@ -389,6 +389,27 @@
 	}
 }
 
+// spread chooses machines of as few owners as it can, those with the most
+// places first: every owner stores the ends of its tasks by itself, so a job
+// spread thin over all of them costs several times the changes.
+func (in *Input) spread(d *Demand, tasks []int) []*Machine {
+	if w := d.Job.Record.Work; w.Apart || w.Together {
+		return in.fit(d, tasks, "") // zones count across owners
+	}
+	var parts [][]*Machine
+	for _, node := range in.Order(d.Job.Ref) {
+		if p := in.fit(d, tasks, node); len(p) > 0 {
+			parts = append(parts, p)
+		}
+	}
+	sort.SliceStable(parts, func(a, b int) bool { return len(parts[a]) > len(parts[b]) })
+	var picks []*Machine
+	for _, p := range parts {
+		picks = append(picks, p[:min(len(p), len(tasks)-len(picks))]...)
+	}
+	return picks
+}
+
 // hold keeps the machine that comes closest to holding a task of the job from
 // what comes later in the pass. It guards against small tasks taking all room
 // as it comes free, so that a large one never finds enough on one machine.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -350,3 +350,15 @@
 		t.Fatalf("%d claims, waits because %s", len(out.Claims), out.Why["wk-1"])
 	}
 }
+
+// A job for which no owner has room enough takes as few owners as it can.
+func TestALargeJobIsSpreadOverFewOwners(t *testing.T) {
+	ms := []*Machine{machine("m1", "a", "z", Batch, 1), machine("m2", "b", "z", Batch, 4), machine("m3", "L", "z", Batch, 3)}
+	hosts := map[string]int{}
+	for _, c := range Pass(input("L", ms, job("wk-1", wire.ShapeArray, wire.RankNormal, 7, nil))).Claims {
+		hosts[c.Host]++
+	}
+	if hosts["m1"] != 0 || hosts["m2"] != 4 || hosts["m3"] != 3 {
+		t.Fatalf("placed on %v", hosts)
+	}
+}
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -270,16 +270,26 @@
 		}
 		changes[key].events[id.Task] = jobs.TaskEvent{Kind: kind}
 	}
+	first := map[string]bool{} // jobs whose first node this is
 	for host, claims := range n.table.Hosts {
-		if n.ownerOf(host) != n.self.Label {
-			continue
-		}
 		if n.reg.Hosts[host].Phase == fleet.Returned {
+			// The proof is stored, so any node may release: the job's first
+			// does, in one write for the machines of all owners.
 			for id := range claims {
-				add(id, jobs.Release)
+				mine, ok := first[id.Ref]
+				if !ok {
+					mine = n.member.Order(id.Ref)[0] == n.self.Label
+					first[id.Ref] = mine
+				}
+				if mine {
+					add(id, jobs.Release)
+				}
 			}
 			continue
 		}
+		if n.ownerOf(host) != n.self.Label {
+			continue
+		}
 		if w := n.workers[host]; w != nil {
 			for _, r := range w.Proofs(claims, now, n.set.Lease()) {
 				add(r.ID, r.Kind)
