Claims leave submissions their reserve unless several wait

Cause: in a saturated budget claims always had their half, so that a submission waited behind several of them.

--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -96,11 +96,16 @@
 	}
 }
 
+// intakeBurst is the number of waiting submissions from which claims no longer
+// leave them the reserve.
+const intakeBurst = 3
+
 // Writes is the number of changes that claims and releases may make now with
 // little wait: what decides on the stored state asks before it decides, so
 // that the decision is not old when it goes. A reserve is left to submissions,
-// which then never wait behind claims; but half of the budget is there for
-// claims also while many submissions wait, or what is accepted would not run.
+// which then never wait behind claims; but while several submissions wait all
+// the same, half of the budget is there for claims, or what is accepted would
+// not run.
 func (l *Limiter) Writes(reserve float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,7 +113,11 @@
 	if l.ahead(ClassClaim) > 0 {
 		return 0
 	}
-	return max(l.tokens[1]-reserve, math.Floor(l.claims))
+	free := max(l.tokens[1]-reserve, 0)
+	if len(l.queues[ClassIntake]) >= intakeBurst {
+		free = max(free, math.Floor(l.claims))
+	}
+	return free
 }
 
 // Waiting is the number of changes that wait for the budget.
