--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -8,6 +8,7 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -19,6 +20,12 @@
 func bigWorld(t testing.TB, labels ...string) *world {
 	t.Helper()
 	w := newWorld(t, labels...)
+	w.joinFleet()
+	return w
+}
+
+// joinFleet lets the leader list the fleet, and every machine report.
+func (w *world) joinFleet() {
 	l := w.leader()
 	for i := range fleetSize {
 		host := fmt.Sprintf("host-%06d", i)
@@ -37,14 +44,7 @@
 		owner, _ := w.owner(h.Ref)
 		owner.take(w.checkin(h.Ref, 1, owner.baton()))
 	}
-	for _, n := range w.nodes {
-		for _, m := range w.nodes {
-			if m != n {
-				w.exchange(n, m)
-			}
-		}
-	}
-	return w
+	w.tell()
 }
 
 // fill submits services and arrays and places them.
@@ -142,3 +142,83 @@
 		n.mu.Unlock()
 	}
 }
+
+// A whole fleet joins, takes hundreds of jobs and ends them: what counts is
+// the number of changes, not the time.
+func TestAFleetOf2500MachinesCostsFewChanges(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.teamRoom()
+	w.raise()
+	epochs := func(what string, most uint64, f func()) {
+		t.Helper()
+		before := w.st.epoch
+		f()
+		if n := w.st.epoch - before; n > most {
+			t.Errorf("%s: %d transactions, at most %d are due", what, n, most)
+		}
+	}
+	l := w.leader()
+	epochs("2500 machines join", fleetSize/16, func() { w.joinFleet() })
+	const services, arrays = 150, 60
+	w.fill(services, arrays)
+	epochs("210 jobs are claimed", 2*(services+arrays), func() {
+		for range 30 {
+			w.passAll()
+		}
+	})
+	claimed := 0
+	for _, j := range l.table.Open {
+		claimed += j.Counts[jobs.Claimed]
+	}
+	if claimed != services*8+arrays*60 {
+		t.Fatalf("%d tasks are claimed", claimed)
+	}
+	// All tasks of the arrays end, most on machines of other owners: each
+	// owner stores its part of a chunk at once, or gathers it.
+	shards := map[string][]wire.Shard{}
+	for _, j := range l.table.Open {
+		for i, task := range j.Live {
+			s := wire.Shard{Shard: jobs.Shard(j.Ref, i), Try: task.Try, Phase: wire.ShardRunning}
+			if !j.Service() {
+				s.Phase, s.Cause = wire.ShardExited, wire.CauseDone
+			}
+			shards[task.Host] = append(shards[task.Host], s)
+		}
+	}
+	epochs("3600 tasks end", 4*arrays, func() {
+		for _, h := range w.cl.list {
+			owner, _ := w.owner(h.Ref)
+			owner.take(w.checkin(h.Ref, 1, owner.baton(), shards[h.Ref]...))
+		}
+		for range 12 {
+			w.clk.add(tuning.ReleaseGather)
+			w.sync()
+			w.passAll()
+		}
+	})
+	for i := range arrays {
+		if ref := fmt.Sprintf("wk-2%05d", i); l.table.Jobs[ref].Record.Phase != jobs.Done {
+			t.Fatalf("%s is %s", ref, l.table.Jobs[ref].Record.Phase)
+		}
+	}
+	// Nothing has changed: siblings are told nothing of the machines.
+	w.tell()
+	for _, n := range w.nodes {
+		for _, m := range w.nodes {
+			if m == n {
+				continue
+			}
+			n.mu.Lock()
+			st := n.ownStatus(m.siblings[n.self.Label].seen)
+			n.mu.Unlock()
+			if b := len(st.Encode()); b > 300 {
+				t.Errorf("%s tells %s %d bytes though nothing has changed", n.self.Label, m.self.Label, b)
+			}
+		}
+	}
+	for k, e := range w.st.keys {
+		if len(e.v) > 4096 {
+			t.Errorf("%s holds %d bytes", k, len(e.v))
+		}
+	}
+}
