A machine takes no more tasks than its reports can name

A report or an answer that names more than some 800 tasks is larger than the 64 KiB that a message may hold; nothing kept tiny tasks below that.

--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -357,6 +357,9 @@
 	})
 	zero := 0.0
 	for _, id := range ids {
+		if len(out) >= tuning.TasksPerMachine {
+			break // the next answer holds the rest
+		}
 		j := claims[id]
 		var t jobs.Task
 		if j != nil {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -45,9 +46,13 @@
 	FetchGBPerS             float64        // 0: not known
 	Tasks                   []Resident
 
-	pulls []pull // images that its tasks wait for
+	pulls  []pull // images that its tasks wait for
+	placed int    // tasks placed on it in this pass
 }
 
+// slots is how many more tasks the machine's reports can name.
+func (m *Machine) slots() int { return tuning.TasksPerMachine - len(m.Tasks) - m.placed }
+
 // pull is an image that a machine is to fetch.
 type pull struct {
 	bundle string
@@ -67,7 +72,7 @@
 // Refresh makes the machine ready for a pass, after its tasks and images were
 // entered.
 func (m *Machine) Refresh() {
-	m.pulls = m.pulls[:0]
+	m.pulls, m.placed = m.pulls[:0], 0
 	for i := range m.Tasks {
 		m.pulling(m.Tasks[i].Job.Record.Work)
 	}
@@ -355,6 +360,7 @@
 	for i, m := range picks {
 		m.Free = m.Free.Sub(d.Job.Need)
 		m.pulling(w)
+		m.placed++
 		team.Used = team.Used.Add(d.Job.Need)
 		if placer == in.Me && !d.Blocked {
 			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Stint})
@@ -462,7 +468,7 @@
 				continue
 			}
 			room = room.Max(m.Free)
-			if d.Job.Need.Fits(m.Free) && !d.Avoid[m.Name] {
+			if d.Job.Need.Fits(m.Free) && !d.Avoid[m.Name] && m.slots() > 0 {
 				cand = append(cand, candidate{m, m.wait(d.Job), m.Free.Sub(d.Job.Need).Share(m.Total)})
 			}
 		}
@@ -548,7 +554,7 @@
 		}
 		m := cand[best].m
 		full[best] = true
-		for free := m.Free; len(picks) < len(tasks) && d.Job.Need.Fits(free); free = free.Sub(d.Job.Need) {
+		for free, n := m.Free, 0; len(picks) < len(tasks) && n < m.slots() && d.Job.Need.Fits(free); free, n = free.Sub(d.Job.Need), n+1 {
 			if w.Apart {
 				if used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 					break
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -362,3 +363,13 @@
 		t.Fatalf("placed on %v", hosts)
 	}
 }
+
+// A machine's reports name all its tasks in a message of bounded size.
+func TestAMachineTakesNoMoreTasksThanItsReportsCanName(t *testing.T) {
+	tiny := job("wk-1", wire.ShapeArray, wire.RankNormal, 2*tuning.TasksPerMachine, func(w *wire.Work) { w.CPUs, w.Cards, w.RAMGB = 0.001, 0, 0.001 })
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 4)}, tiny)
+	in.Leader = "a"
+	if n := len(Pass(in).Claims); n != tuning.TasksPerMachine {
+		t.Fatalf("%d tiny tasks on one machine", n)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -152,6 +152,10 @@
 	// PreemptPause is how long a node waits, after it stopped tasks for a job,
 	// before it stops more for it: a stop, its report and the next claim.
 	PreemptPause = 8 * time.Second
+	// TasksPerMachine bounds the tasks of a machine, and the commands of an
+	// answer to it: a report of twice as many, exited ones among them, holds
+	// 64 KiB, the most that a message may.
+	TasksPerMachine = 400
 	// TasksPerJob bounds the tasks of one job that a pass tries to place.
 	TasksPerJob = 128
 )
