--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -386,10 +386,6 @@
 	rooms := map[place.Role]*rooms{place.Batch: p.rooms(place.Batch), place.Service: p.rooms(place.Service)}
 	busy := map[place.Role]bool{}
 	idle := map[string][]Unit{} // ready to go, by group
-	hiring := map[place.Role]bool{}
-	for h := range p.hires {
-		hiring[h.Role] = true
-	}
 	for _, u := range spare {
 		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !rooms[u.Role].spares(u)) || u.Claims > 0 && !rooms[u.Role].spares(u) {
 			continue
@@ -408,7 +404,7 @@
 		if u.Claims > 0 {
 			rest = p.in.Now.Sub(since)
 		}
-		if rest < limit || unmet[u.Role] || hiring[u.Role] || u.Claims > 0 && busy[u.Role] {
+		if rest < limit || unmet[u.Role] || len(p.hires) > 0 || u.Claims > 0 && busy[u.Role] {
 			continue
 		}
 		holds[floor(u)]--
