--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -222,3 +222,69 @@
 		}
 	}
 }
+
+// Grouped records whose answer is lost, that conflict, or of which a leader
+// stored only a part before it stopped, are put right by the next list.
+func TestGroupedRecordsSurviveLostAnswersConflictsAndAHalf(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	ctx := context.Background()
+	var list []wire.Host
+	for i := range 100 {
+		list = append(list, wire.Host{Ref: fmt.Sprintf("host-%06d", i), Address: "10.9.9.9:1", Rig: "g", Plot: "z", Phase: wire.HostRunning})
+	}
+	known := func() int {
+		w.sync()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.reg.Hosts)
+	}
+	w.st.lose = 1
+	n.enterList(ctx, list[:10])
+	if known() != 10 {
+		t.Fatalf("%d machines after a lost answer", known())
+	}
+	epoch := w.st.epoch
+	n.enterList(ctx, list[:10])
+	if known() != 10 || w.st.epoch != epoch {
+		t.Fatal("a group whose answer was lost is written again")
+	}
+	// Somebody else's write of the group comes first.
+	key := n.reg.Key("host-000000")
+	if _, err := w.st.Multi(ctx, 0, nil, []wire.Change{{Set: key, V: w.st.keys[key].v}}); err != nil {
+		t.Fatal(err)
+	}
+	n.enterList(ctx, list[:12])
+	if known() != 10 {
+		t.Fatalf("%d machines: a write computed from an older group was stored", known())
+	}
+	n.enterList(ctx, list[:12])
+	if known() != 12 {
+		t.Fatalf("%d machines after a conflict", known())
+	}
+	// The leader stops after its first group: some joined, the rest did not.
+	n.mu.Lock()
+	writes := n.reg.Writes(joins(list[12:]), int(n.set.Params.State.ValueKB*1024*tuning.GroupShare))
+	n.mu.Unlock()
+	if len(writes) < 3 {
+		t.Fatalf("%d writes", len(writes))
+	}
+	if _, err := w.st.Multi(ctx, 0, nil, []wire.Change{{Set: writes[0].Key, V: wire.MustMarshal(writes[0].V)}}); err != nil {
+		t.Fatal(err)
+	}
+	if k := known(); k <= 12 || k >= 100 {
+		t.Fatalf("%d machines half way", k)
+	}
+	n.enterList(ctx, list)
+	if known() != 100 {
+		t.Fatalf("%d machines after the next list", known())
+	}
+}
+
+func joins(list []wire.Host) []fleet.Change {
+	var out []fleet.Change
+	for _, h := range list {
+		out = append(out, fleet.Change{Host: h.Ref, Now: &fleet.Record{Rig: h.Rig, Plot: h.Plot, Role: place.Batch, Phase: fleet.In}})
+	}
+	return out
+}
