--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -52,6 +52,7 @@
 	Job     *jobs.Job
 	Count   int
 	Waiting time.Duration
+	Untried bool // no place was looked for yet: machines that take tasks may do
 }
 
 // Load is what a role holds now, for its headroom.
@@ -78,6 +79,7 @@
 	Spared map[string]time.Time
 	Moving int // machines that are being drained of service tasks
 	Movers int // how many may be at once
+	Groups int // groups of records that may be changed to give idle machines back
 
 	// Active says which roles have had work lately; the others need neither
 	// floor nor headroom.
@@ -141,7 +143,10 @@
 	}
 	unmet := map[place.Role]bool{}
 	for _, w := range in.Wants {
-		p.cover(w.Job, w.Count, true, w.Waiting, "tasks without a place")
+		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, "tasks without a place")
+		if w.Untried {
+			continue
+		}
 		if w.Job.Service() {
 			unmet[place.Service] = true
 		} else {
@@ -386,7 +391,7 @@
 		}
 		return groups[a] < groups[b]
 	})
-	for _, g := range groups[:min(len(groups), tuning.DrainGroups)] {
+	for _, g := range groups[:min(len(groups), max(p.in.Groups, tuning.DrainGroups))] {
 		for _, u := range idle[g] {
 			out = append(out, DrainPlan{u.Name, WhyIdle})
 		}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -418,6 +418,20 @@
 		}
 		in.Active[role] = now.Sub(l.active[role]) < tuning.RoleLapse
 	}
+	// What has a place that is not stored yet, and what had no turn in the
+	// pass, takes its room first. Guards against renting only when the last
+	// free machine is taken: with hundreds of jobs that took half a minute.
+	for ref, j := range n.table.Open {
+		rest := j.Counts[jobs.Pending]
+		if n.why[ref] != place.NoTurn {
+			rest -= n.unmet[ref]
+		}
+		if rest > 0 && (n.why[ref] == "" || n.why[ref] == place.NoTurn || n.why[ref] == place.NoRoom) {
+			in.Wants = append(in.Wants, fleet.Want{Job: j, Count: rest, Untried: true})
+		}
+	}
+	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.Ref < in.Wants[b].Job.Ref })
+	in.Groups = min(int(n.lim.Writes(tuning.WriteReserve)), tuning.DrainGroupsMost)
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
 		refs = append(refs, ref)
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -96,7 +96,7 @@
 	}
 	// What can't be written now is not decided now: it would wait in the
 	// budget's queue until its guards are old, and fail.
-	most := n.lim.Writes() - tuning.WriteReserve
+	most := n.lim.Writes(tuning.WriteReserve)
 	txns := n.shareOut(now, &most)
 	due := n.releases(now)
 	fleet := n.machines(now)
--- /dev/null
+++ b/internal/server/trouble_test.go
@@ -0,0 +1,397 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// prove lets a machine show the present token twice over, as a live one does.
+func (w *world) prove(host string, stint uint64, shards ...wire.Shard) *Node {
+	w.t.Helper()
+	n, _ := w.owner(host)
+	if code, _ := n.take(w.checkin(host, stint, n.baton(), shards...)); code != 200 {
+		w.t.Fatalf("report of %s: %d", host, code)
+	}
+	return n
+}
+
+// A machine whose reports arrive, but which no answer and no command reaches.
+func TestAMachineThatDoesNotHearTakesNothingNewAndItsServicesMove(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "service")
+	w.prove("h1", 1)
+	w.submit(n, service("wk-1", 2))
+	w.passAll()
+	running := []wire.Shard{{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning}, {Shard: "wk-1/1", Try: 1, Phase: wire.ShardRunning}}
+	w.prove("h1", 1, running...)
+	// From here on nothing reaches it. It is told to start a third task.
+	w.submit(n, service("wk-2", 1))
+	w.passAll()
+	for range 3 {
+		w.prove("h1", 1, running...)
+		w.clk.add(tuning.ConfirmAfter)
+		w.sync()
+	}
+	if !n.workers["h1"].Mute {
+		t.Fatal("nobody notices that it does nothing it is told")
+	}
+	w.submit(n, service("wk-3", 1))
+	w.passAll()
+	if n.table.Jobs["wk-3"].Counts[jobs.Claimed] != 0 {
+		t.Fatal("a new task was placed on it")
+	}
+	// Its services stay until there is proof, even beside a free machine: its
+	// reports go on and it runs them.
+	w.addHost("h2", "service")
+	w.prove("h2", 1)
+	w.passAll()
+	if n.claimsOn("h1") != 3 {
+		t.Fatalf("%d claims on it: released without proof", n.claimsOn("h1"))
+	}
+	// Its lease ends, since no answer renewed it: a new session shows that.
+	w.prove("h1", 2)
+	w.passAll()
+	w.passAll()
+	if n.claimsOn("h1") != 0 || n.claimsOn("h2") != 4 {
+		t.Fatalf("claims: %d on it, %d on the other machine", n.claimsOn("h1"), n.claimsOn("h2"))
+	}
+	// It hears again: a direct call is answered.
+	n.mu.Lock()
+	n.workers["h1"].Reached()
+	n.mu.Unlock()
+	w.prove("h1", 2)
+	w.submit(n, service("wk-4", 1))
+	w.passAll()
+	if n.claimsOn("h1") != 1 {
+		t.Fatal("it is not used again")
+	}
+}
+
+// It is replaced if it stays that way.
+func TestAMachineThatStaysMuteIsGivenBack(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "service")
+	w.prove("h1", 1)
+	n.workers["h1"].Mute = true
+	var out fleet.PlanOutput
+	for range 4 {
+		w.clk.add(lease)
+		w.sync()
+		w.prove("h1", n.workers["h1"].Stint+1)
+		n.mu.Lock()
+		n.workers["h1"].Mute = true
+		n.leadMemory().listAt = w.clk.now()
+		out = fleet.Plan(n.planInput(n.leadMemory(), n.machines(w.clk.now()), w.clk.now()))
+		n.mu.Unlock()
+	}
+	if len(out.Drains) != 1 || out.Drains[0].Why != fleet.WhyUnfit {
+		t.Fatalf("%+v", out.Drains)
+	}
+}
+
+// Copies of reports come late: by seconds, by more than a lease, after a new
+// session, after a reap, after a change of owner, and to a node just started.
+func TestLateCopiesOfReportsProveNothing(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	n := w.prove("h1", 1)
+	w.submit(n, work("wk-1", 1))
+	w.passAll()
+	w.passAll()
+	done := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseError}
+	before := w.checkin("h1", 1, n.baton())
+	w.prove("h1", 1, wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning})
+	late := *before
+	if code, body := n.take(&late); code == 200 {
+		t.Fatalf("a copy was answered as a report: %v", body)
+	}
+	if n.claimsOn("h1") != 1 || len(n.workers["h1"].Shards) != 1 {
+		t.Fatal("a copy without the task took it out of sight")
+	}
+	// A failed attempt is released, reaped and claimed again; then the report
+	// that listed it comes once more.
+	exited := w.checkin("h1", 1, n.baton(), done)
+	n.take(exited)
+	w.clk.add(5 * time.Second)
+	w.prove("h1", 1, done)
+	w.passAll()
+	w.clk.add(5 * time.Second)
+	w.prove("h1", 1)
+	w.passAll()
+	again := *exited
+	n.take(&again)
+	w.passAll()
+	n.mu.Lock()
+	task := n.table.Jobs["wk-1"].Task(0)
+	n.mu.Unlock()
+	if task.State == jobs.Completed || task.Try > 2 {
+		t.Fatalf("a copy of a reaped attempt changed the task: %+v", task)
+	}
+	// The machine dies. Copies go on for well over a lease; the lease ends all
+	// the same, and they make nothing look alive.
+	last := w.checkin("h1", 1, n.baton())
+	n.take(last)
+	for range 6 {
+		w.clk.add(lease / 4)
+		w.sync()
+		c := *last
+		n.take(&c)
+	}
+	w.passAll()
+	if n.claimsOn("h1") != 0 {
+		t.Fatal("copies kept the lease of a dead machine alive")
+	}
+	n.mu.Lock()
+	open := n.machines(w.clk.now()).Machine("h1").Open
+	n.mu.Unlock()
+	if open {
+		t.Fatal("copies make a dead machine look alive")
+	}
+	// The owner's process is replaced: the new one, or the other node, knows
+	// nothing of the machine and gets a copy first.
+	w.st.expire(n.self.Incarnation)
+	w.sync()
+	n.endSession()
+	for range 4 {
+		w.settle()
+	}
+	w.passAll()
+	now, _ := w.owner("h1")
+	c := *last
+	now.take(&c)
+	w.submit(now, work("wk-2", 1))
+	w.passAll()
+	if now.claimsOn("h1") != 0 {
+		t.Fatal("a task was placed on a dead machine that a copy spoke for")
+	}
+}
+
+// A controller that loses the state service and its siblings, not its workers.
+func TestACutOffNodeKeepsWhatRunsAndStartsNothing(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	n := w.prove("h1", 1)
+	w.submit(n, work("wk-1", 1))
+	w.submit(n, work("wk-2", 1))
+	w.passAll()
+	w.passAll()
+	running := wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning}
+	w.prove("h1", 1, running)
+	w.st.down = true
+	w.clk.add(tuning.StateStale + time.Second)
+	code, body := n.take(w.checkin("h1", 1, n.baton(), running))
+	if o := orders(t, code, body); len(o) != 0 {
+		t.Fatalf("without the state service it orders %v", o)
+	}
+	start := time.Now()
+	for _, path := range []string{"/work/wk-1", "/work/wk-77"} {
+		if code, _, c := ask(n, "GET", path, nil); code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+			t.Fatalf("GET %s: %d", path, code)
+		}
+	}
+	if code, _, _ := ask(n, "POST", "/work", work("wk-9", 1)); code != 503 {
+		t.Fatalf("a submission: %d", code)
+	}
+	if time.Since(start) > time.Second {
+		t.Fatal("users wait for answers that can't come")
+	}
+	if code, _ := n.take(w.checkin("h1", 1, n.baton()+1, running)); code == 200 {
+		t.Fatal("a report with a higher token was answered with 200")
+	}
+	// Its time is up: it sends its workers on. The other node has them by then
+	// and releases nothing without proof.
+	w.clk.add(cancel - lease)
+	if code, _ := n.take(w.checkin("h1", 1, n.baton(), running)); code != 421 {
+		t.Fatalf("its workers get %d when its time is up", code)
+	}
+	w.st.down = false
+	w.st.expire(n.self.Incarnation)
+	w.sync()
+	n.endSession()
+	for range 4 {
+		w.settle()
+	}
+	w.passAll()
+	heir := w.leader()
+	if heir.claimsOn("h1") != 2 {
+		t.Fatal("claims were released without proof")
+	}
+	for range 3 {
+		// On return it registers again, once, and asks for nothing more.
+		n.mu.Lock()
+		n.session, n.self.Incarnation = n.session.Next(member.GotLease), 0
+		n.mu.Unlock()
+		n.self.Incarnation, _ = w.st.Lease(context.Background(), time.Second)
+		break
+	}
+	for range 4 {
+		w.settle()
+	}
+	epoch := w.st.epoch
+	for range 5 {
+		w.settle()
+		w.passAll()
+	}
+	if w.st.epoch-epoch > 4 {
+		t.Fatalf("%d changes after its return", w.st.epoch-epoch)
+	}
+}
+
+// A process that is back within a fraction of a second, in the middle of an
+// election: its old session is still held, its write of the lead key and of
+// the membership have unknown outcomes, its old calls still arrive.
+func TestARestartAmidAnElection(t *testing.T) {
+	labels := []string{"a", "b", "c"}
+	w := newWorld(t, labels...)
+	old := w.leader()
+	label, baton := old.self.Label, old.baton()
+	w.addHost("h1", "batch")
+	// A write of the old process that is still under way.
+	old.mu.Lock()
+	held := w.st.keys[member.Key].stamp
+	stale := *old.member
+	stale.Baton++
+	old.mu.Unlock()
+	fresh := w.start(label, labels) // its old session and lead key still stand
+	for range 6 {
+		w.settle()
+	}
+	lead := w.leader()
+	if lead.baton() <= baton {
+		t.Fatal("the restart did not raise the token")
+	}
+	if lead.member.Has(old.self) || !lead.member.Has(fresh.self) {
+		t.Fatalf("members %+v", lead.member.Nodes)
+	}
+	// The old process's write arrives late and changes nothing.
+	if _, err := w.st.Multi(context.Background(), 0, []wire.Guard{{Key: member.Key, Stamp: held}},
+		[]wire.Change{{Set: member.Key, V: wire.MustMarshal(stale)}}); err == nil {
+		t.Fatal("a membership of the old process was stored")
+	}
+	// A membership write whose answer is lost is not written twice.
+	w.st.expire(fresh.self.Incarnation)
+	w.sync()
+	w.st.lose = 1
+	for range 6 {
+		w.settle()
+	}
+	seen := map[uint64]bool{}
+	for _, n := range w.nodes {
+		if n != fresh {
+			seen[n.baton()] = true
+		}
+	}
+	if len(seen) != 1 {
+		t.Fatalf("tokens %v", seen)
+	}
+	// The old process, if it still ran, is entitled to nothing.
+	old.sync.Barrier(time.Second)
+	if code, _ := old.take(w.checkin("h1", 1, baton)); code == 200 {
+		t.Fatal("the old process answers workers")
+	}
+}
+
+// After an outage every job's polls are answered, whichever they are: no
+// queue fails the same ones again and again.
+func TestPollsOfAllJobsAreAnsweredAfterAnOutage(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	const known = 600
+	for i := range known {
+		v := wire.MustMarshal(jobs.Record{Phase: jobs.Open, Tasks: 1, Chunk: 70, Work: ptr(work(fmt.Sprintf("wk-%d", i), 1))})
+		if _, err := w.st.Multi(context.Background(), 0, nil, []wire.Change{{Set: jobs.JobKey(fmt.Sprintf("wk-%d", i)), V: v}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.st.down = true
+	w.clk.add(time.Minute)
+	if code, _, _ := ask(n, "GET", "/work/wk-1", nil); code != 503 {
+		t.Fatalf("a poll in an outage: %d", code)
+	}
+	w.st.down = false
+	w.sync()
+	left := map[string]bool{}
+	for i := range known {
+		left[fmt.Sprintf("wk-%d", i)] = true
+	}
+	for round := 0; len(left) > 0; round++ {
+		if round == 4 {
+			t.Fatalf("%d jobs get no answer in four rounds of polls", len(left))
+		}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for ref := range left {
+			wg.Go(func() {
+				if code, _, _ := ask(n, "GET", "/work/"+ref, nil); code == 200 {
+					mu.Lock()
+					defer mu.Unlock()
+					delete(left, ref)
+				}
+			})
+			if len(left) == 0 {
+				break
+			}
+		}
+		wg.Wait()
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// Reports that no honest, up-to-date worker sends are answered by the
+// protocol and change nothing; carried out requests that come again too.
+func TestBadReportsAndRepeatedRequestsChangeNothing(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	w.prove("h1", 3)
+	w.submit(n, work("wk-1", 1))
+	w.passAll()
+	w.prove("h1", 3, wire.Shard{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning})
+	epoch := w.st.epoch
+	for name, r := range map[string]*wire.Checkin{
+		"stint goes back":      {Host: "h1", Rig: "g", Stint: 2, Tally: 999, Baton: n.baton()},
+		"tally goes back":      {Host: "h1", Rig: "g", Stint: 3, Tally: 1, Baton: n.baton()},
+		"token from nowhere":   {Host: "h1", Rig: "g", Stint: 4, Tally: 1, Baton: n.baton() + 7},
+		"session zero":         {Host: "h1", Rig: "g", Tally: 1},
+		"no name":              {Stint: 1, Tally: 1},
+		"shards from nowhere":  {Host: "h9", Rig: "x", Stint: 1, Tally: 1, Shards: []wire.Shard{{Shard: "nonsense", Try: 1, Phase: wire.ShardRunning}}},
+		"unknown machine":      {Host: "h9", Rig: "x", Stint: 1, Tally: 2, Baton: n.baton()},
+		"exit of another's":    {Host: "h9", Rig: "x", Stint: 1, Tally: 3, Baton: n.baton(), Shards: []wire.Shard{{Shard: "wk-1/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseDone}}},
+		"exit without a claim": {Host: "h9", Rig: "x", Stint: 1, Tally: 4, Baton: n.baton(), Shards: []wire.Shard{{Shard: "wk-77/0", Try: 1, Phase: wire.ShardExited, Cause: wire.CauseDone}}},
+	} {
+		if code, _, _ := ask(n, "POST", "/checkin", r); code != 200 && code != 400 && code != 421 && code != 503 {
+			t.Errorf("%s: %d", name, code)
+		}
+	}
+	for range 2 {
+		if code, st, _ := ask(n, "POST", "/work", work("wk-1", 1)); code != 200 || st.Phase != wire.PhaseRunning {
+			t.Fatalf("repeated submission: %d %+v", code, st)
+		}
+	}
+	w.passAll()
+	if w.st.epoch != epoch || n.claimsOn("h1") != 1 || n.claimsOn("h9") != 0 {
+		t.Fatalf("%d changes, %d claims", w.st.epoch-epoch, n.claimsOn("h1"))
+	}
+	if code, _, _ := ask(n, "POST", "/work/wk-1/cancel", nil); code != 200 {
+		t.Fatal(code)
+	}
+	epoch = w.st.epoch
+	if code, st, _ := ask(n, "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled || w.st.epoch != epoch {
+		t.Fatalf("repeated cancellation: %d %+v", code, st)
+	}
+	if code, st, _ := ask(n, "POST", "/work", work("wk-1", 1)); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("a submission after its cancellation: %d %+v", code, st)
+	}
+}
--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 )
@@ -30,6 +31,7 @@
 	now     func() time.Time
 	rate    [2]float64 // requests, writes per second
 	tokens  [2]float64
+	claims  float64 // changes kept for claims while submissions wait
 	last    time.Time
 	queues  [classes][]*waiter
 	room    int
@@ -75,6 +77,7 @@
 	for i := range l.tokens {
 		l.tokens[i] = min(l.tokens[i]+dt*l.rate[i], max(l.rate[i], 1))
 	}
+	l.claims = min(l.claims+dt*l.rate[1]/2, max(l.rate[1]/2, 1))
 }
 
 func (l *Limiter) affordable(cost [2]float64) bool {
@@ -93,17 +96,19 @@
 	}
 }
 
-// Writes is the number of changes that could go now without waiting: what
-// decides on the stored state asks before it decides, so that the decision is
-// not old when it goes.
-func (l *Limiter) Writes() float64 {
+// Writes is the number of changes that claims and releases may make now with
+// little wait: what decides on the stored state asks before it decides, so
+// that the decision is not old when it goes. A reserve is left to submissions,
+// which then never wait behind claims; but half of the budget is there for
+// claims also while many submissions wait, or what is accepted would not run.
+func (l *Limiter) Writes(reserve float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refill()
-	if l.ahead(ClassClaim) > 0 || l.tokens[0] < 1 {
+	if l.ahead(ClassClaim) > 0 {
 		return 0
 	}
-	return max(l.tokens[1], 0)
+	return max(l.tokens[1]-reserve, math.Floor(l.claims))
 }
 
 // Acquire waits for the budget of one request with the given writes.
@@ -111,6 +116,9 @@
 	cost := [2]float64{1, float64(writes)}
 	l.mu.Lock()
 	l.refill()
+	if c == ClassClaim {
+		l.claims = max(l.claims-cost[1], 0)
+	}
 	if c == ClassLease {
 		// A session that waits is a session that ends: leases run into debt.
 		l.take(cost)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -239,8 +239,10 @@
 	// MovableTries is how many half-empty service machines a plan looks at.
 	MovableTries = 6
 	// DrainGroups is how many groups of machine records one plan may touch to
-	// give idle machines back: two of the leader's changes a second.
-	DrainGroups = 2
+	// give idle machines back, and DrainGroupsMost how many while the budget
+	// of changes has room.
+	DrainGroups     = 2
+	DrainGroupsMost = 6
 	// MoversShare is the part of the service machines that may be emptied at
 	// once, at least one; each owner still moves its tasks singly.
 	MoversShare = 0.03
