--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -54,6 +54,7 @@
 	leases map[uint64]bool
 	next   uint64
 	down   bool
+	reads  int // watches asked for
 	lose   int // so many answers of transactions get lost after they were applied
 }
 
@@ -142,6 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := wire.Events{Epoch: s.epoch}
+	s.reads++
 	if s.down {
 		return out, store.ErrRefused
 	}
