--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -231,12 +231,27 @@
 			return fmt.Errorf("%s: %v is not between %v and %v", n.name, n.v, n.min, n.max)
 		}
 	}
+	// A team's limit is shared out, and the membership stored, in one value
+	// that names every node.
+	names := len(s.Label)
+	for _, sib := range s.Siblings {
+		names += len(sib.Label)
+	}
+	if need := valueBase + names + valueNode*(len(s.Siblings)+1); float64(need) > p.State.ValueKB*1024 {
+		return fmt.Errorf("params.state.value_kb: %v is too small for a record that names %d nodes (%d bytes)", p.State.ValueKB, len(s.Siblings)+1, need)
+	}
 	if p.Workers.CancelS <= p.Workers.LeaseS {
 		return errors.New("params.workers.cancel_s: must exceed lease_s")
 	}
 	return nil
 }
 
+// valueBase and valueNode bound the JSON of a record with an entry a node.
+const (
+	valueBase = 160
+	valueNode = 64
+)
+
 // Lease returns the workers' lease.
 func (s *Settings) Lease() time.Duration { return Seconds(s.Params.Workers.LeaseS) }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -65,6 +66,21 @@
 	}
 }
 
+// A value that can't hold a record with an entry a node is refused at the
+// start, not at the first write.
+func TestALimitTooSmallForTheNodesIsRefused(t *testing.T) {
+	many := strings.Replace(good, "value_kb = 4.0", "value_kb = 1.0", 1)
+	if _, err := Parse([]byte(many)); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 15 {
+		many = strings.Replace(many, "[endpoints]", fmt.Sprintf("[[siblings]]\nlabel = \"more-%d\"\nendpoint = \"10.0.1.1:8081\"\n[endpoints]", i), 1)
+	}
+	if _, err := Parse([]byte(many)); err == nil || !strings.Contains(err.Error(), "params.state.value_kb") {
+		t.Fatal(err)
+	}
+}
+
 // Workers' leases that a node renews without reading the state service must
 // end before a cancellation is due.
 func TestAnswerBoundLeavesRoomForTheLease(t *testing.T) {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -27,6 +27,12 @@
 	bad.Crew = "nobody"
 	huge := good
 	huge.Ref, huge.CPUs = "wk-2", 99
+	long := good
+	long.Ref = "wk-5"
+	for range 32 {
+		long.Rigs = append(long.Rigs, "g"+strings.Repeat("x", 99))
+	}
+	long.Cohort, long.Bundle = strings.Repeat("c", 200), strings.Repeat("b", 200)
 	negative := good
 	negative.Ref, negative.Cards = "wk-3", -1
 	for _, c := range []struct {
@@ -42,6 +48,7 @@
 		{"not a map", "POST", "/work", []int{1}, 400},
 		{"a field missing", "POST", "/work", map[string]any{"ref": "wk-9"}, 400},
 		{"out of range", "POST", "/work", negative, 400},
+		{"too large to store", "POST", "/work", long, 422},
 		{"fits no machine", "POST", "/work", huge, 422},
 		{"more than the team's limit", "POST", "/work", service("wk-4", 9), 422},
 		{"poll", "GET", "/work/wk-1", nil, 200},
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -269,7 +269,7 @@
 	w, err := wire.DecodeWork(body)
 	status := 400
 	if err == nil && jobs.JSONSize(&w) > int(n.set.Params.State.ValueKB*1024)-256 {
-		err = errors.New("the job's description is too large")
+		status, err = 422, errors.New("the job's description is larger than the state service can hold")
 	}
 	if err == nil {
 		n.mu.Lock()
