A late answer no longer brings a dropped key back

Ruled out: watches that overlap (an older epoch is ignored), a reload (none in the log). Change: an answer at or below the epoch that the cache is complete to brings nothing new. Test: TestALateAnswerDoesNotBringADroppedKeyBack fails without it.

--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -96,8 +96,14 @@
 	return changed
 }
 
-// Own enters the node's own transaction, answered with the given epoch.
+// Own enters the node's own transaction, answered with the given epoch. An
+// answer that the watch has overtaken brings nothing new. Guards against a key
+// that another node has dropped since: it came back, with claims that nothing
+// ever released, and every write about it failed.
 func (c *Cache) Own(then []wire.Change, epoch uint64) {
+	if epoch <= c.rev {
+		return
+	}
 	for _, ch := range then {
 		if ch.Drop != "" {
 			c.drop(ch.Drop, epoch)
--- a/internal/store/cache_test.go
+++ b/internal/store/cache_test.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// The answer to a write came after the watch had shown it, and after it that
+// another node dropped the key: the key came back for good.
+func TestALateAnswerDoesNotBringADroppedKeyBack(t *testing.T) {
+	got := seen{}
+	c := NewCache(got.sink)
+	c.Load([]wire.Pair{{Key: "a", V: val("1"), Stamp: 5}}, 10, 10)
+	c.Apply(wire.Events{Epoch: 12, Events: []wire.Event{{Set: "a", V: val("2"), Stamp: 11}, {Drop: "a", Stamp: 12}}})
+	c.Own([]wire.Change{{Set: "a", V: val("2")}}, 11)
+	if _, ok := got["a"]; ok || c.Stamp("a") != 0 {
+		t.Fatal("a dropped key came back by a late answer")
+	}
+}
+
 // Pages of one read show different epochs: decisions wait until the watch has
 // caught up with the last page, or a team's key could be newer than the claims
 // that the cache holds.
