--- a/internal/peer/fb/Status.go
+++ b/internal/peer/fb/Status.go
@@ -181,28 +181,8 @@
 	return 0
 }
 
-func (rcv *Status) Ends(obj *End, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
-	if o != 0 {
-		x := rcv._tab.Vector(o)
-		x += flatbuffers.UOffsetT(j) * 4
-		x = rcv._tab.Indirect(x)
-		obj.Init(rcv._tab.Bytes, x)
-		return true
-	}
-	return false
-}
-
-func (rcv *Status) EndsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
-	if o != 0 {
-		return rcv._tab.VectorLen(o)
-	}
-	return 0
-}
-
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(13)
+	builder.StartObject(12)
 }
 func StatusAddLabel(builder *flatbuffers.Builder, label flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(label), 0)
@@ -243,12 +223,6 @@
 func StatusStartHostsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
-func StatusAddEnds(builder *flatbuffers.Builder, ends flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(ends), 0)
-}
-func StatusStartEndsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
-	return builder.StartVector(4, numElems, 4)
-}
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,8 +1,7 @@
 // Package peer is what controller nodes say to each other: every node posts
 // its status to its siblings and gets theirs back, with the machines that have
-// changed since it last did, as FlatBuffers. What the rules rest on is stored,
-// with one exception: proven ends of attempts, which stay true for ever, so
-// that a late or repeated message does no harm. The rest is advice.
+// changed since it last did, as FlatBuffers. Nothing
+// that the rules rest on travels this way; it is advice about liveness.
 package peer
 
 //go:generate flatc --go status.fbs
@@ -52,15 +51,6 @@
 	Whole       bool   // Hosts are all machines, not those that changed
 	Seen        Seen   // what the sender has of the receiver
 	Hosts       []Host
-	Ends        []End // that the receiver is to store
-}
-
-// End is the proven end of an attempt, as the owner of its machine tells it to
-// the node that stores the ends of its job.
-type End struct {
-	Task string // the way workers name it
-	Try  uint64
-	Kind string // a jobs.TaskEventKind
 }
 
 // Seen is the view that a node has of another node's machines.
@@ -88,16 +78,7 @@
 		fb.HostViewAddImages(b, vec)
 		hosts[i] = fb.HostViewEnd(b)
 	}
-	ends := make([]flatbuffers.UOffsetT, len(s.Ends))
-	for i, e := range s.Ends {
-		task, kind := b.CreateString(e.Task), b.CreateSharedString(e.Kind)
-		fb.EndStart(b)
-		fb.EndAddTask(b, task)
-		fb.EndAddTry(b, e.Try)
-		fb.EndAddKind(b, kind)
-		ends[i] = fb.EndEnd(b)
-	}
-	vec, endsVec := vector(b, hosts, fb.StatusStartHostsVector), vector(b, ends, fb.StatusStartEndsVector)
+	vec := vector(b, hosts, fb.StatusStartHostsVector)
 	label := b.CreateString(s.Label)
 	fb.StatusStart(b)
 	fb.StatusAddLabel(b, label)
@@ -112,7 +93,6 @@
 	fb.StatusAddSeenBaton(b, s.Seen.Baton)
 	fb.StatusAddSeenIncarnation(b, s.Seen.Incarnation)
 	fb.StatusAddHosts(b, vec)
-	fb.StatusAddEnds(b, endsVec)
 	b.Finish(fb.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -167,14 +147,6 @@
 		}
 		s.Hosts = append(s.Hosts, v)
 	}
-	if f.EndsLength() > len(b)/4 {
-		return Status{}, ErrMalformed
-	}
-	for i := range f.EndsLength() {
-		var e fb.End
-		f.Ends(&e, i)
-		s.Ends = append(s.Ends, End{string(e.Task()), e.Try(), string(e.Kind())})
-	}
 	return s, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,7 +10,7 @@
 	return Status{Label: "n1", Incarnation: 7, Baton: 9, Epoch: 100, HasState: true, Want: 5, View: 12, Whole: true, Seen: Seen{3, 9, 6}, Hosts: []Host{
 		{Name: "host-1", Stint: 2, Age: 1500 * time.Millisecond, Proven: true, Warning: -1, Images: []string{"a", "b"}},
 		{Name: "host-2", Stint: 1, Age: -1, Silent: true, Warning: 8 * time.Second, Suspect: true},
-	}, Ends: []End{{"wk-1/3", 2, "complete"}, {"wk-1/4", 1, "release"}}}
+	}}
 }
 
 func TestStatusSurvivesTheWire(t *testing.T) {
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -401,7 +401,7 @@
 func (w *world) exchange(from, to *Node) {
 	from.mu.Lock()
 	from.viewAt = time.Time{}
-	own := from.ownStatus(to.self.Label, to.siblings[from.self.Label].seen)
+	own := from.ownStatus(to.siblings[from.self.Label].seen)
 	from.mu.Unlock()
 	st, err := peer.Decode(own.Encode())
 	if err != nil {
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -90,16 +90,14 @@
 	busyTeam map[string]bool           // a write of the team's key is under way
 	flying   map[string]jobs.Resources // claims under way, by team
 	doubts   []doubt
-	want     float64               // changes that wait for the budget, a mean over the last passes
-	storing  int                   // changes of machine records that the leader has yet to write
-	shortAt  map[string]time.Time  // teams whose work waits for a new share, since when
-	sharedAt map[string]time.Time  // when a team's limit was last frozen
-	dueSince map[string]time.Time  // chunks with ends to store, since when
-	handed   map[string][]peer.End // ends that each sibling is told to store
-	handedAt map[jobs.ID]time.Time // since when
-	notUntil map[string]time.Time  // jobs that lost a race, by when to try again
-	served   map[string]time.Time  // jobs that others were stopped for, by when
-	unmet    map[string]int        // tasks without a place, by job, of the last pass
+	want     float64              // changes that wait for the budget, a mean over the last passes
+	storing  int                  // changes of machine records that the leader has yet to write
+	shortAt  map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt map[string]time.Time // when a team's limit was last frozen
+	dueSince map[string]time.Time // chunks with ends to store, since when
+	notUntil map[string]time.Time // jobs that lost a race, by when to try again
+	served   map[string]time.Time // jobs that others were stopped for, by when
+	unmet    map[string]int       // tasks without a place, by job, of the last pass
 	why      map[string]string
 	unmetAt  map[string]time.Time
 	raisedAt time.Time // when our membership last changed
@@ -642,7 +640,7 @@
 func (n *Node) runPeer(ctx context.Context, s *sibling) error {
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		own := n.ownStatus(s.cfg.Label, peer.Seen{})
+		own := n.ownStatus(peer.Seen{})
 		own.Seen = s.seen
 		n.mu.Unlock()
 		own.Hosts, own.Whole = nil, false // they come with the answer to the sibling's own
@@ -680,17 +678,14 @@
 	}
 	st.Hosts = nil
 	s.status, s.at = st, now
-	if len(st.Ends) > 0 {
-		wake(n.kick)
-	}
 	if n.member != nil && st.Baton > n.member.Baton {
 		wake(n.mkick)
 	}
 }
 
-// ownStatus is this node's status for a sibling, with what has changed of its
-// machines since the view that the sibling has; mu is held.
-func (n *Node) ownStatus(to string, seen peer.Seen) peer.Status {
+// ownStatus is this node's status, with what has changed of its machines since
+// the view that a sibling has; mu is held.
+func (n *Node) ownStatus(seen peer.Seen) peer.Status {
 	now := n.now()
 	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
 	if n.member != nil {
@@ -704,7 +699,6 @@
 	st.View = n.view
 	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
-		st.Ends = n.handed[to]
 		for _, t := range n.told {
 			if st.Whole || t.view > seen.View {
 				st.Hosts = append(st.Hosts, t.host)
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -209,7 +209,7 @@
 				continue
 			}
 			n.mu.Lock()
-			st := n.ownStatus(m.self.Label, m.siblings[n.self.Label].seen)
+			st := n.ownStatus(m.siblings[n.self.Label].seen)
 			n.mu.Unlock()
 			if b := len(st.Encode()); b > 300 {
 				t.Errorf("%s tells %s %d bytes though nothing has changed", n.self.Label, m.self.Label, b)
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -191,7 +191,7 @@
 	}
 	n.notePeer(st, false)
 	n.mu.Lock()
-	own := n.ownStatus(st.Label, st.Seen)
+	own := n.ownStatus(st.Seen)
 	n.mu.Unlock()
 	c.SetBody(own.Encode())
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -59,12 +59,6 @@
 	ReleaseGather = 1500 * time.Millisecond
 	// ReleaseLate is when a gathered release goes before new claims.
 	ReleaseLate = 12 * time.Second
-	// HandOverWait is how long an end that another node is to store may stay
-	// unstored before the machine's owner stores it: longer than ReleaseLate,
-	// so that a node that is merely short of budget is not doubled.
-	HandOverWait = 15 * time.Second
-	// HandOverMost bounds the ends in one message to a sibling.
-	HandOverMost = 2000
 	// ShareOutPause separates two times that a team's limit is shared out anew.
 	ShareOutPause = 3 * time.Second
 	// TxnBytes is the most JSON that a transaction may hold; the service's
