--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -257,18 +257,26 @@
 	return false
 }
 
-// NoteImage remembers that the machine holds an image.
-func (w *Worker) NoteImage(image string) {
-	for i, im := range w.Images {
-		if im == image {
-			w.Images = append(append(w.Images[:i:i], w.Images[i+1:]...), image)
-			return
+// NoteImage remembers that the machine uses an image, and forgets the images
+// that it has dropped for want of room: it keeps those used last. gb tells the
+// size of an image; room is the machine's disk, 0 if it is not known.
+func (w *Worker) NoteImage(image string, gb func(string) float64, room float64) {
+	kept := make([]string, 0, len(w.Images)+1)
+	for _, im := range w.Images {
+		if im != image {
+			kept = append(kept, im)
 		}
 	}
-	w.Images = append(w.Images, image)
-	if len(w.Images) > tuning.ImagesKept {
-		w.Images = w.Images[1:]
+	kept = append(kept, image)
+	used, first := 0.0, len(kept)
+	for first > 0 && len(kept)-first < tuning.ImagesKept {
+		used += gb(kept[first-1])
+		if room > 0 && used > room {
+			break
+		}
+		first--
 	}
+	w.Images = kept[min(first, len(kept)-1):]
 }
 
 // LeaseOver reports whether the session's lease has surely ended: the worker
--- a/internal/fleet/worker_test.go
+++ b/internal/fleet/worker_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -258,3 +259,23 @@
 		t.Fatal("orders of an earlier session count against the new one")
 	}
 }
+
+// What is forgotten is fetched beside a machine that holds it; what is
+// remembered too long is waited for.
+func TestImagesAreRememberedAsTheDiskHoldsThem(t *testing.T) {
+	size := map[string]float64{"a": 30, "b": 30, "c": 30, "big": 90}
+	gb := func(im string) float64 { return size[im] }
+	w := NewWorker("h")
+	for _, im := range []string{"a", "b", "c", "a"} {
+		w.NoteImage(im, gb, 100)
+	}
+	if got := strings.Join(w.Images, " "); got != "b c a" {
+		t.Fatalf("holds %q", got)
+	}
+	if w.NoteImage("big", gb, 100); strings.Join(w.Images, " ") != "big" {
+		t.Fatalf("holds %q beside an image that leaves no room", w.Images)
+	}
+	if w.NoteImage("a", gb, 0); strings.Join(w.Images, " ") != "big a" {
+		t.Fatalf("holds %q though the disk is not known", w.Images)
+	}
+}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -84,6 +84,8 @@
 	viewAt   time.Time
 	types    []wire.Rig
 	rigs     map[string]wire.Rig
+	imageGB  map[string]float64  // sizes of images
+	held     map[string][]string // images of machines, as their former owners knew them
 	workers  map[string]*fleet.Worker
 	siblings map[string]*sibling
 	busyJob  map[string]bool           // a write about the job is under way
@@ -159,7 +161,7 @@
 		set: set, log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
 		session: member.NoLease, sessions: map[string]member.Node{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
 		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
-		rigs: map[string]wire.Rig{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
+		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
 		served: map[string]time.Time{}, deaf: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
@@ -263,7 +265,12 @@
 func (n *Node) enter(key string, v wire.Raw) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		return n.table.ApplyJob(strings.TrimPrefix(key, jobs.JobPrefix), v)
+		ref := strings.TrimPrefix(key, jobs.JobPrefix)
+		err := n.table.ApplyJob(ref, v)
+		if j := n.table.Jobs[ref]; err == nil && j != nil && j.Record.Work != nil {
+			n.imageGB[j.Record.Work.Bundle] = j.Record.Work.ImageGB
+		}
+		return err
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
@@ -330,7 +337,16 @@
 	n.fleet = nil
 	clear(n.owners)
 	clear(n.told)
+	// Who takes a machine over knows its images from what its former owner
+	// told. Guards against fetches beside machines that hold the image.
+	clear(n.held)
+	for _, s := range n.siblings {
+		for host, h := range s.hosts {
+			n.held[host] = h.Images
+		}
+	}
 	for host, w := range n.workers {
+		n.held[host] = w.Images
 		w.RaiseBaton()
 		if n.ownerOf(host) != n.self.Label {
 			// What another owner does meanwhile makes this view worthless.
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -84,6 +84,7 @@
 	w := n.workers[host]
 	if w == nil {
 		w = fleet.NewWorker(host)
+		w.Images = n.held[host]
 		n.workers[host] = w
 	}
 	return w
@@ -108,7 +109,11 @@
 		}
 		switch s.Phase {
 		case wire.ShardRunning:
-			w.NoteImage(j.Record.Work.Bundle)
+			if before[id] != s.Phase {
+				// Once a start. Guards against an order of use that changes with
+				// each report: siblings were told of every machine all the time.
+				w.NoteImage(j.Record.Work.Bundle, n.imageSize, n.rigs[w.Rig].LocalGB)
+			}
 		case wire.ShardExited:
 			switch s.Cause {
 			case wire.CauseDone:
@@ -132,6 +137,10 @@
 	wake(n.kick)
 }
 
+// imageSize is the size of an image in GB, as the last job that uses it says;
+// mu is held.
+func (n *Node) imageSize(image string) float64 { return n.imageGB[image] }
+
 // caller sends direct commands to workers.
 type caller interface {
 	commands(address string, cmd wire.Commands) (int, *wire.Checkin, error)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -117,8 +117,9 @@
 	RetryCap  = 30 * time.Second
 	// NoRoomPause keeps tasks off a machine that refused one for want of room.
 	NoRoomPause = 5 * time.Second
-	// ImagesKept is how many recent images a node remembers per machine.
-	ImagesKept = 8
+	// ImagesKept bounds the images that a node remembers per machine; how many
+	// the machine holds follows from its disk.
+	ImagesKept = 64
 	// WarningKillFactor is the share of a spot notice that a task must be
 	// expected to fit in to be left running; notices run up to half short.
 	WarningKillFactor = 0.5
