A machine's proof outlives a membership that leaves its owner

Every membership also kept a whole fleet from taking tasks until each machine had reported. Change: a session stays proven while each membership, one token after the other, gives the machine to the same incarnation (docs/protocol-notes.md). Tests: both fail without the protection, one each way.

--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -21,7 +21,8 @@
 	// former owner's commands may still be under way.
 	Unproven SessionState = "unproven"
 	// Proven: a report of the current session has shown our baton, so that all
-	// commands under lower batons are dead.
+	// commands under lower batons are dead. It stays proven under the batons
+	// after it for as long as each membership gives the machine to this node.
 	Proven SessionState = "proven"
 	// Expired: the worker's lease has surely ended; everything in the session
 	// is gone.
@@ -33,7 +34,7 @@
 
 // Events of a worker's session.
 const (
-	BatonRaised SessionEvent = "baton raised" // our membership has changed
+	BatonRaised SessionEvent = "baton raised" // our membership has changed, and another node may have owned the machine
 	BatonShown  SessionEvent = "baton shown"  // a newer report shows our baton
 	NewStint    SessionEvent = "new stint"
 	LeaseEnded  SessionEvent = "lease ended"
@@ -153,7 +154,8 @@
 		unanswered: map[sentStart]int{}, Errors: map[string]bool{}, Sent: map[Attempt]time.Time{}}
 }
 
-// RaiseBaton notes that our membership has changed.
+// RaiseBaton notes that our membership has changed, and that another node may
+// have owned the machine meanwhile.
 func (w *Worker) RaiseBaton() { w.State, w.Quiet = w.State.Next(BatonRaised), false }
 
 // Stop notes that a task is wanted off the machine.
@@ -180,9 +182,11 @@
 	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
 	w.Stint, w.Tally, w.Heard, w.Quiet = r.Stint, r.Tally, now, false
 	w.Baton = max(w.Baton, r.Baton)
-	if w.State == Unproven && baton > 0 && r.Baton == baton {
-		w.State = w.State.Next(BatonShown)
-		w.ProvenAt = now
+	if baton > 0 && r.Baton == baton {
+		if w.State == Unproven {
+			w.State = w.State.Next(BatonShown)
+			w.ProvenAt = now
+		}
 		// Starts under lower batons are dead from here on. Those under ours
 		// are not: one sent before the proof may still be held somewhere.
 		for k := range w.unanswered {
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -337,6 +337,7 @@
 	if err := wire.Unmarshal(v, &r); err != nil {
 		return err
 	}
+	last := n.member
 	n.member = &r
 	n.raisedAt = n.now()
 	n.fleet = nil
@@ -350,12 +351,18 @@
 			n.held[host] = h.Images
 		}
 	}
+	// A machine that was ours under the last membership and is under this one
+	// has had no other owner: what it has proven stands. Guards against a
+	// fleet that takes nothing until each machine has reported, with every node
+	// that comes or goes, and against tasks behind a cut that nobody may release.
+	next := last != nil && last.Baton+1 == r.Baton && last.Has(n.self) && r.Has(n.self)
 	for host, w := range n.workers {
 		n.held[host] = w.Images
-		w.RaiseBaton()
 		if n.ownerOf(host) != n.self.Label {
 			// What another owner does meanwhile makes this view worthless.
 			delete(n.workers, host)
+		} else if !next || last.Owner(host) != n.self.Label {
+			w.RaiseBaton()
 		}
 	}
 	n.shareBudget()
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -437,3 +437,83 @@
 		t.Fatalf("absences %v in a list that may be older", l.absent)
 	}
 }
+
+// A zone is cut off, and a node restarts: what the machines behind the cut ran
+// is released when their leases end, though no report shows the new token, if
+// nobody else has owned them meanwhile; and no other.
+func TestAMachinesProofOutlivesAMembershipThatLeavesItsOwner(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	for _, n := range w.nodes {
+		n.set.Params.Teams[0].GPUsMax = 1000
+	}
+	w.raise()
+	hosts := make([]string, 12)
+	for i := range hosts {
+		hosts[i] = fmt.Sprintf("h%d", i)
+		w.addHost(hosts[i], "service")
+		w.prove(hosts[i], 1)
+	}
+	w.tell()
+	w.submit(w.leader(), service("wk-1", 48))
+	for range 3 {
+		w.passAll()
+	}
+	owners := map[string]string{}
+	for _, h := range hosts {
+		o, _ := w.owner(h)
+		owners[h] = o.self.Label
+		if o.claimsOn(h) == 0 {
+			t.Fatalf("nothing is placed on %s", h)
+		}
+	}
+	before := map[string]uint64{}
+	for _, n := range w.nodes {
+		before[n.self.Label] = n.self.Incarnation
+	}
+	w.raise() // from here on no machine is heard
+	w.clk.add(time.Duration(float64(lease)*tuning.DriftFactor) + tuning.LeaseMargin + time.Second)
+	for range 4 {
+		w.sync()
+		w.passAll()
+		w.clk.add(tuning.ReleaseGather)
+	}
+	kept, moved := 0, 0
+	for _, h := range hosts {
+		o, _ := w.owner(h)
+		same := owners[h] == o.self.Label && before[o.self.Label] == o.self.Incarnation
+		switch claims := o.claimsOn(h); {
+		case same && claims > 0:
+			t.Errorf("%s stays with %s, which may not release its %d tasks", h, o.self.Label, claims)
+		case !same && claims == 0:
+			t.Errorf("%s has another owner, which released its tasks unproven", h)
+		case same:
+			kept++
+		default:
+			moved++
+		}
+	}
+	if kept == 0 || moved == 0 {
+		t.Fatalf("%d machines stayed, %d moved: nothing is tested", kept, moved)
+	}
+}
+
+// A node that has missed a membership can't tell who owned its machines under
+// it: their proof is void.
+func TestAMissedMembershipVoidsTheProof(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	for step, want := range map[uint64]fleet.SessionState{1: fleet.Proven, 2: fleet.Unproven} {
+		n.mu.Lock()
+		r := *n.member
+		n.workers["h1"].State = fleet.Proven
+		r.Baton += step
+		err := n.enterMember(wire.MustMarshal(r))
+		got := n.workers["h1"].State
+		n.mu.Unlock()
+		if err != nil || got != want {
+			t.Errorf("%d batons later the machine is %s, want %s (%v)", step, got, want, err)
+		}
+	}
+}
