Idle ordinary machines are not kept for headroom that spot machines serve

Ruled out: the rate of returns (idle ordinary machines that had been used went back), the role floor.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -387,7 +387,11 @@
 	busy := map[place.Role]bool{}
 	idle := map[string][]Unit{} // ready to go, by group
 	for _, u := range spare {
-		if p.in.Active[u.Role] && (holds[floor(u)] <= tuning.RoleFloor || !rooms[u.Role].spares(u)) || u.Claims > 0 && !rooms[u.Role].spares(u) {
+		// What is not rented for headroom is not kept for it. Guards against idle
+		// ordinary machines, several times as dear, that stand in for the spot
+		// machines of which the cloud has no more.
+		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Windfall
+		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
 			continue
 		}
 		// A busy machine is spared for as long as an idle one must be idle.
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -189,3 +189,24 @@
 		t.Fatalf("%d machines of 8 rented for 20 tasks beside 16 free places", n)
 	}
 }
+
+// With all spot machines rented, idle ordinary ones stood in for the headroom
+// of batch work: dozens at several times the price.
+func TestOrdinaryMachinesAreNotKeptForTheHeadroomOfWorkThatMayUseSpot(t *testing.T) {
+	in := input()
+	in.Op.BatchHeadroom = 0.5
+	in.Units = []Unit{unit("a", place.Batch, false), unit("b", place.Batch, false)}
+	in.Batch = Load{Tasks: 100, Need: want(wire.ShapeArray, 1).Job.Need, Work: want(wire.ShapeArray, 1).Job.Record.Work}
+	for _, z := range []string{"z1", "z2"} {
+		in.Refused[Kind{"big", z, true}] = t0
+	}
+	in.Refused[Kind{"dear", "z1", true}] = t0
+	if out := Plan(in); len(out.Drains) != 1 {
+		t.Fatalf("%+v: one of two idle machines goes back, one keeps the role's floor", out.Drains)
+	}
+	in.Batch.Work.Windfall = false
+	in.Refused[Kind{"big", "z1", false}], in.Refused[Kind{"big", "z2", false}], in.Refused[Kind{"dear", "z1", false}] = t0, t0, t0
+	if out := Plan(in); len(out.Drains) != 0 {
+		t.Fatalf("%+v: the headroom of work that needs ordinary machines", out.Drains)
+	}
+}
