--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -75,10 +75,6 @@
 	Batch   Load
 	Refused map[Kind]time.Time // when the cloud had none
 
-	// Ending is the number of batch tasks that are expected to end, and to leave
-	// their place, within the time that an ordinary machine takes to boot.
-	Ending float64
-
 	// Spared says since when the plan could do without a busy machine; the
 	// plan keeps it up to date.
 	Spared map[string]time.Time
@@ -129,7 +125,6 @@
 	types  map[string]wire.Rig
 	bins   []*bin
 	crowds map[crowd]int // bins by zone and role
-	ending int           // places that come free before an ordinary machine is up
 	hires  map[HirePlan]int
 	whys   map[HirePlan]string // why the first of them is rented
 }
@@ -145,7 +140,6 @@
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
-	p.ending = int(in.Ending)
 	for _, u := range in.Units {
 		// A machine beyond the usual boot time may yet come, or never: what
 		// counts on it waits for the time in which another would boot.
@@ -229,12 +223,6 @@
 	}
 	for count > 0 {
 		b := p.hire(j, waiting, why)
-		if b == nil && p.ending > 0 && roleOf(j) == place.Batch {
-			// Their turn comes before a machine would.
-			took := min(count, p.ending)
-			count, p.ending = count-took, p.ending-took
-			continue
-		}
 		if b == nil {
 			return
 		}
@@ -265,7 +253,7 @@
 				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
 					continue
 				}
-				if !spot && role == place.Batch && j.Record.Work.Windfall && (waiting < tuning.OrdinaryBatchAfter || p.ending > 0) {
+				if !spot && role == place.Batch && j.Record.Work.Windfall && waiting < tuning.OrdinaryBatchAfter {
 					continue
 				}
 				price := t.Price
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -210,24 +210,3 @@
 		t.Fatalf("%+v: the headroom of work that needs ordinary machines", out.Drains)
 	}
 }
-
-// Places that come free before an ordinary machine would be up are not rented.
-func TestOrdinaryMachinesAreRentedForWhatNoPlaceComesFreeFor(t *testing.T) {
-	in := input()
-	for _, z := range []string{"z1", "z2"} {
-		in.Refused[Kind{"big", z, true}] = t0
-	}
-	in.Refused[Kind{"dear", "z1", true}] = t0
-	in.Wants = []Want{want(wire.ShapeArray, 24)}
-	in.Wants[0].Waiting = tuning.OrdinaryBatchAfter
-	for ending, machines := range map[float64]int{0: 3, 8.9: 2, 16: 1, 24: 0, 100: 0} {
-		in.Ending = ending
-		n := 0
-		for _, h := range Plan(in).Hires {
-			n += h.Number
-		}
-		if n != machines {
-			t.Errorf("%v places come free: %d machines of 8 for 24 tasks, want %d", ending, n, machines)
-		}
-	}
-}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -357,9 +357,6 @@
 				service.Need, service.Work = r.Job.Need, wk
 			} else {
 				batch++
-				if m.Open {
-					in.Ending += ending(wk, n.rigs[m.Type])
-				}
 				l.batch.Need, l.batch.Work = r.Job.Need, wk
 			}
 		}
@@ -457,16 +454,6 @@
 	return in
 }
 
-// ending is the chance that a batch task which began at some time ends while a
-// machine of the type boots.
-func ending(w *wire.Work, t wire.Rig) float64 {
-	takes := w.ReckonS
-	if t.FetchGBPerS > 0 {
-		takes += w.ImageGB / t.FetchGBPerS
-	}
-	return min(t.StartupS/max(takes, 1), 1)
-}
-
 // hear notes that a machine was up at a time.
 func (l *leading) hear(host string, at time.Time) {
 	if at.After(l.heard[host]) {
