Connections beyond the limit are answered at once; direct calls keep theirs for a second

Read in the code, a suspicion of the issue: beyond its limit fasthttp answered 503 without Retry-After; and a node that stands in for all makes up to a hundred direct calls a second, each of which kept a socket for 5 s, more than the fifth of 1,671 that is left for its own calls. Now the listener answers 503 with Retry-After without reading, and they go after 1 s. With real connections in TestConnectionsBeyondTheLimitAreAnsweredAtOnceAndGetInSoon.

--- /dev/null
+++ b/internal/server/listen_test.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// With real connections: as many workers as there is room for hold theirs; a
+// user beyond them is answered at once, and gets in as soon as one leaves.
+func TestConnectionsBeyondTheLimitAreAnsweredAtOnceAndGetInSoon(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	const most = 8
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &boundedListener{Listener: ln, most: most, after: 2}
+	srv := n.httpServer(n.serveUser, most)
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = ln.Close() }()
+
+	get := func(path string) (*http.Response, net.Conn) {
+		t.Helper()
+		c, err := net.DialTimeout("tcp4", ln.Addr().String(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		return resp, c
+	}
+	var held []net.Conn
+	for range most {
+		resp, c := get("/up")
+		if resp.StatusCode != 200 {
+			t.Fatalf("%d within the limit", resp.StatusCode)
+		}
+		held = append(held, c)
+	}
+	for range 3 {
+		resp, c := get("/up")
+		if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "2" || !resp.Close {
+			t.Fatalf("beyond the limit: %d, Retry-After %q, close %v", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+		}
+		_ = c.Close()
+	}
+	_ = held[0].Close()
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		resp, c := get("/up")
+		_ = c.Close()
+		if resp.StatusCode == 200 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("a place that came free is not used")
+		}
+	}
+	for _, c := range held[1:] {
+		_ = c.Close()
+	}
+}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -203,10 +203,11 @@
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	user := n.httpServer(n.serveUser, n.userConns())
-	n.open = func() int { return int(user.GetOpenConnectionsCount()) }
+	bounded := &boundedListener{Listener: ul, most: int64(n.userConns()), after: n.set.Operator.RetryAfterSecond}
+	n.open = func() int { return int(bounded.open.Load()) }
 	peers := n.httpServer(n.servePeer, 2*tuning.PeerConns*(len(n.siblings)+1))
 	peers.MaxRequestBodySize = 1 << 20
-	g.Go(func() error { return user.Serve(ul) })
+	g.Go(func() error { return user.Serve(bounded) })
 	g.Go(func() error { return peers.Serve(pl) })
 	g.Go(func() error {
 		<-ctx.Done()
@@ -236,7 +237,8 @@
 
 func (n *Node) httpServer(h fasthttp.RequestHandler, conns int) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: h, Name: "wheatspur", Concurrency: max(conns, 8),
+		// fasthttp counts a connection until a little after its end.
+		Handler: h, Name: "wheatspur", Concurrency: 2 * max(conns, 8),
 		ReadTimeout: tuning.ReadTimeout, WriteTimeout: tuning.WriteTimeout, IdleTimeout: tuning.IdleTimeout,
 		MaxRequestBodySize: wire.MaxBody, ReadBufferSize: 4096, WriteBufferSize: 4096,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true, CloseOnShutdown: true,
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -294,9 +294,11 @@
 	StateConns = 48
 	CloudConns = 6
 	// WorkerConns bounds the connections to one worker, and WorkerIdle how
-	// long they stay open: direct calls are rare.
+	// long they stay open: the next call to the same worker is seldom near, and
+	// at a hundred calls a second, which one node makes that stands in for all,
+	// five seconds were more sockets than are left for its own calls.
 	WorkerConns = 2
-	WorkerIdle  = 5 * time.Second
+	WorkerIdle  = 1 * time.Second
 )
 
 // Front ends.
@@ -308,6 +310,8 @@
 	IdleTimeout = 30 * time.Second
 	// WriteTimeout bounds the writing of one answer.
 	WriteTimeout = 3 * time.Second
+	// RefuseTimeout bounds the answer to a connection beyond the limit.
+	RefuseTimeout = 200 * time.Millisecond
 	// IntakeQueue is how many submissions may wait for their durable write at
 	// once; more are refused with RetryAfter.
 	IntakeQueue = 48
