Room for services on silent machines is rented before the proof, none in a dark zone

Ruled out: giving silent machines back at once, which would end tasks that a cut of less than a lease leaves running. Change: service tasks on machines that are silent beside others of their owner that are heard count as wanted; a zone of which most machines are quiet comes last.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -44,6 +44,7 @@
 	Suspect bool
 	Silent  bool   // up before, not heard for longer than a lease
 	Missing bool   // was listed, is no more
+	Quiet   bool   // up before, and due a report
 	Group   string // key of its record: machines of one key go back in one change
 }
 
@@ -125,6 +126,7 @@
 	types  map[string]wire.Rig
 	bins   []*bin
 	crowds map[crowd]int // bins by zone and role
+	dark   map[string]bool
 	hires  map[HirePlan]int
 	whys   map[HirePlan]string // why the first of them is rented
 }
@@ -148,6 +150,7 @@
 			p.add(&bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
+	p.dark = dark(in.Units)
 	unmet := map[place.Role]bool{}
 	for _, w := range in.Wants {
 		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, "tasks without a place")
@@ -182,6 +185,25 @@
 	return out
 }
 
+// dark finds the zones of which most machines are quiet: what is rented there
+// would not be heard either. Guards against replacing what is behind a cut by
+// machines behind it, in the zone that seems to have the fewest.
+func dark(units []Unit) map[string]bool {
+	quiet := map[string]int{} // less those heard
+	for _, u := range units {
+		if u.Quiet {
+			quiet[u.Kind.Zone]++
+		} else if u.Open {
+			quiet[u.Kind.Zone]--
+		}
+	}
+	out := map[string]bool{}
+	for zone, n := range quiet {
+		out[zone] = n > 0
+	}
+	return out
+}
+
 func (p *planner) boot(u Unit) time.Duration { return config.Seconds(p.types[u.Kind.Rig].StartupS) }
 
 func total(t wire.Rig) jobs.Resources {
@@ -233,11 +255,12 @@
 }
 
 // hire plans one more machine for a task: the cheapest for each task it holds,
-// in the zone with the fewest machines of the role; nil if none is to be had.
+// in the zone with the fewest machines of the role, and in a dark zone only if
+// there is none elsewhere; nil if none is to be had.
 func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) *bin {
 	role := roleOf(j)
 	var best Kind
-	cost, least := math.Inf(1), 0
+	cost, least, far := math.Inf(1), 0, true
 	for _, t := range p.in.Types {
 		tot := total(t)
 		if !j.Need.Fits(tot) {
@@ -264,7 +287,11 @@
 				if k := p.hires[HirePlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.HireMax > 0 {
 					n = -1 // batch work fills one call before the next
 				}
-				if c < cost-1e-9 || c < cost+1e-9 && n < least {
+				if d := p.dark[z]; d != far {
+					if far {
+						best, cost, least, far = k, c, n, false
+					}
+				} else if c < cost-1e-9 || c < cost+1e-9 && n < least {
 					best, cost, least = k, c, n
 				}
 			}
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -210,3 +210,29 @@
 		t.Fatalf("%+v: the headroom of work that needs ordinary machines", out.Drains)
 	}
 }
+
+// Most machines of a zone are quiet: it seems to have the fewest that serve.
+func TestNothingIsRentedBehindACutWhileThereIsRoomElsewhere(t *testing.T) {
+	in := input()
+	in.Wants = []Want{want(wire.ShapeStanding, 24)}
+	for i := range 4 {
+		u := unit(string(rune('a'+i)), place.Service, false)
+		u.Open, u.Quiet = i > 2, i <= 2
+		u.Free = jobs.Resources{}
+		in.Units = append(in.Units, u)
+	}
+	zones := func() map[string]int {
+		out := map[string]int{}
+		for _, h := range Plan(in).Hires {
+			out[h.Kind.Zone] += h.Number
+		}
+		return out
+	}
+	if z := zones(); z["z1"] != 0 || z["z2"] != 3 {
+		t.Fatalf("rented %v, z1 is dark", z)
+	}
+	in.Refused[Kind{"big", "z2", false}] = t0
+	if z := zones(); z["z1"] != 3 {
+		t.Fatalf("rented %v: nothing is left but z1", z)
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -338,6 +338,7 @@
 			u.Age = time.Duration(listed.HeldS*float64(time.Second)) + now.Sub(l.listAt)
 		}
 		u.Silent = wasUp && quiet > 2*lease
+		u.Quiet = wasUp && quiet > n.silentAfter()
 		u.Missing = l.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > time.Duration(tuning.MissingReports*float64(n.set.Report()))
 		if len(m.Tasks) > 0 || rec.Phase != fleet.In {
 			delete(l.idle, m.Name)
@@ -433,6 +434,7 @@
 	}
 	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.Ref < in.Wants[b].Job.Ref })
 	in.Groups = min(int(n.lim.Writes(tuning.WriteReserve)), tuning.DrainGroupsMost)
+	in.Wants = append(in.Wants, n.endangered(machines, up, now)...)
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
 		refs = append(refs, ref)
@@ -454,6 +456,45 @@
 	return in
 }
 
+// endangered lists the service tasks on machines that have fallen silent beside
+// others of their owner that are heard. Their room is rented before there is
+// proof that they are gone, since a boot takes longer than that: after a hundred
+// machines had died, services waited for their replacements for 45 s. A node
+// that hears hardly any of its machines has trouble of its own. up is how long
+// ago each machine was heard; mu is held.
+func (n *Node) endangered(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
+	heard, quiet := map[string]int{}, map[string]int{}
+	var list []*place.Machine
+	for _, m := range machines.Machines {
+		age, ok := up[m.Name]
+		if ok && age < n.silentAfter() {
+			heard[m.Owner]++
+		} else if at, wasUp := n.leading.heard[m.Name]; wasUp && now.Sub(at) > n.silentAfter() {
+			quiet[m.Owner]++
+			if m.Role == place.Service {
+				list = append(list, m)
+			}
+		}
+	}
+	count := map[*jobs.Job]int{}
+	for _, m := range list {
+		if heard[m.Owner] < quiet[m.Owner] {
+			continue
+		}
+		for _, r := range m.Tasks {
+			if r.Job.Service() && r.Job.Record.Phase == jobs.Open {
+				count[r.Job]++
+			}
+		}
+	}
+	out := make([]fleet.Want, 0, len(count))
+	for j, k := range count {
+		out = append(out, fleet.Want{Job: j, Count: k, Untried: true})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Job.Ref < out[b].Job.Ref })
+	return out
+}
+
 // hear notes that a machine was up at a time.
 func (l *leading) hear(host string, at time.Time) {
 	if at.After(l.heard[host]) {
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -517,3 +517,40 @@
 		}
 	}
 }
+
+// Machines fall silent: room for their services is rented at once, not when the
+// proof has come. If hardly any is heard, it is the node that hears nothing.
+func TestRoomForServicesOnSilentMachinesIsRentedAhead(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	n.set.Params.Teams[0].GPUsMax = 1000
+	w.raise()
+	hosts := []string{"h1", "h2", "h3", "h4", "h5", "h6"}
+	for _, h := range hosts {
+		w.addHost(h, "service")
+		w.prove(h, 1)
+	}
+	w.submit(n, service("wk-1", 24))
+	w.passAll()
+	ahead := func(silent int) (tasks int) {
+		w.clk.add(n.silentAfter() + time.Second)
+		w.sync()
+		for _, h := range hosts[silent:] {
+			w.prove(h, 1)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		now := n.now()
+		for _, want := range n.planInput(n.leadMemory(), n.machines(now), now).Wants {
+			if want.Job.Ref == "wk-1" {
+				tasks += want.Count
+			}
+		}
+		return tasks
+	}
+	for silent, want := range map[int]int{0: 0, 2: 8, 5: 0} {
+		if got := ahead(silent); got != want {
+			t.Errorf("%d of 6 machines are silent: room for %d tasks is rented, want %d", silent, got, want)
+		}
+	}
+}
