--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -157,9 +157,6 @@
 	if err != nil {
 		return err
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cache.Own(then, epoch)
-	wake(n.kick)
+	n.answered(then, epoch)
 	return nil
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -54,11 +54,16 @@
 		}
 		return err
 	}
+	n.answered(then, epoch)
+	return nil
+}
+
+// answered enters a write of this node.
+func (n *Node) answered(then []wire.Change, epoch uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cache.Own(then, epoch)
 	wake(n.kick)
-	return nil
 }
 
 // runLead plans capacity and moves roles while leading.
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -533,6 +533,7 @@
 	key := member.NodeKey(n.self.Label)
 	var guards []wire.Guard
 	var change wire.Change
+	hearing := false // the change is about it
 	stored := n.sessions[n.self.Label] == n.self
 	if n.session == member.Registered && !stored {
 		// Guards against a late write of a former process of this node.
@@ -556,7 +557,7 @@
 				change = wire.Change{Set: member.DeafKey(n.self.Label), V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
 				n.startProbing(now)
 			}
-			n.log.Info("hearing of workers changes", "deaf", deaf)
+			hearing = true
 		case a.TakeLead:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
 			change = wire.Change{Set: member.LeadKey, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
@@ -574,6 +575,10 @@
 	if err != nil {
 		return err
 	}
+	if hearing {
+		// Not before: a node that is cut off tries again and again.
+		n.log.Info("hearing of workers changes", "deaf", change.Set != "")
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if change.Set != member.Key {
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -361,10 +361,7 @@
 		then := []wire.Change{{Set: jobs.JobKey(ref), V: wire.MustMarshal(rec)}}
 		epoch, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
 		if err == nil {
-			n.mu.Lock()
-			n.cache.Own(then, epoch)
-			wake(n.kick)
-			n.mu.Unlock()
+			n.answered(then, epoch)
 			n.log.Debug("job cancelled", "job", ref)
 			continue
 		}
