--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -7,13 +7,14 @@
 
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
 	"wheatspur/internal/place"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
 // fleetSize is that of the largest deployment known, rounded up.
-const fleetSize = 2500
+const fleetSize = 3300
 
 // bigWorld is one world with a whole fleet that reports: every second machine
 // of the service role, the rest batch.
@@ -145,7 +146,7 @@
 
 // A whole fleet joins, takes hundreds of jobs and ends them: what counts is
 // the number of changes, not the time.
-func TestAFleetOf2500MachinesCostsFewChanges(t *testing.T) {
+func TestAFleetOf3300MachinesCostsFewChanges(t *testing.T) {
 	w := newWorld(t, "a", "b", "c")
 	w.teamRoom()
 	w.raise()
@@ -158,7 +159,7 @@
 		}
 	}
 	l := w.leader()
-	epochs("2500 machines join", fleetSize/16, func() { w.joinFleet() })
+	epochs("3300 machines join", fleetSize/16, func() { w.joinFleet() })
 	const services, arrays = 150, 60
 	w.fill(services, arrays)
 	epochs("210 jobs are claimed", 2*(services+arrays), func() {
@@ -223,6 +224,83 @@
 	}
 }
 
+// All controllers but one are gone: the one that is left writes few memberships,
+// keeps the proofs of its own machines, takes the others as they report, and
+// loses and repeats nothing.
+func TestOneControllerTakesAFleetOf3300Machines(t *testing.T) {
+	w := bigWorld(t, "a", "b", "c")
+	w.teamRoom()
+	w.raise()
+	for _, h := range w.cl.list {
+		owner, _ := w.owner(h.Ref)
+		owner.take(w.checkin(h.Ref, 1, owner.baton()))
+	}
+	w.tell()
+	w.fill(60, 20)
+	for range 12 {
+		w.passAll()
+	}
+	l := w.leader()
+	claimed := func() (n int) {
+		for _, j := range l.table.Open {
+			n += j.Counts[jobs.Claimed]
+		}
+		return n
+	}
+	had, own := claimed(), 0
+	for _, h := range w.cl.list {
+		if o, _ := w.owner(h.Ref); o == l {
+			own++
+		}
+	}
+	if had != 60*8+20*60 {
+		t.Fatalf("%d tasks are claimed", had)
+	}
+	epoch := w.st.epoch
+	for label, n := range w.nodes {
+		if n != l {
+			w.st.expire(n.self.Incarnation)
+			delete(w.nodes, label)
+		}
+	}
+	for range 3 {
+		w.settle()
+	}
+	written := 0
+	for _, e := range w.st.events {
+		if e.Stamp > epoch && e.Set == member.Key {
+			written++
+		}
+	}
+	if written > 2 {
+		t.Errorf("%d memberships are written for two nodes that are gone", written)
+	}
+	proven := 0
+	for _, m := range l.workers {
+		if m.State == fleet.Proven {
+			proven++
+		}
+	}
+	if proven != own {
+		t.Errorf("%d of its own %d machines are still proven", proven, own)
+	}
+	for _, h := range w.cl.list {
+		if code, _ := l.take(w.checkin(h.Ref, 1, l.baton())); code != 200 {
+			t.Fatalf("%s is answered %d", h.Ref, code)
+		}
+	}
+	epoch = w.st.epoch
+	for range 3 {
+		w.passAll()
+	}
+	if n := claimed(); n != had {
+		t.Errorf("%d tasks are claimed, %d were", n, had)
+	}
+	if n := w.st.epoch - epoch; n > 4 {
+		t.Errorf("%d transactions though nothing has ended", n)
+	}
+}
+
 // Grouped records whose answer is lost, that conflict, or of which a leader
 // stored only a part before it stopped, are put right by the next list.
 func TestGroupedRecordsSurviveLostAnswersConflictsAndAHalf(t *testing.T) {
