--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -163,3 +163,40 @@
 		t.Fatal(fmt.Sprint(ref, c, ok))
 	}
 }
+
+// A user's repeat may end up in another intake record; a job's own record may
+// be read before or after both. The outcome is the same for every node.
+func TestIntakeRecordsCountTheSameInAnyOrder(t *testing.T) {
+	rec := func(tasks int, p Phase) Record {
+		return Record{Phase: p, Tasks: tasks, Chunk: 4, Work: &wire.Work{Crew: "x"}}
+	}
+	steps := []func(*Table) error{
+		func(t *Table) error {
+			return t.ApplyIntake("w/intake/a", wire.MustMarshal(IntakeRecord{Jobs: map[string]Record{"wk-1": rec(1, Open), "wk-2": rec(2, Open)}}), 5)
+		},
+		func(t *Table) error {
+			return t.ApplyIntake("w/intake/b", wire.MustMarshal(IntakeRecord{Jobs: map[string]Record{"wk-2": rec(3, Open)}}), 7)
+		},
+		func(t *Table) error { return t.ApplyJob("wk-1", wire.MustMarshal(rec(1, Cancelled))) },
+	}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		tab := NewTable(time.Now)
+		for _, i := range order {
+			if err := steps[i](tab); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if p := tab.Jobs["wk-1"].Record.Phase; p != Cancelled || tab.Open["wk-1"] != nil {
+			t.Errorf("order %v: the cancelled job is %s", order, p)
+		}
+		if j := tab.Jobs["wk-2"]; j.Record.Tasks != 2 || j.Counts[Pending] != 2 {
+			t.Errorf("order %v: %d tasks, %d pending: not those accepted first", order, j.Record.Tasks, j.Counts[Pending])
+		}
+		if tab.Over("w/intake/a") {
+			t.Errorf("order %v: over though a job of it is open", order)
+		}
+		if err := tab.ApplyJob("wk-2", wire.MustMarshal(rec(2, Done))); err != nil || !tab.Over("w/intake/a") {
+			t.Errorf("order %v: not over though all is (%v)", order, err)
+		}
+	}
+}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -18,6 +18,8 @@
 	JobPrefix   = Root + "job/"
 	ChunkPrefix = Root + "task/"
 	TeamPrefix  = Root + "team/"
+	// IntakePrefix starts the keys of records that hold several new jobs.
+	IntakePrefix = Root + "intake/"
 )
 
 // JobKey is the key of a job's record.
@@ -52,6 +54,19 @@
 	Work   *wire.Work `cbor:"w,omitempty"`
 }
 
+// IntakeRecord is the stored form of several jobs that were accepted in one
+// change. It is written once. A job's own record, which the first change of the
+// job writes, stands in its place.
+type IntakeRecord struct {
+	Jobs map[string]Record `cbor:"j"`
+}
+
+// recordBytes bounds the JSON of a job's record, all but its description.
+const recordBytes = 160
+
+// IntakeBytes bounds the JSON of a job in an intake record.
+func IntakeBytes(w *wire.Work) int { return JSONSize(w) + recordBytes }
+
 // Task is the stored form of one task.
 type Task struct {
 	_     struct{} `cbor:",toarray"`
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -63,6 +63,9 @@
 	Counts [3]int         // tasks per state
 	Live   map[int]Task   // claimed tasks
 	Seen   time.Time      // when this node first saw it
+
+	own    bool   // its own record is stored
+	intake uint64 // else the stamp of the intake record that holds it
 }
 
 // Service reports whether the job's tasks run until it is cancelled.
@@ -123,14 +126,15 @@
 // Table is the set of all jobs as stored, with indexes. It is fed by the
 // cache and changed by nothing else.
 type Table struct {
-	Jobs  map[string]*Job
-	Open  map[string]*Job           // open jobs
-	Used  map[string]Resources      // claims per team
-	Hosts map[string]map[ID]*Job    // claims per machine
-	Needs map[string]Resources      // what they take
-	Team  map[string]TeamRecord     // team records
-	early map[string]map[int][]Task // chunks whose job is not known yet
-	now   func() time.Time
+	Jobs    map[string]*Job
+	Open    map[string]*Job           // open jobs
+	Used    map[string]Resources      // claims per team
+	Hosts   map[string]map[ID]*Job    // claims per machine
+	Needs   map[string]Resources      // what they take
+	Team    map[string]TeamRecord     // team records
+	Intakes map[string][]string       // jobs of each intake record
+	early   map[string]map[int][]Task // chunks whose job is not known yet
+	now     func() time.Time
 
 	FailedAt map[ID]time.Time // when a task's count of failures last rose
 
@@ -142,7 +146,7 @@
 func NewTable(now func() time.Time) *Table {
 	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Used: map[string]Resources{},
 		Hosts: map[string]map[ID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
-		early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}, Moved: func(string) {}}
+		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}, Moved: func(string) {}}
 }
 
 // ApplyJob enters a job record. Job records are never dropped.
@@ -154,12 +158,52 @@
 	if err := wire.Unmarshal(raw, &r); err != nil {
 		return err
 	}
+	t.put(ref, r).own = true
+	return nil
+}
+
+// ApplyIntake enters a record of several new jobs, or its absence. A job's own
+// record stands before it; of two intake records that hold the same job, after
+// a user's repeat, the older counts, whatever the order in which they are read.
+func (t *Table) ApplyIntake(key string, raw wire.Raw, stamp uint64) error {
+	if raw == nil {
+		delete(t.Intakes, key)
+		return nil
+	}
+	var v IntakeRecord
+	if err := wire.Unmarshal(raw, &v); err != nil {
+		return err
+	}
+	refs := make([]string, 0, len(v.Jobs))
+	for ref, r := range v.Jobs {
+		refs = append(refs, ref)
+		if j := t.Jobs[ref]; j == nil || !j.own && stamp < j.intake {
+			t.put(ref, r).intake = stamp
+		}
+	}
+	t.Intakes[key] = refs
+	return nil
+}
+
+// Over reports whether every job of an intake record has a final record of its
+// own, so that nothing needs the intake record any more.
+func (t *Table) Over(key string) bool {
+	for _, ref := range t.Intakes[key] {
+		if j := t.Jobs[ref]; j == nil || !j.own || !j.Record.Phase.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+// put enters a job's record.
+func (t *Table) put(ref string, r Record) *Job {
 	j := t.Jobs[ref]
 	if j == nil {
 		j = &Job{Ref: ref, Chunks: map[int][]Task{}, Live: map[int]Task{}, Seen: t.now()}
-		j.Counts[Pending] = r.Tasks
 		t.Jobs[ref] = j
 	}
+	j.Counts[Pending] += r.Tasks - j.Record.Tasks
 	j.Record = r
 	if r.Work != nil {
 		// Final records carry no description; what is needed to account for
@@ -178,7 +222,7 @@
 		t.replace(j, c, tasks)
 	}
 	delete(t.early, ref)
-	return nil
+	return j
 }
 
 // ApplyChunk enters a chunk record, or its absence.
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -246,6 +246,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	w.t.Cleanup(stop)
 	go func() { _ = n.sync.Barriers(ctx) }()
+	go func() { _ = n.runIntake(ctx) }()
 	w.nodes[label] = n
 	n.self.Incarnation, _ = w.st.Lease(ctx, time.Second)
 	n.session = n.session.Next(member.GotLease)
--- /dev/null
+++ b/internal/server/intake.go
@@ -0,0 +1,165 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// submission is a new job that waits for its durable write.
+type submission struct {
+	work   *wire.Work
+	rec    jobs.Record
+	before time.Time  // its user is answered by then
+	done   chan error // has room for the outcome
+}
+
+// errAlone says that a submission was not stored together with others, and may
+// be by itself.
+var errAlone = errors.New("not stored with the others")
+
+// accept has a new job stored and answers 201 after the write.
+func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work) {
+	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
+	defer stop()
+	s := &submission{work: w, before: time.Now().Add(tuning.DecisionWait), done: make(chan error, 1),
+		rec: jobs.Record{Phase: jobs.Open, At: n.now().UnixMilli(), Tasks: w.Shards,
+			Chunk: jobs.ChunkSize(n.set.Params.State.ValueKB), Work: w}}
+	select {
+	case n.intake <- s:
+	default: // those whose users have been told to come back are still in it
+		n.later(c, 429, "too many submissions under way")
+		return
+	}
+	var err error
+	select {
+	case err = <-s.done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if errors.Is(err, errAlone) {
+		err = n.storeOne(ctx, s)
+	}
+	switch {
+	case err == nil:
+		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w))
+		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
+		// A lost answer is settled by reading again.
+		n.resubmitted(c, w.Ref)
+	default:
+		n.later(c, 503, "the job can't be stored now")
+	}
+}
+
+// runIntake stores submissions. Those that come while the budget of changes is
+// short go together in one change: hundreds of jobs at once, when a fleet
+// starts or a state service is back, took half a minute one by one.
+func (n *Node) runIntake(ctx context.Context) error {
+	var next *submission
+	for ctx.Err() == nil {
+		if next == nil {
+			select {
+			case <-ctx.Done():
+				return nil
+			case next = <-n.intake:
+			}
+		}
+		var group []*submission
+		group, next = n.gather(next)
+		switch len(group) {
+		case 0:
+		case 1:
+			s := group[0]
+			sctx, stop := context.WithDeadline(ctx, s.before)
+			s.done <- n.storeOne(sctx, s)
+			stop()
+		default:
+			n.storeGroup(ctx, group)
+		}
+	}
+	return nil
+}
+
+// gather takes submissions that wait, as many as one record holds; the one
+// that does not fit goes first in the next.
+func (n *Node) gather(first *submission) (group []*submission, next *submission) {
+	room := int(n.set.Params.State.ValueKB * 1024 * tuning.GroupShare)
+	most := min(tuning.IntakeGroup, 4*n.set.Params.State.TxnOps-1)
+	refs := map[string]bool{}
+	for s := first; ; {
+		// Whose user has been told to come back is left out.
+		if time.Now().Before(s.before) {
+			room -= jobs.IntakeBytes(s.work)
+			if len(group) > 0 && (room < 0 || refs[s.work.Ref]) {
+				return group, s
+			}
+			group = append(group, s)
+			refs[s.work.Ref] = true
+		}
+		if len(group) == most {
+			return group, nil
+		}
+		select {
+		case s = <-n.intake:
+		default:
+			return group, nil
+		}
+	}
+}
+
+// storeOne stores a job's own record.
+func (n *Node) storeOne(ctx context.Context, s *submission) error {
+	key := jobs.JobKey(s.work.Ref)
+	return n.storeNew(ctx, []wire.Guard{{Key: key}}, wire.Change{Set: key, V: wire.MustMarshal(s.rec)})
+}
+
+// storeGroup stores several jobs in one intake record, guarded by the absence
+// of every job's own record. Its key is never used again.
+func (n *Node) storeGroup(ctx context.Context, group []*submission) {
+	n.mu.Lock()
+	incarnation := n.self.Incarnation
+	n.mu.Unlock()
+	key := fmt.Sprintf("%s%s.%d.%d", jobs.IntakePrefix, n.self.Label, incarnation, n.intakeNo.Add(1))
+	guards := []wire.Guard{{Key: key}}
+	v := jobs.IntakeRecord{Jobs: map[string]jobs.Record{}}
+	last := group[0].before
+	for _, s := range group {
+		guards = append(guards, wire.Guard{Key: jobs.JobKey(s.work.Ref)})
+		v.Jobs[s.work.Ref] = s.rec
+		if s.before.After(last) {
+			last = s.before
+		}
+	}
+	gctx, stop := context.WithDeadline(ctx, last)
+	defer stop()
+	err := n.storeNew(gctx, guards, wire.Change{Set: key, V: wire.MustMarshal(v)})
+	if errors.Is(err, store.ErrConflict) {
+		// One of them is known; which, each finds out by itself.
+		err = errAlone
+	}
+	for _, s := range group {
+		s.done <- err
+	}
+}
+
+func (n *Node) storeNew(ctx context.Context, guards []wire.Guard, change wire.Change) error {
+	then := []wire.Change{change}
+	epoch, err := n.svc.Multi(ctx, store.ClassIntake, guards, then)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cache.Own(then, epoch)
+	wake(n.kick)
+	return nil
+}
--- /dev/null
+++ b/internal/server/intake_test.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// together submits jobs while the state service is slow, so that all but the
+// first wait for it at once.
+func (w *world) together(n *Node, refs ...string) {
+	w.t.Helper()
+	var g sync.WaitGroup
+	w.st.mu.Lock()
+	for i, ref := range refs {
+		g.Go(func() {
+			if code, _, _ := ask(n, "POST", "/work", work(ref, 1)); code != 201 {
+				w.t.Errorf("%s: %d", ref, code)
+			}
+		})
+		// The lane takes the first; the others wait behind it.
+		for want := i; len(n.intake) < want || len(n.takes) < i+1; {
+			time.Sleep(time.Millisecond)
+		}
+		if i == 0 {
+			for len(n.intake) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	w.st.mu.Unlock()
+	g.Wait()
+	w.sync()
+}
+
+func (w *world) intakes() (out []string) {
+	for key := range w.st.keys {
+		if strings.HasPrefix(key, jobs.IntakePrefix) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// Hundreds of submissions at once cost a change each, and took half a minute.
+func TestSubmissionsThatWaitCostOneChangeTogether(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	a, b := w.nodes["a"], w.nodes["b"]
+	refs := make([]string, 9)
+	for i := range refs {
+		refs[i] = fmt.Sprintf("wk-%d", i)
+	}
+	before := w.st.epoch
+	w.together(a, refs...)
+	if n := w.st.epoch - before; n != 2 || len(w.intakes()) != 1 {
+		t.Fatalf("%d changes, %d intake records", n, len(w.intakes()))
+	}
+	for _, ref := range refs {
+		if code, _, _ := ask(b, "POST", "/work", work(ref, 1)); code != 200 {
+			t.Errorf("a repeat of %s at another node: %d", ref, code)
+		}
+	}
+	// One is cancelled, the others run; a node that starts later agrees.
+	if code, st, _ := ask(b, "POST", "/work/wk-3/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("cancellation: %d %s", code, st.Phase)
+	}
+	w.addHost("h1", "batch")
+	w.addHost("h2", "batch")
+	w.addHost("h3", "batch")
+	for _, h := range []string{"h1", "h2", "h3"} {
+		w.prove(h, 1)
+	}
+	for range 4 { // the team's limit is shared out between the nodes
+		w.tell()
+		w.passAll()
+		for _, h := range []string{"h1", "h2", "h3"} {
+			var done []wire.Shard
+			for id, j := range a.table.Hosts[h] {
+				done = append(done, wire.Shard{Shard: id.String(), Try: j.Live[id.Task].Try, Phase: wire.ShardExited, Cause: wire.CauseDone})
+			}
+			w.prove(h, 1, done...)
+		}
+		w.clk.add(tuning.ShareOutPause)
+	}
+	w.passAll()
+	c := w.start("c", []string{"a", "b", "c"})
+	for _, ref := range refs {
+		want := jobs.Done
+		if ref == "wk-3" {
+			want = jobs.Cancelled
+		}
+		if p := c.job(ref).Phase; p != want {
+			t.Errorf("%s is %s for a node that starts later, want %s", ref, p, want)
+		}
+	}
+	delete(w.nodes, "c")
+	w.passAll()
+	if len(w.intakes()) != 0 {
+		t.Error("the intake record stays though nothing needs it")
+	}
+	if code, st, _ := ask(b, "POST", "/work", work("wk-4", 1)); code != 200 || st.Phase != wire.PhaseDone {
+		t.Errorf("a repeat after the end: %d %s", code, st.Phase)
+	}
+}
+
+// Another node has stored one of them meanwhile, unseen: nobody else is refused.
+func TestAKnownJobAmongOthersDoesNotKeepThemOut(t *testing.T) {
+	w := newWorld(t, "a")
+	a := w.nodes["a"]
+	var group []*submission
+	for i := range 3 {
+		wk := work(fmt.Sprintf("wk-%d", i), 1)
+		group = append(group, &submission{work: &wk, rec: jobs.Record{Phase: jobs.Open, Tasks: 1, Chunk: 4, Work: &wk},
+			before: time.Now().Add(time.Minute), done: make(chan error, 1)})
+	}
+	key := jobs.JobKey("wk-1")
+	if _, err := w.st.Multi(context.Background(), 0, nil, []wire.Change{{Set: key, V: wire.MustMarshal(group[1].rec)}}); err != nil {
+		t.Fatal(err)
+	}
+	a.storeGroup(context.Background(), group)
+	for _, s := range group {
+		if err := <-s.done; !errors.Is(err, errAlone) {
+			t.Fatalf("%s: %v", s.work.Ref, err)
+		}
+	}
+	if len(w.intakes()) != 0 {
+		t.Fatal("a job is stored twice")
+	}
+}
+
+// A record of several stays below the value limit, and holds no job twice.
+func TestGroupsOfSubmissionsFitOneRecord(t *testing.T) {
+	w := newWorld(t, "a")
+	n := newNode(settings("z", []string{"z"}), w.nodes["a"].log, w.clk.now, w.st, w.nodes["a"].lim, w.cl, deaf{})
+	add := func(ref string) *submission {
+		wk := work(ref, 1)
+		return &submission{work: &wk, rec: jobs.Record{Phase: jobs.Open, Tasks: 1, Chunk: 70, Work: &wk}, before: time.Now().Add(time.Minute)}
+	}
+	late := add("wk-late")
+	late.before = time.Now()
+	n.intake <- late
+	for i := range 40 {
+		n.intake <- add(fmt.Sprintf("wk-%d", i))
+	}
+	for group, next := n.gather(add("wk-0")); ; group, next = n.gather(next) {
+		if len(group) < 1 {
+			t.Fatal("an empty group")
+		}
+		v := jobs.IntakeRecord{Jobs: map[string]jobs.Record{}}
+		size := 0
+		for _, s := range group {
+			if s == late {
+				t.Error("a submission whose user was told to come back is stored")
+			}
+			v.Jobs[s.work.Ref] = s.rec
+			size += jobs.JSONSize(s.work) + 100
+		}
+		if len(v.Jobs) != len(group) {
+			t.Error("one record holds a job twice")
+		}
+		if limit := int(n.set.Params.State.ValueKB * 1024); size > limit {
+			t.Errorf("%d jobs take %d bytes of %d", len(group), size, limit)
+		}
+		if next == nil {
+			break
+		}
+	}
+}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -112,6 +113,9 @@
 	mkick chan struct{} // wakes the membership
 	calls chan struct{} // bounds direct calls
 	takes chan struct{} // bounds submissions under way
+
+	intake   chan *submission // submissions that wait for their durable write
+	intakeNo atomic.Uint64    // counts intake records
 }
 
 // leading is the leader's memory; it starts empty with each leadership.
@@ -167,6 +171,7 @@
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
 		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
+		intake: make(chan *submission, set.Operator.IntakeQueue),
 	}
 	n.self.Label = set.Label
 	n.open = func() int { return 0 }
@@ -211,6 +216,9 @@
 	g.Go(func() error { return n.sync.Barriers(ctx) })
 	g.Go(func() error { return n.runMember(ctx) })
 	g.Go(func() error { return n.runProbes(ctx) })
+	for range tuning.IntakeLanes {
+		g.Go(func() error { return n.runIntake(ctx) })
+	}
 	g.Go(func() error { return n.runPass(ctx) })
 	g.Go(func() error { return n.runCloud(ctx) })
 	g.Go(func() error { return n.runLead(ctx) })
@@ -257,20 +265,17 @@
 
 // sink takes changed values from the cache; mu is held.
 func (n *Node) sink(key string, v wire.Raw, stamp uint64) {
-	if err := n.enter(key, v); err != nil {
+	if err := n.enter(key, v, stamp); err != nil {
 		n.log.Error("stored record can't be read", "key", key, "stamp", stamp, "err", err)
 	}
 }
 
-func (n *Node) enter(key string, v wire.Raw) error {
+func (n *Node) enter(key string, v wire.Raw, stamp uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		ref := strings.TrimPrefix(key, jobs.JobPrefix)
-		err := n.table.ApplyJob(ref, v)
-		if j := n.table.Jobs[ref]; err == nil && j != nil && j.Record.Work != nil {
-			n.imageGB[j.Record.Work.Bundle] = j.Record.Work.ImageGB
-		}
-		return err
+		return n.table.ApplyJob(strings.TrimPrefix(key, jobs.JobPrefix), v)
+	case strings.HasPrefix(key, jobs.IntakePrefix):
+		return n.table.ApplyIntake(key, v, stamp)
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
@@ -432,19 +437,26 @@
 }
 
 // healthy decides GET /up: a node without the state service passes users on
-// while a sibling has it; if none has, there is nobody better.
+// while a sibling has it; if none has, there is nobody better. A node that
+// hears no sibling either can't tell, and holds that it alone is cut off.
+// Guards against a cut-off node, which refuses every request and closes its
+// connections, drawing all users as the one with the fewest.
 func (n *Node) healthy() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.hasState() {
 		return n.cache.Settled()
 	}
+	alone := len(n.siblings) > 0
 	for _, s := range n.siblings {
-		if n.freshSibling(s) && s.status.HasState {
-			return false
+		if n.freshSibling(s) {
+			if s.status.HasState {
+				return false
+			}
+			alone = false
 		}
 	}
-	return n.cache.Settled()
+	return !alone && n.cache.Settled()
 }
 
 // runMember keeps the session, the leadership and the membership.
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -421,6 +421,15 @@
 		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted))
 		txns = n.under(txns, t, ref, most)
 	}
+	for key := range n.table.Intakes {
+		// Nothing needs it any more: guards against reading it for ever.
+		if *most >= 1 && !n.busyJob[key] && n.table.Over(key) && n.member.Order(key)[0] == n.self.Label {
+			t := n.newTxn("intake over")
+			t.guards[key] = n.cache.Stamp(key)
+			t.drop(key)
+			txns = n.under(txns, t, key, most)
+		}
+	}
 	return txns
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -258,6 +258,12 @@
 	if !a.healthy() {
 		t.Fatal("unhealthy though no node has the state service")
 	}
+	// It hears no sibling either: users would all come to it, the one with the
+	// fewest connections, and be refused.
+	w.clk.add(tuning.PeerFresh + time.Second)
+	if a.healthy() {
+		t.Fatal("healthy though cut off from the state service and the siblings")
+	}
 	w.st.down = false
 	if err := b.sync.Barrier(time.Second); err != nil {
 		t.Fatal(err)
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -322,30 +322,6 @@
 	reply(c, 200, st)
 }
 
-// accept stores a new job and answers 201 after the write.
-func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work) {
-	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
-	defer stop()
-	rec := jobs.Record{Phase: jobs.Open, At: n.now().UnixMilli(), Tasks: w.Shards,
-		Chunk: jobs.ChunkSize(n.set.Params.State.ValueKB), Work: w}
-	then := []wire.Change{{Set: jobs.JobKey(w.Ref), V: wire.MustMarshal(rec)}}
-	epoch, err := n.svc.Multi(ctx, store.ClassIntake, []wire.Guard{{Key: jobs.JobKey(w.Ref)}}, then)
-	switch {
-	case err == nil:
-		n.mu.Lock()
-		n.cache.Own(then, epoch)
-		wake(n.kick)
-		n.mu.Unlock()
-		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w))
-		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
-	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
-		// A lost answer is settled by reading again.
-		n.resubmitted(c, w.Ref)
-	default:
-		n.later(c, 503, "the job can't be stored now")
-	}
-}
-
 func (n *Node) cancel(c *fasthttp.RequestCtx, ref string) {
 	if !wire.ValidRef(ref) {
 		refuse(c, 404, "no such job")
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -112,6 +112,7 @@
 			if before[id] != s.Phase {
 				// Once a start. Guards against an order of use that changes with
 				// each report: siblings were told of every machine all the time.
+				n.imageGB[j.Record.Work.Bundle] = j.Record.Work.ImageGB
 				w.NoteImage(j.Record.Work.Bundle, n.imageSize, n.rigs[w.Rig].LocalGB)
 			}
 		case wire.ShardExited:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -311,6 +311,11 @@
 	// IntakeQueue is how many submissions may wait for their durable write at
 	// once; more are refused with RetryAfter.
 	IntakeQueue = 48
+	// IntakeLanes is how many writes of submissions a node has under way: a
+	// slow answer of the state service does not hold up the next.
+	IntakeLanes = 3
+	// IntakeGroup is the most submissions that one record holds.
+	IntakeGroup = 32
 	// PollQueue is how many polls may wait for a read barrier at once.
 	PollQueue = 256
 	// RetryAfter is what refused users are told to wait, in seconds.
