--- a/cmd/wheatspur/main.go
+++ b/cmd/wheatspur/main.go
@@ -18,9 +18,6 @@
 	"wheatspur/internal/tuning"
 )
 
-// version of the program.
-const version = "0.1.0"
-
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "wheatspur:", err)
@@ -37,7 +34,7 @@
 		Long: "wheatspur runs one controller node: it takes jobs from users, rents machines,\n" +
 			"and decides what runs where. Its state lives in the state service alone.\n\n" +
 			"Keys of the operators' properties file:\n" + config.OperatorHelp(),
-		Version:       version,
+		Version:       tuning.Version,
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"github.com/magiconair/properties"
 	"github.com/pelletier/go-toml/v2"
 
+	"wheatspur/internal/jobs"
 	"wheatspur/internal/tuning"
 )
 
@@ -42,6 +43,14 @@
 	Share   float64 `toml:"share"`
 }
 
+// Limits are those of the state service.
+type Limits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
 // Settings is what the platform hands over.
 type Settings struct {
 	Label      string    `toml:"label"`
@@ -65,10 +74,10 @@
 			CancelS float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			Limits
+			// Next holds the limits that the state service will have from some
+			// moment on, which nobody tells; what is absent stays as it is.
+			Next *Limits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -210,23 +219,32 @@
 			return fmt.Errorf("%s: negative amount", name)
 		}
 	}
-	for _, n := range []struct {
+	type bound struct {
 		name     string
 		v        float64
 		min, max float64
-	}{
+	}
+	bounds := []bound{
 		{"params.workers.report_s", p.Workers.ReportS, 0.1, 3600},
 		{"params.workers.lease_s", p.Workers.LeaseS, 1, 86400},
 		{"params.workers.cancel_s", p.Workers.CancelS, 1, 86400},
-		{"params.state.rps", p.State.RPS, 1, 1e6},
-		{"params.state.write_rps", p.State.WriteRPS, 1, 1e6},
-		{"params.state.value_kb", p.State.ValueKB, 1, 64},
-		{"params.state.txn_ops", float64(p.State.TxnOps), 4, 10000},
 		{"params.cloud.rps", p.Cloud.RPS, 0.1, 1e6},
 		{"params.cloud.list_lag_s", p.Cloud.ListLagS, 0, 3600},
 		{"params.limits.mem_mb", p.Limits.MemMB, 16, 1e7},
 		{"params.limits.max_connections", float64(p.Limits.MaxConnections), 32, 1e7},
-	} {
+	}
+	state := func(at string, l Limits) {
+		bounds = append(bounds, bound{at + "rps", l.RPS, 1, 1e6}, bound{at + "write_rps", l.WriteRPS, 1, 1e6},
+			bound{at + "value_kb", l.ValueKB, 1, 64}, bound{at + "txn_ops", float64(l.TxnOps), 4, 10000})
+	}
+	state("params.state.", p.State.Limits)
+	if p.State.Next != nil {
+		if p.State.Next.negative() {
+			return errors.New("params.state.next: holds a negative limit")
+		}
+		state("params.state.next.", s.StateLimits())
+	}
+	for _, n := range bounds {
 		if !(n.v >= n.min && n.v <= n.max) {
 			return fmt.Errorf("%s: %v is not between %v and %v", n.name, n.v, n.min, n.max)
 		}
@@ -237,8 +255,15 @@
 	for _, sib := range s.Siblings {
 		names += len(sib.Label)
 	}
-	if need := valueBase + names + valueNode*(len(s.Siblings)+1); float64(need) > p.State.ValueKB*1024 {
-		return fmt.Errorf("params.state.value_kb: %v is too small for a record that names %d nodes (%d bytes)", p.State.ValueKB, len(s.Siblings)+1, need)
+	least, field := s.StateLimits().ValueKB, "params.state.value_kb"
+	if least < p.State.ValueKB {
+		field = "params.state.next.value_kb"
+		if need := jobs.ChunkLeast(p.State.ValueKB); float64(need) > least*1024 {
+			return fmt.Errorf("%s: %v does not hold the chunk records that were written under params.state.value_kb (%d bytes)", field, least, need)
+		}
+	}
+	if need := valueBase + names + valueNode*(len(s.Siblings)+1); float64(need) > least*1024 {
+		return fmt.Errorf("%s: %v is too small for a record that names %d nodes (%d bytes)", field, least, len(s.Siblings)+1, need)
 	}
 	if p.Workers.CancelS <= p.Workers.LeaseS {
 		return errors.New("params.workers.cancel_s: must exceed lease_s")
@@ -246,6 +271,30 @@
 	return nil
 }
 
+func (l *Limits) negative() bool { return l.RPS < 0 || l.WriteRPS < 0 || l.ValueKB < 0 || l.TxnOps < 0 }
+
+// StateLimits are the limits that everything keeps to: the smaller of the
+// present ones and those that come at a moment which nobody tells.
+func (s *Settings) StateLimits() Limits {
+	l, next := s.Params.State.Limits, s.Params.State.Next
+	if next == nil {
+		return l
+	}
+	if next.RPS != 0 {
+		l.RPS = min(l.RPS, next.RPS)
+	}
+	if next.WriteRPS != 0 {
+		l.WriteRPS = min(l.WriteRPS, next.WriteRPS)
+	}
+	if next.ValueKB != 0 {
+		l.ValueKB = min(l.ValueKB, next.ValueKB)
+	}
+	if next.TxnOps != 0 {
+		l.TxnOps = min(l.TxnOps, next.TxnOps)
+	}
+	return l
+}
+
 // valueBase and valueNode bound the JSON of a record with an entry a node.
 const (
 	valueBase = 160
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -67,12 +67,13 @@
 }
 
 // bytes bounds the JSON form of the record in its group, whatever becomes of
-// its role, phase and reason: a machine never has to leave its group.
+// its role and phase; the reason is kept where there is room.
 func (r Record) bytes(host string) int { return len(host) + len(r.Rig) + len(r.Plot) + recordBytes }
 
 const (
-	recordBytes = 128 // all but the names
-	whyMax      = 60  // bytes of a reason that are kept
+	recordBytes = 68 // all but the names and the reason
+	whyMax      = 60 // bytes of a reason that are kept
+	whyBytes    = 10 // around it
 )
 
 // Group is the stored form of several machines.
@@ -141,16 +142,38 @@
 	Now  *Record // nil: drop
 }
 
-// Write is one change of a key that stores several changes of machines.
+// Write is one transaction that stores several changes of machines.
 type Write struct {
 	Key string
 	V   *Group // nil: drop
+	// Cut holds the new keys of machines that leave the group in the same
+	// transaction, because it is larger than the state service takes.
+	Cut map[string]*Group
+}
+
+// Oversize lists keys whose groups are larger than limit, at most some: an
+// earlier version, or earlier settings, wrote them.
+func (g *Register) Oversize(limit, most int) []string {
+	var out []string
+	for key, hosts := range g.groups {
+		size := 0
+		for host := range hosts {
+			size += g.Hosts[host].bytes(host)
+		}
+		if size > limit && strings.HasPrefix(key, GroupPrefix) {
+			out = append(out, key)
+		}
+	}
+	sort.Strings(out)
+	return out[:min(len(out), most)]
 }
 
 // Writes turns changes of machines into changes of keys. What was decided on
 // a record that has changed since is left out. A new machine goes to a group
-// that stays below limit bytes of JSON.
-func (g *Register) Writes(list []Change, limit int) []Write {
+// that stays below limit bytes of JSON. A group that is larger, whether one of
+// its machines changes or it is named in cut, is cut in one transaction of at
+// most ops keys, so that each machine is in exactly one group at any time.
+func (g *Register) Writes(list []Change, cut []string, limit, ops int) []Write {
 	touched := map[string]map[string]Record{}
 	open := func(key string) map[string]Record {
 		if touched[key] == nil {
@@ -192,11 +215,22 @@
 		r.Why = r.Why[:min(len(r.Why), whyMax)]
 		open(key)[c.Host] = r
 	}
+	for _, key := range cut {
+		open(key)
+	}
 	out := make([]Write, 0, len(touched))
 	for key, m := range touched {
 		w := Write{Key: key}
 		if len(m) > 0 {
-			w.V = &Group{Machines: m}
+			parts := split(m, limit, ops)
+			w.V = &Group{Machines: parts[0]}
+			for _, p := range parts[1:] {
+				if w.Cut == nil {
+					w.Cut = map[string]*Group{}
+				}
+				w.Cut[GroupKey(next)] = &Group{Machines: p}
+				next++
+			}
 		} else if len(g.groups[key]) == 0 {
 			continue
 		}
@@ -212,6 +246,35 @@
 	return out
 }
 
+// split divides a group's machines into at most most parts that stay below
+// limit, and drops their reasons where there is no room for them.
+func split(m map[string]Record, limit, most int) []map[string]Record {
+	hosts := make([]string, 0, len(m))
+	size, why := 0, 0
+	for h, r := range m {
+		hosts = append(hosts, h)
+		size += r.bytes(h)
+		if r.Why != "" {
+			why += len(r.Why) + whyBytes
+		}
+	}
+	if size+why <= limit {
+		return []map[string]Record{m}
+	}
+	sort.Strings(hosts)
+	parts, used := []map[string]Record{{}}, 0
+	for _, h := range hosts {
+		r := m[h]
+		r.Why = ""
+		if used += r.bytes(h); used > limit && used > r.bytes(h) && len(parts) < most {
+			parts = append(parts, map[string]Record{})
+			used = r.bytes(h)
+		}
+		parts[len(parts)-1][h] = r
+	}
+	return parts
+}
+
 func fits(m map[string]Record, r Record, host string, limit int) bool {
 	size := r.bytes(host)
 	for h, v := range m {
--- a/internal/fleet/record_test.go
+++ b/internal/fleet/record_test.go
@@ -36,7 +36,7 @@
 		r := rec("a-type")
 		joins = append(joins, Change{Host: fmt.Sprintf("host-%06d", i), Now: &r})
 	}
-	first := g.Writes(joins, int(float64(limit)*tuning.GroupShare))
+	first := g.Writes(joins, nil, int(float64(limit)*tuning.GroupShare), 12)
 	if len(first) > 2500/16 {
 		t.Fatalf("%d changes for 2500 machines", len(first))
 	}
@@ -58,7 +58,7 @@
 	for host := range g.Hosts {
 		keys[host] = g.Key(host)
 	}
-	apply(t, g, g.Writes(drains, int(float64(limit)*tuning.GroupShare)))
+	apply(t, g, g.Writes(drains, nil, int(float64(limit)*tuning.GroupShare), 12))
 	for host, key := range keys {
 		if g.Key(host) != key || g.Hosts[host].Phase != Returned {
 			t.Fatalf("%s left its key or was not changed", host)
@@ -78,7 +78,7 @@
 	for host, r := range g.Hosts {
 		drops = append(drops, Change{Host: host, Was: &r})
 	}
-	for _, w := range g.Writes(drops, int(float64(limit)*tuning.GroupShare)) {
+	for _, w := range g.Writes(drops, nil, int(float64(limit)*tuning.GroupShare), 12) {
 		if w.V != nil {
 			t.Fatalf("%s stays with %d machines", w.Key, len(w.V.Machines))
 		}
@@ -90,11 +90,11 @@
 func TestAChangeDecidedOnAnOldRecordIsLeftOut(t *testing.T) {
 	g := NewRegister()
 	r := rec("g")
-	apply(t, g, g.Writes([]Change{{Host: "h1", Now: &r}}, 4096))
+	apply(t, g, g.Writes([]Change{{Host: "h1", Now: &r}}, nil, 4096, 12))
 	returned, moved := r, r
 	returned.Phase, moved.Role = Returned, place.Service
-	apply(t, g, g.Writes([]Change{{Host: "h1", Was: &r, Now: &returned}}, 4096))
-	if w := g.Writes([]Change{{Host: "h1", Was: &r, Now: &moved}, {Host: "h1", Now: &r}}, 4096); len(w) != 0 {
+	apply(t, g, g.Writes([]Change{{Host: "h1", Was: &r, Now: &returned}}, nil, 4096, 12))
+	if w := g.Writes([]Change{{Host: "h1", Was: &r, Now: &moved}, {Host: "h1", Now: &r}}, nil, 4096, 12); len(w) != 0 {
 		t.Fatalf("an old decision is written: %+v", w)
 	}
 }
@@ -107,7 +107,7 @@
 	}
 	d := r
 	d.Phase = Draining
-	writes := g.Writes([]Change{{Host: "h1", Was: &r, Now: &d}}, 4096)
+	writes := g.Writes([]Change{{Host: "h1", Was: &r, Now: &d}}, nil, 4096, 12)
 	if len(writes) != 2 || writes[0].V == nil || writes[1].Key != HostPrefix+"h1" {
 		t.Fatalf("%+v: the new key is to stand before the old one goes", writes)
 	}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -378,7 +378,7 @@
 			t = j.Live[id.Task]
 		}
 		s, on := w.Shards[id]
-		wanted := j != nil && t.Stint == w.Stint && j.Record.Phase == jobs.Open
+		wanted := j != nil && t.Stint == w.Stint && j.Phase == jobs.Open
 		switch {
 		case wanted && (!on || s.Try < t.Try):
 			if on && s.Phase != wire.ShardExited {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -103,18 +103,38 @@
 }
 
 func TestChunkRecordsStayBelowTheValueLimit(t *testing.T) {
-	for _, kb := range []float64{1, 4, 16} {
-		n := ChunkSize(kb)
+	size := func(c ChunkRecord) int {
 		var list []any
-		for range n {
-			list = append(list, []any{1, 999999, "host-000000000231", 99999, 20})
+		for _, k := range c.Tasks {
+			list = append(list, []any{k.State, k.Try, k.Host, k.Stint, k.Errs})
 		}
 		b, err := json.Marshal(map[string]any{"t": list})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if float64(len(b)) > kb*1024 {
-			t.Errorf("%g KiB: %d tasks take %d bytes", kb, n, len(b))
+		return len(b)
+	}
+	full := func(n int, k Task) (c ChunkRecord) {
+		for range n {
+			c.Tasks = append(c.Tasks, k)
+		}
+		return c
+	}
+	for _, kb := range []float64{1, 2, 4, 16} {
+		c := full(ChunkSize(kb), Task{State: Claimed, Try: 99, Host: "host-000231", Stint: 99, Errs: 9})
+		if n := c.Bytes(); float64(n) > kb*1024 || size(c) > n {
+			t.Errorf("%g KiB: %d tasks take %d bytes, by our count %d", kb, len(c.Tasks), size(c), n)
+		}
+	}
+	// With longer names a claim too many is left out: its bound is what the
+	// record grows by.
+	for _, k := range []Task{{}, {Try: 9}, {Try: 99999, Errs: 20}} {
+		was := full(3, k)
+		e := TaskEvent{Kind: Claim, Host: "a-machine-with-a-long-name", Stint: 12345}
+		is := full(3, k)
+		is.Tasks[1], _ = k.Next(e)
+		if grown := is.Bytes() - was.Bytes(); grown > ClaimBytes(e) || size(is) > is.Bytes() {
+			t.Errorf("%+v: grows by %d, bound %d", k, grown, ClaimBytes(e))
 		}
 	}
 }
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -7,7 +7,12 @@
 
 // Phases of a job.
 const (
-	Open      Phase = "open"
+	Open Phase = "open"
+	// Waiting is the phase of a job that awaits others. It stays stored until
+	// the job ends: whether the job may start, or is cancelled with one that it
+	// awaits, follows from the records of those (Table). Versions that do not
+	// know the phase answer "queued" and never place such a job.
+	Waiting   Phase = "waiting"
 	Done      Phase = "done"
 	Cancelled Phase = "cancelled"
 )
@@ -21,18 +26,19 @@
 // Events of a job.
 const (
 	JobCompleted JobEvent = "completed" // all tasks are stored done
-	JobCancel    JobEvent = "cancel"    // its user asked
+	JobCancel    JobEvent = "cancel"    // its user asked, or a job that it awaits is cancelled
+	JobReleased  JobEvent = "released"  // all jobs that it awaits are stored done
 )
 
 // Next is the one function that changes a job's phase.
 func (p Phase) Next(e JobEvent) (Phase, error) {
-	if p == Open {
-		switch e {
-		case JobCompleted:
-			return Done, nil
-		case JobCancel:
-			return Cancelled, nil
-		}
+	switch {
+	case p == Open && e == JobCompleted:
+		return Done, nil
+	case (p == Open || p == Waiting) && e == JobCancel:
+		return Cancelled, nil
+	case p == Waiting && e == JobReleased:
+		return Open, nil
 	}
 	return p, fmt.Errorf("job: no %s in phase %s", e, p)
 }
--- /dev/null
+++ b/internal/jobs/pipeline.go
@@ -0,0 +1,180 @@
+package jobs
+
+import (
+	"slices"
+
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// Jobs that await others. What a waiting job may do is never stored: it follows
+// from the records of the jobs that it awaits, and is derived again whenever
+// one of them changes, in work lists whose length follows what changes. Done
+// and cancelled are final, so what is derived from them stands for ever.
+
+// CheckAwaits refuses a list that names what can't be awaited; accepted tells of a job whether it is known,
+// and whether it is a service.
+func CheckAwaits(w *wire.Work, accepted func(ref string) (known, service bool)) error {
+	for _, ref := range w.Awaits {
+		if !wire.ValidRef(ref) {
+			return Refusal("awaits names no job: " + ref[:min(len(ref), 40)])
+		}
+		if ref == w.Ref {
+			return Refusal("a job can't await itself")
+		}
+		switch known, service := accepted(ref); {
+		case !known:
+			return Refusal("awaits names a job that was never accepted: " + ref)
+		case service:
+			return Refusal("awaits names a service, which never ends: " + ref)
+		}
+	}
+	return nil
+}
+
+// awaits lists the jobs that a job still waits for by its own record.
+func (j *Job) awaits() []string {
+	if j.Record.Work == nil || j.Record.Phase.Final() {
+		return nil
+	}
+	return j.Record.Work.Awaits
+}
+
+func (t *Table) link(j *Job) {
+	for _, ref := range j.awaits() {
+		if t.after[ref] == nil {
+			t.after[ref] = map[string]bool{}
+		}
+		t.after[ref][j.Ref] = true
+	}
+}
+
+func (t *Table) unlink(j *Job) {
+	for _, ref := range j.awaits() {
+		delete(t.after[ref], j.Ref)
+		if len(t.after[ref]) == 0 {
+			delete(t.after, ref)
+		}
+	}
+}
+
+// phase is a job's phase as it follows from its own record and the phases of
+// those that it awaits. One that is not known, or whose record can't be read,
+// is not done.
+func (t *Table) phase(j *Job) (p Phase, via string) {
+	if j.Record.Phase != Waiting {
+		return j.Record.Phase, j.Record.Via
+	}
+	event := JobReleased
+	for _, ref := range j.awaits() {
+		a := t.Jobs[ref]
+		switch {
+		case a != nil && a.Phase == Cancelled:
+			event, via = JobCancel, ref
+		case event == JobReleased && (a == nil || a.Phase != Done):
+			event = ""
+		}
+		if event == JobCancel {
+			break
+		}
+	}
+	if event == "" {
+		return Waiting, ""
+	}
+	p, _ = j.Record.Phase.Next(event) // waiting takes both
+	return p, via
+}
+
+// derive brings up to date what follows from a job's record, for itself and
+// for all that it reaches; before is what it awaited by its former record.
+func (t *Table) derive(ref string, before []string) {
+	up := append([]string{ref}, before...) // whose hints may change
+	for list := []string{ref}; len(list) > 0; {
+		j := t.Jobs[list[0]]
+		list = list[1:]
+		was, first := j.Phase, j.Ref == ref
+		j.Phase, j.Via = t.phase(j)
+		if was == j.Phase && !first {
+			continue
+		}
+		t.file(j)
+		for next := range t.after[j.Ref] {
+			if t.Jobs[next] != nil {
+				list = append(list, next)
+			}
+		}
+		if j.Record.Work != nil {
+			up = append(up, j.awaits()...)
+		}
+	}
+	t.hint(up)
+}
+
+// file enters a job in the index of its phase.
+func (t *Table) file(j *Job) {
+	delete(t.Open, j.Ref)
+	delete(t.Waiting, j.Ref)
+	delete(t.Unsaid, j.Ref)
+	j.Ready = j.Record.At
+	switch {
+	case j.Phase == Open:
+		t.Open[j.Ref] = j
+		for _, ref := range j.awaits() {
+			if a := t.Jobs[ref]; a != nil {
+				j.Ready = max(j.Ready, a.Record.End)
+			}
+		}
+		return
+	case j.Phase == Waiting:
+		t.Waiting[j.Ref] = j
+	case !j.Record.Phase.Final():
+		t.Unsaid[j.Ref] = j
+	}
+	for _, task := range j.Live {
+		t.Moved(task.Host)
+	}
+}
+
+// hint works out again the rank and the deadline of jobs, and of those that
+// they await as far as that changes them.
+func (t *Table) hint(list []string) {
+	for len(list) > 0 {
+		j := t.Jobs[list[0]]
+		list = list[1:]
+		if j == nil || j.Record.Work == nil {
+			continue
+		}
+		w := j.Record.Work
+		rank, due := RankOrder(w.Rank), int64(0)
+		if w.DueS != nil {
+			due = j.Record.At + int64(*w.DueS*1000)
+		}
+		for ref := range t.after[j.Ref] {
+			n := t.Jobs[ref]
+			if n == nil || n.Phase.Final() || n.Record.Work == nil {
+				continue
+			}
+			rank = min(rank, n.Rank)
+			if n.Due > 0 {
+				// What the next step takes by its owner's estimate is not there
+				// for this one.
+				left := n.Due - int64(n.Record.Work.ReckonS*1000) - tuning.StepGap.Milliseconds()
+				if due == 0 || left < due {
+					due = left
+				}
+			}
+		}
+		if rank != j.Rank || due != j.Due {
+			j.Rank, j.Due = rank, due
+			list = append(list, j.awaits()...)
+		}
+	}
+}
+
+// Unfinished lists the jobs that a waiting job waits for, as they were named.
+func (t *Table) Unfinished(j *Job) []string {
+	return slices.DeleteFunc(slices.Clone(j.awaits()), func(ref string) bool {
+		a := t.Jobs[ref]
+		return a != nil && a.Phase == Done
+	})
+}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
@@ -52,6 +53,24 @@
 	Chunk  int        `cbor:"cs"`          // tasks per chunk
 	Serial uint64     `cbor:"s,omitempty"` // raised by claims of jobs whose constraint spans chunks
 	Work   *wire.Work `cbor:"w,omitempty"`
+	End    int64      `cbor:"e,omitempty"` // of a final record: time of the end, Unix milliseconds
+	Via    string     `cbor:"v,omitempty"` // the job with which it was cancelled
+}
+
+// Cancelled returns the record of the job after its user has cancelled it. Of
+// the description only what its claims still need stays: the whole of an old
+// one may be larger than the state service takes now.
+func (r Record) Cancelled(now time.Time) (Record, error) {
+	phase, err := r.Phase.Next(JobCancel)
+	if err != nil {
+		return r, err
+	}
+	r.Phase, r.End = phase, now.UnixMilli()
+	if w := r.Work; w != nil {
+		r.Work = &wire.Work{Ref: w.Ref, Crew: w.Crew, Shape: w.Shape, Rank: w.Rank, Shards: w.Shards,
+			CPUs: w.CPUs, Cards: w.Cards, RAMGB: w.RAMGB}
+	}
+	return r, nil
 }
 
 // IntakeRecord is the stored form of several jobs that were accepted in one
@@ -62,7 +81,7 @@
 }
 
 // recordBytes bounds the JSON of a job's record, all but its description.
-const recordBytes = 160
+const recordBytes = 96
 
 // IntakeBytes bounds the JSON of a job in an intake record.
 func IntakeBytes(w *wire.Work) int { return JSONSize(w) + recordBytes }
@@ -104,15 +123,49 @@
 // GrantOf turns an amount into a grant.
 func GrantOf(r Resources) Grant { return Grant{CPUs: r.CPUs, GPUs: r.GPUs} }
 
-// taskBytes bounds the JSON form of one stored task.
-const taskBytes = 56
+// Bytes of the JSON form of a chunk record: of a task all but its numbers and
+// its machine's name, with a space after each comma; of the rest; and of a
+// task on a machine with a name of the protocol's form.
+const (
+	taskBase  = 13
+	chunkBase = 16
+	taskBytes = 31
+)
 
-// ChunkSize returns the number of tasks per chunk record: as many as surely
-// stay below the value limit, and few enough that several chunks fit one
-// transaction.
+// ChunkSize returns the number of tasks per chunk record: as many as fit the
+// value limit when all are claimed, and few enough that several chunks fit one
+// transaction. Claims that would make a chunk too large for other reasons, such
+// as long names, are left out (Bytes).
 func ChunkSize(valueKB float64) int {
-	kb := min(valueKB, tuning.ChunkMaxKB)
-	return max(1, int(kb*1024-128)/taskBytes)
+	return min(max(1, int(valueKB*1024-chunkBase)/taskBytes), tuning.ChunkMax)
+}
+
+// ChunkLeast is the value limit, in bytes, that full chunk records need which
+// were written under a limit, with names of the protocol's form.
+func ChunkLeast(valueKB float64) int { return ChunkSize(valueKB)*taskCompact + chunkBase }
+
+// taskCompact bounds the JSON form of a task on a machine with a name of the
+// protocol's form, without spaces.
+const taskCompact = 28
+
+// Bytes bounds the JSON form of the record.
+func (c ChunkRecord) Bytes() int {
+	n := chunkBase
+	for _, t := range c.Tasks {
+		n += taskBase + len(t.Host) + digits(t.Try) + digits(t.Stint) + digits(t.Errs)
+	}
+	return n
+}
+
+// ClaimBytes bounds what a claim adds to the JSON form of its chunk's record.
+func ClaimBytes(e TaskEvent) int { return len(e.Host) + digits(e.Stint) + 1 }
+
+func digits(v uint64) int {
+	n := 1
+	for ; v > 9; v /= 10 {
+		n++
+	}
+	return n
 }
 
 // JSONSize is the size of a submission as the state service counts it.
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -64,6 +64,15 @@
 	Live   map[int]Task   // claimed tasks
 	Seen   time.Time      // when this node first saw it
 
+	// What follows from the records of the jobs that it awaits and of those
+	// that await it (see pipeline.go). Phase is open, for a job that is stored
+	// waiting, once all that it awaits is stored done, and cancelled with any of it.
+	Phase Phase
+	Via   string // the job with which it is cancelled
+	Ready int64  // when it might start first, Unix milliseconds
+	Rank  int    // the highest of its own and of those that await it; see RankOrder
+	Due   int64  // when it should be done, for itself and those that await it, Unix milliseconds; 0: no deadline
+
 	own    bool   // its own record is stored
 	intake uint64 // else the stamp of the intake record that holds it
 }
@@ -111,9 +120,9 @@
 func (j *Job) Status() wire.Status {
 	s := wire.Status{Ref: j.Ref, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
 	switch {
-	case j.Record.Phase == Done:
+	case j.Phase == Done:
 		s.Phase, s.Done, s.Running = wire.PhaseDone, j.Record.Tasks, 0
-	case j.Record.Phase == Cancelled:
+	case j.Phase == Cancelled:
 		s.Phase, s.Running = wire.PhaseCancelled, 0
 	case s.Running > 0:
 		s.Phase = wire.PhaseRunning
@@ -127,13 +136,16 @@
 // cache and changed by nothing else.
 type Table struct {
 	Jobs    map[string]*Job
-	Open    map[string]*Job           // open jobs
-	Used    map[string]Resources      // claims per team
-	Hosts   map[string]map[ID]*Job    // claims per machine
-	Needs   map[string]Resources      // what they take
-	Team    map[string]TeamRecord     // team records
-	Intakes map[string][]string       // jobs of each intake record
-	early   map[string]map[int][]Task // chunks whose job is not known yet
+	Open    map[string]*Job            // jobs whose tasks may run
+	Waiting map[string]*Job            // jobs that wait for others
+	Unsaid  map[string]*Job            // jobs that are cancelled with others, without a final record
+	Used    map[string]Resources       // claims per team
+	Hosts   map[string]map[ID]*Job     // claims per machine
+	Needs   map[string]Resources       // what they take
+	Team    map[string]TeamRecord      // team records
+	Intakes map[string][]string        // jobs of each intake record
+	early   map[string]map[int][]Task  // chunks whose job is not known yet
+	after   map[string]map[string]bool // jobs that await each job
 	now     func() time.Time
 
 	FailedAt map[ID]time.Time // when a task's count of failures last rose
@@ -144,7 +156,8 @@
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Used: map[string]Resources{},
+	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unsaid: map[string]*Job{},
+		after: map[string]map[string]bool{}, Used: map[string]Resources{},
 		Hosts: map[string]map[ID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
 		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}, Moved: func(string) {}}
 }
@@ -204,20 +217,16 @@
 		t.Jobs[ref] = j
 	}
 	j.Counts[Pending] += r.Tasks - j.Record.Tasks
+	before := j.awaits()
+	t.unlink(j)
 	j.Record = r
+	t.link(j)
 	if r.Work != nil {
 		// Final records carry no description; what is needed to account for
 		// claims that are released later stays.
 		j.Need, j.Team = Need(r.Work), r.Work.Crew
 	}
-	if r.Phase == Open {
-		t.Open[ref] = j
-	} else {
-		delete(t.Open, ref)
-		for _, task := range j.Live {
-			t.Moved(task.Host)
-		}
-	}
+	t.derive(ref, before)
 	for c, tasks := range t.early[ref] {
 		t.replace(j, c, tasks)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -31,6 +31,19 @@
 	Incarnation uint64 `cbor:"i"`
 }
 
+// Form is the number of the stored forms that this program reads and writes.
+// 1: pipelines (jobs that are stored waiting). It stands beside the node in its
+// session's key alone, so that versions which know no forms, and say none,
+// compare nodes as ever.
+const Form = 1
+
+// Session is the stored form of a node's session.
+type Session struct {
+	Node
+	Form    uint64 `cbor:"v,omitempty"`
+	Version string `cbor:"s,omitempty"` // of the program, for operators
+}
+
 // Record is the membership: who is entitled to act, and with which baton.
 type Record struct {
 	Baton  uint64 `cbor:"b"`
@@ -230,3 +243,23 @@
 	}
 	return &n, nil
 }
+
+// DecodeSession reads a session.
+func DecodeSession(raw wire.Raw) (*Session, error) {
+	var s Session
+	if err := wire.Unmarshal(raw, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Knows reports whether every member has told, in the session of its present
+// incarnation, that it reads a form.
+func (r *Record) Knows(form uint64, sessions map[string]Session) bool {
+	for _, m := range r.Nodes {
+		if s, ok := sessions[m.Label]; !ok || s.Node != m || s.Form < form {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -69,8 +69,8 @@
 			p.room = p.room.Max(m.Free)
 			p.freeing = p.freeing || m.Freeing.GPUs > 0 || m.Freeing.CPUs > 0 || m.Freeing.RAM > 0
 			for _, r := range m.Tasks {
-				if w := r.Job.Record.Work; w != nil && !r.Stopping {
-					p.worst = max(p.worst, jobs.RankOrder(w.Rank))
+				if r.Job.Record.Work != nil && !r.Stopping {
+					p.worst = max(p.worst, r.Job.Rank)
 				}
 			}
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -224,8 +224,8 @@
 		// can't keep its deadline, by an endless stream of others.
 		return a.Aged
 	}
-	if a.Aged && a.Job.Record.At != b.Job.Record.At {
-		return a.Job.Record.At < b.Job.Record.At
+	if a.Aged && a.Job.Ready != b.Job.Ready {
+		return a.Job.Ready < b.Job.Ready
 	}
 	if a.guaranteed != b.guaranteed {
 		return a.guaranteed
@@ -241,20 +241,18 @@
 	return a.Job.Ref < b.Job.Ref
 }
 
-// latest is when a job's tasks must start to keep its deadline, in Unix
-// milliseconds.
+// latest is when a job's tasks must start to keep its deadline, and those of
+// the jobs that await it, in Unix milliseconds.
 func (in *Input) latest(j *jobs.Job) int64 {
-	w := j.Record.Work
-	if w.DueS == nil {
-		return j.Record.At + noDeadline
+	if j.Due == 0 {
+		return j.Ready + noDeadline
 	}
-	due := j.Record.At + int64(*w.DueS*1000)
-	run := int64(w.ReckonS * 1000)
-	if in.Now.UnixMilli()+run/2 > due {
+	run := int64(j.Record.Work.ReckonS * 1000)
+	if in.Now.UnixMilli()+run/2 > j.Due {
 		// Even a run of half the estimate would be late.
-		return j.Record.At + noDeadline
+		return j.Ready + noDeadline
 	}
-	return due - run
+	return j.Due - run
 }
 
 // noDeadline puts a job behind all that have a deadline to keep, by age.
@@ -285,7 +283,7 @@
 	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, Short: map[string]bool{}}
 	in.held, in.scans, in.track = noRank, scansPerPass, true
 	for _, d := range in.Demands {
-		d.rank, d.guaranteed, d.latest = jobs.RankOrder(d.Job.Record.Work.Rank), in.guaranteed(d.Job), in.latest(d.Job)
+		d.rank, d.guaranteed, d.latest = d.Job.Rank, in.guaranteed(d.Job), in.latest(d.Job)
 	}
 	sort.Slice(in.Demands, func(a, b int) bool { return less(in.Demands[a], in.Demands[b]) })
 	for _, d := range in.Demands {
@@ -574,7 +572,7 @@
 	if v == nil {
 		return false
 	}
-	if jobs.RankOrder(w.Rank) < jobs.RankOrder(v.Rank) {
+	if j.Rank < r.Job.Rank {
 		return true
 	}
 	if r.Job.Service() {
@@ -656,11 +654,10 @@
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
-		ra, rb := jobs.RankOrder(list[a].Job.Record.Work.Rank), jobs.RankOrder(list[b].Job.Record.Work.Rank)
-		if ra != rb {
+		if ra, rb := list[a].Job.Rank, list[b].Job.Rank; ra != rb {
 			return ra > rb
 		}
-		return list[a].Job.Record.At > list[b].Job.Record.At
+		return list[a].Job.Ready > list[b].Job.Ready
 	})
 	for i, r := range list {
 		if room = room.Add(r.Job.Need); d.Job.Need.Fits(room) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -14,8 +14,12 @@
 	if edit != nil {
 		edit(w)
 	}
-	return &jobs.Job{Ref: ref, Record: jobs.Record{Phase: jobs.Open, Tasks: tasks, Chunk: 64, Work: w},
-		Need: jobs.Need(w), Team: w.Crew, Chunks: map[int][]jobs.Task{}, Live: map[int]jobs.Task{}}
+	j := &jobs.Job{Ref: ref, Record: jobs.Record{Phase: jobs.Open, Tasks: tasks, Chunk: 64, Work: w}, Phase: jobs.Open,
+		Rank: jobs.RankOrder(rank), Need: jobs.Need(w), Team: w.Crew, Chunks: map[int][]jobs.Task{}, Live: map[int]jobs.Task{}}
+	if w.DueS != nil {
+		j.Due = int64(*w.DueS * 1000)
+	}
+	return j
 }
 
 func machine(name, owner, zone string, role Role, gpus float64) *Machine {
--- a/internal/place/starve_test.go
+++ b/internal/place/starve_test.go
@@ -29,7 +29,7 @@
 	born, began := map[string]int{}, map[string]int{}
 	add := func(round int, ref, crew string, tasks int, size float64) {
 		j := job(ref, wire.ShapeArray, wire.RankNormal, tasks, func(w *wire.Work) { w.Crew, w.Cards, w.CPUs = crew, size, size })
-		j.Record.At = int64(round)
+		j.Ready = int64(round)
 		j.Chunks[0] = make([]jobs.Task, tasks)
 		open, born[ref] = append(open, j), round
 	}
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -27,12 +27,12 @@
 var errAlone = errors.New("not stored with the others")
 
 // accept has a new job stored and answers 201 after the write.
-func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work) {
+func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work, phase jobs.Phase) {
 	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
 	defer stop()
 	s := &submission{work: w, before: time.Now().Add(tuning.DecisionWait), done: make(chan error, 1),
-		rec: jobs.Record{Phase: jobs.Open, At: n.now().UnixMilli(), Tasks: w.Shards,
-			Chunk: jobs.ChunkSize(n.set.Params.State.ValueKB), Work: w}}
+		rec: jobs.Record{Phase: phase, At: n.now().UnixMilli(), Tasks: w.Shards,
+			Chunk: jobs.ChunkSize(n.limits.ValueKB), Work: w}}
 	select {
 	case n.intake <- s:
 	default: // those whose users have been told to come back are still in it
@@ -92,8 +92,8 @@
 // gather takes submissions that wait, as many as one record holds; the one
 // that does not fit goes first in the next.
 func (n *Node) gather(first *submission) (group []*submission, next *submission) {
-	room := int(n.set.Params.State.ValueKB * 1024 * tuning.GroupShare)
-	most := min(tuning.IntakeGroup, 4*n.set.Params.State.TxnOps-1)
+	room := n.groupLimit()
+	most := min(tuning.IntakeGroup, 4*n.limits.TxnOps-1)
 	refs := map[string]bool{}
 	for s := first; ; {
 		// Whose user has been told to come back is left out.
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -92,13 +92,17 @@
 		drains, dead := n.drainChanges(out.Drains)
 		returns, drops := n.toReturn(l, now)
 		returns = append(dead, returns...)
+		var cut []string
+		if n.lim.Writes(tuning.WriteReserve) >= 2 {
+			cut = n.reg.Oversize(n.groupLimit(), tuning.CutsPerPlan)
+		}
 		n.mu.Unlock()
 
 		// Rentals don't wait for the budget of changes.
 		var g errgroup.Group
 		g.Go(func() error {
 			n.giveBack(ctx, returns)
-			n.writeHosts(ctx, append(append(moves, drains...), drops...))
+			n.writeHosts(ctx, append(append(moves, drains...), drops...), cut...)
 			return nil
 		})
 		for _, h := range out.Hires {
@@ -189,7 +193,7 @@
 			s.Batch++
 		}
 		for _, r := range m.Tasks {
-			if r.Job.Service() && r.Job.Record.Phase == jobs.Open {
+			if r.Job.Service() && r.Job.Phase == jobs.Open {
 				s.ServiceBooked += r.Job.Need.Share(m.Total)
 			}
 		}
@@ -286,7 +290,7 @@
 		}
 	}()
 	for _, r := range victim.Tasks {
-		if !r.Job.Service() || r.Job.Record.Phase != jobs.Open {
+		if !r.Job.Service() || r.Job.Phase != jobs.Open {
 			continue
 		}
 		to := place.Elsewhere(f, r.Job, r.ID.Task, victim.Name)
@@ -355,7 +359,7 @@
 		}
 		for _, r := range m.Tasks {
 			wk := r.Job.Record.Work
-			if wk == nil || r.Job.Record.Phase != jobs.Open {
+			if wk == nil || r.Job.Phase != jobs.Open {
 				continue
 			}
 			if r.Job.Service() {
@@ -487,7 +491,7 @@
 			continue
 		}
 		for _, r := range m.Tasks {
-			if r.Job.Service() && r.Job.Record.Phase == jobs.Open {
+			if r.Job.Service() && r.Job.Phase == jobs.Open {
 				count[r.Job]++
 			}
 		}
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -74,14 +74,14 @@
 // writeHosts stores changes of machine records, each guarded by the stamp of
 // its group's key. Several go in one change, and one call at a time, so that
 // the leader's own writes don't race for a group.
-func (n *Node) writeHosts(ctx context.Context, list []fleet.Change) {
-	if len(list) == 0 {
+func (n *Node) writeHosts(ctx context.Context, list []fleet.Change, cut ...string) {
+	if len(list) == 0 && len(cut) == 0 {
 		return
 	}
 	n.hostWrites.Lock()
 	defer n.hostWrites.Unlock()
 	n.mu.Lock()
-	writes := n.reg.Writes(list, int(n.set.Params.State.ValueKB*1024*tuning.GroupShare))
+	writes := n.reg.Writes(list, cut, n.groupLimit(), n.limits.TxnOps)
 	n.mu.Unlock()
 	defer func() {
 		n.mu.Lock()
@@ -92,17 +92,24 @@
 		n.mu.Lock()
 		n.storing = len(writes) - i
 		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(w.Key)}
-		n.mu.Unlock()
 		then := []wire.Change{{Drop: w.Key}}
 		if w.V != nil {
 			then = []wire.Change{{Set: w.Key, V: wire.MustMarshal(w.V)}}
 		}
+		for key, part := range w.Cut {
+			guards = append(guards, n.cache.Guard(key))
+			then = append(then, wire.Change{Set: key, V: wire.MustMarshal(part)})
+		}
+		n.mu.Unlock()
 		if err := n.write(ctx, guards, then); err != nil {
 			n.log.Info("machine records not stored", "group", w.Key, "err", err)
 		}
 	}
 }
 
+// groupLimit is how much JSON a group of machine records may hold.
+func (n *Node) groupLimit() int { return int(n.limits.ValueKB * 1024 * tuning.GroupShare) }
+
 // enterList compares the cloud's list with the stored machines.
 func (n *Node) enterList(ctx context.Context, list []wire.Host) {
 	n.mu.Lock()
@@ -259,7 +266,7 @@
 			}
 			open := 0
 			for _, j := range n.table.Hosts[host] {
-				if j.Record.Phase == jobs.Open {
+				if j.Phase == jobs.Open {
 					open++
 				}
 			}
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -54,13 +54,14 @@
 
 // Node is one controller.
 type Node struct {
-	set   *config.Settings
-	log   *slog.Logger
-	now   func() time.Time
-	svc   store.Service
-	lim   *store.Limiter
-	cloud fleet.Cloud
-	call  caller
+	set    *config.Settings
+	limits config.Limits // of the state service, that everything keeps to
+	log    *slog.Logger
+	now    func() time.Time
+	svc    store.Service
+	lim    *store.Limiter
+	cloud  fleet.Cloud
+	call   caller
 
 	metrics *metrics
 
@@ -71,9 +72,10 @@
 	session  member.SessionState
 	self     member.Node
 	sessions map[string]member.Node
-	deaf     map[string]bool // nodes that say that they hear no worker
-	probes   []string        // workers' addresses to ask while we are deaf
-	probed   time.Time       // when one of them last answered
+	versions map[string]member.Session // the same, with what they say of their programs
+	deaf     map[string]bool           // nodes that say that they hear no worker
+	probes   []string                  // workers' addresses to ask while we are deaf
+	probed   time.Time                 // when one of them last answered
 	deafAt   time.Time
 	lead     *member.Node
 	member   *member.Record
@@ -155,15 +157,16 @@
 func New(set *config.Settings, log *slog.Logger) *Node {
 	now := time.Now
 	share := tuning.BudgetShare / float64(max(1, len(set.Siblings)+1))
-	lim := store.NewLimiter(set.Params.State.RPS*share, set.Params.State.WriteRPS*share, tuning.BudgetQueue, now)
+	limits := set.StateLimits()
+	lim := store.NewLimiter(limits.RPS*share, limits.WriteRPS*share, tuning.BudgetQueue, now)
 	cloud := fleet.NewCloudClient(set.Endpoints.Cloud, set.Params.Cloud.RPS*tuning.BudgetShare, now)
 	return newNode(set, log, now, store.NewClient(set.Endpoints.State, lim), lim, cloud, newWorkerCaller())
 }
 
 func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
 	n := &Node{
-		set: set, log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
-		session: member.NoLease, sessions: map[string]member.Node{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
+		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
+		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
 		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
 		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
@@ -289,11 +292,12 @@
 		label := strings.TrimPrefix(key, member.NodePrefix)
 		if v == nil {
 			delete(n.sessions, label)
+			delete(n.versions, label)
 			return nil
 		}
-		m, err := member.DecodeNode(v)
+		s, err := member.DecodeSession(v)
 		if err == nil {
-			n.sessions[label] = *m
+			n.sessions[label], n.versions[label] = s.Node, *s
 		}
 		return err
 	case strings.HasPrefix(key, member.DeafPrefix):
@@ -409,8 +413,7 @@
 	if told && sum >= 1 {
 		parts = (parts + n.want/sum) / 2
 	}
-	state := n.set.Params.State
-	n.lim.SetRate(state.RPS*tuning.BudgetShare/live, state.WriteRPS*tuning.BudgetShare*parts)
+	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
 }
 
 // entitled reports whether this node is a member of the newest membership it
@@ -424,6 +427,13 @@
 	return n.entitled() && n.member.Leader == n.self && n.lead != nil && *n.lead == n.self
 }
 
+// pipelines reports whether every member reads jobs that are stored waiting; mu
+// is held. A node that does not would run such a job at once if it took it in,
+// and would stop its tasks on its machines.
+func (n *Node) pipelines() bool {
+	return n.member != nil && n.member.Knows(member.Form, n.versions)
+}
+
 // hasState reports whether the state service was read lately.
 func (n *Node) hasState() bool { return n.now().Sub(n.sync.Fresh()) < tuning.StateStale }
 
@@ -544,7 +554,8 @@
 	}
 	if n.session == member.Leased {
 		guards = []wire.Guard{n.cache.Guard(key)}
-		change = wire.Change{Set: key, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+		session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
+		change = wire.Change{Set: key, V: wire.MustMarshal(session), Tenure: n.self.Incarnation}
 	} else {
 		now := n.now()
 		deaf := n.ears(now).Next()
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -37,7 +37,7 @@
 
 // room reports whether n more changes of the given size fit.
 func (n *Node) room(t *txn, changes, bytes, guards int) bool {
-	ops := n.set.Params.State.TxnOps
+	ops := n.limits.TxnOps
 	return len(t.then)+changes <= ops && t.bytes+bytes <= tuning.TxnBytes && len(t.guards)+guards <= 4*ops
 }
 
@@ -181,9 +181,10 @@
 			avoid[ref][host] = true
 		}
 	}
+	pipelines := n.pipelines()
 	for ref, j := range n.table.Open {
-		if j.Counts[jobs.Pending] == 0 {
-			continue
+		if j.Counts[jobs.Pending] == 0 || j.Record.Phase == jobs.Waiting && !pipelines {
+			continue // an old member would stop what starts on its machines
 		}
 		d := &place.Demand{Job: j, Avoid: avoid[ref]}
 		d.Tasks = n.pending(j, tuning.TasksPerJob, now)
@@ -192,7 +193,7 @@
 		if at, ok := n.unmetAt[ref]; ok {
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
-		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Record.At > tuning.AgedAfter.Milliseconds()
+		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Ready > tuning.AgedAfter.Milliseconds()
 		d.Served = now.Sub(n.served[ref]) < tuning.PreemptPause
 		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
 		if len(d.Tasks) > 0 {
@@ -233,6 +234,21 @@
 	job    *jobs.Job
 	chunk  int
 	events map[int]jobs.TaskEvent // by task number
+	bytes  int                    // bounds the record's JSON with claims that were added by claim
+}
+
+// claim adds the claim of a task; false if the record would be too large.
+func (c *chunkChange) claim(task int, e jobs.TaskEvent, limit int) bool {
+	if c.bytes == 0 {
+		c.bytes = jobs.ChunkRecord{Tasks: c.job.ChunkCopy(c.chunk)}.Bytes()
+	}
+	more := jobs.ClaimBytes(e)
+	if c.bytes+more > limit {
+		return false
+	}
+	c.bytes += more
+	c.events[task] = e
+	return true
 }
 
 // apply returns the chunk's tasks after the events; false if one is not due.
@@ -388,12 +404,12 @@
 			before++
 		}
 	}
-	if j.Record.Phase == jobs.Open && j.Counts[jobs.Completed]-before+done == j.Record.Tasks {
-		t.set(jobs.JobKey(j.Ref), finalRecord(j, jobs.JobCompleted))
+	if j.Phase == jobs.Open && j.Counts[jobs.Completed]-before+done == j.Record.Tasks {
+		t.set(jobs.JobKey(j.Ref), finalRecord(j, jobs.JobCompleted, n.now()))
 		t.drop(key)
 		return
 	}
-	if j.Record.Phase == jobs.Cancelled && live == 0 {
+	if j.Phase == jobs.Cancelled && live == 0 {
 		t.drop(key)
 		return
 	}
@@ -401,12 +417,12 @@
 }
 
 // finalRecord is the short record kept forever.
-func finalRecord(j *jobs.Job, e jobs.JobEvent) jobs.Record {
-	phase, err := j.Record.Phase.Next(e)
+func finalRecord(j *jobs.Job, e jobs.JobEvent, now time.Time) jobs.Record {
+	phase, err := j.Phase.Next(e)
 	if err != nil {
 		return j.Record
 	}
-	return jobs.Record{Phase: phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk}
+	return jobs.Record{Phase: phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: now.UnixMilli(), Via: j.Via}
 }
 
 // finished ends jobs whose chunks were completed by different owners; the
@@ -418,7 +434,17 @@
 		}
 		t := n.newTxn("finish")
 		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
-		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted))
+		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted, n.now()))
+		txns = n.under(txns, t, ref, most)
+	}
+	for ref, j := range n.table.Unsaid {
+		// It says nothing new: it lets intake records go, and tells old versions.
+		if *most < 2 || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+			continue
+		}
+		t := n.newTxn("cancelled with another")
+		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
+		t.set(jobs.JobKey(ref), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
 		txns = n.under(txns, t, ref, most)
 	}
 	for key := range n.table.Intakes {
@@ -479,8 +505,10 @@
 			if _, ok := t.guards[hkey]; !ok && !n.room(t, 0, 0, len(changes)+4) {
 				continue // more machines than one write may name
 			}
+			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}, int(n.limits.ValueKB*1024)) {
+				continue // its turn comes when others of the chunk are over
+			}
 			t.guards[hkey] = n.cache.Stamp(hkey)
-			c.events[cl.Task] = jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}
 			t.need = t.need.Add(j.Need)
 			if owner := n.ownerOf(cl.Host); owner != n.self.Label {
 				moved[owner] = moved[owner].Add(j.Need)
@@ -488,7 +516,14 @@
 		}
 		jkey := jobs.JobKey(j.Ref)
 		t.guards[jkey] = n.cache.Stamp(jkey)
-		ok := len(changes) > 0
+		claimed := 0
+		for key, c := range changes {
+			if len(c.events) == 0 {
+				delete(changes, key) // no room in its record
+			}
+			claimed += len(c.events)
+		}
+		ok := claimed > 0
 		for key, c := range changes {
 			tasks, due := c.apply()
 			if ok = ok && due; !ok {
@@ -500,10 +535,6 @@
 				t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
 			}
 		}
-		claimed := 0
-		for _, c := range changes {
-			claimed += len(c.events)
-		}
 		if !ok || j.Gang() && claimed < len(g.claims) || !n.charge(t, team, moved) {
 			continue
 		}
@@ -568,7 +599,7 @@
 	machines, tries := f.Machines, 0
 	for _, m := range machines {
 		for _, r := range m.Tasks {
-			if r.Job.Service() && r.Stopping && r.Job.Record.Phase == jobs.Open {
+			if r.Job.Service() && r.Stopping && r.Job.Phase == jobs.Open {
 				return // one at a time
 			}
 		}
@@ -585,7 +616,7 @@
 			continue
 		}
 		for _, r := range m.Tasks {
-			if !r.Job.Service() || r.Stopping || r.Job.Record.Phase != jobs.Open {
+			if !r.Job.Service() || r.Stopping || r.Job.Phase != jobs.Open {
 				continue
 			}
 			if tries++; tries > displaceTries {
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -342,7 +342,7 @@
 	}
 	// The leader stops after its first group: some joined, the rest did not.
 	n.mu.Lock()
-	writes := n.reg.Writes(joins(list[12:]), int(n.set.Params.State.ValueKB*1024*tuning.GroupShare))
+	writes := n.reg.Writes(joins(list[12:]), nil, n.groupLimit(), n.limits.TxnOps)
 	n.mu.Unlock()
 	if len(writes) < 3 {
 		t.Fatalf("%d writes", len(writes))
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -205,7 +206,7 @@
 	if j == nil {
 		return st, false, false
 	}
-	return j.Status(), true, j.Record.Phase.Final()
+	return j.Status(), true, j.Phase.Final()
 }
 
 // fresh returns a job's status as of now or later, behind a read barrier.
@@ -268,7 +269,7 @@
 	}
 	w, err := wire.DecodeWork(body)
 	status := 400
-	if err == nil && jobs.JSONSize(&w) > int(n.set.Params.State.ValueKB*1024)-256 {
+	if err == nil && jobs.IntakeBytes(&w) > n.groupLimit() {
 		status, err = 422, errors.New("the job's description is larger than the state service can hold")
 	}
 	if err == nil {
@@ -282,7 +283,7 @@
 		team, ok := n.set.Team(w.Crew)
 		status = 422
 		err = jobs.Check(&w, jobs.Limits{CPUsMax: team.CPUsMax, GPUsMax: team.GPUsMax}, ok, types,
-			jobs.ChunkSize(n.set.Params.State.ValueKB))
+			jobs.ChunkSize(n.limits.ValueKB))
 	}
 	if err != nil {
 		if ref != "" {
@@ -303,6 +304,13 @@
 		n.later(c, 503, "the state service can't be reached")
 		return
 	}
+	phase := jobs.Open
+	if len(w.Awaits) > 0 {
+		var answered bool
+		if phase, answered = n.awaited(c, &w); answered {
+			return
+		}
+	}
 	select {
 	case n.takes <- struct{}{}:
 		defer func() { <-n.takes }()
@@ -310,7 +318,48 @@
 		n.later(c, 429, "too many submissions under way")
 		return
 	}
-	n.accept(c, &w)
+	n.accept(c, &w, phase)
+}
+
+// awaited decides whether a submission may await the jobs that it names, and
+// the phase in which it is stored. What it can't take is answered here.
+func (n *Node) awaited(c *fasthttp.RequestCtx, w *wire.Work) (phase jobs.Phase, answered bool) {
+	slices.Sort(w.Awaits)
+	w.Awaits = slices.Compact(w.Awaits)
+	// Whether they were accepted is known behind a read that was sent now;
+	// it also tells whether another node has taken this one.
+	if _, known, err := n.fresh(w.Ref); err != nil {
+		n.later(c, 503, "the state service can't be read")
+		return "", true
+	} else if known {
+		n.resubmitted(c, w.Ref)
+		return "", true
+	}
+	n.mu.Lock()
+	all := n.pipelines()
+	done := true
+	err := jobs.CheckAwaits(w, func(ref string) (known, service bool) {
+		j := n.table.Jobs[ref]
+		if j == nil {
+			return false, false
+		}
+		done = done && j.Phase == jobs.Done
+		return true, j.Service()
+	})
+	n.mu.Unlock()
+	switch {
+	case err != nil:
+		refuse(c, 422, err.Error())
+	case !all:
+		// Guards against a node of an older version that holds the job for one
+		// that may start.
+		n.later(c, 503, "not every node takes jobs that await others yet")
+	case done:
+		return jobs.Open, false
+	default:
+		return jobs.Waiting, false
+	}
+	return "", true
 }
 
 func (n *Node) resubmitted(c *fasthttp.RequestCtx, ref string) {
@@ -350,14 +399,12 @@
 		}
 		n.mu.Lock()
 		j := n.table.Jobs[ref]
-		rec := j.Record
-		phase, err := rec.Phase.Next(jobs.JobCancel)
+		rec, err := j.Record.Cancelled(n.now())
 		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(jobs.JobKey(ref))}
 		n.mu.Unlock()
 		if err != nil {
 			continue
 		}
-		rec.Phase = phase
 		then := []wire.Change{{Set: jobs.JobKey(ref), V: wire.MustMarshal(rec)}}
 		epoch, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
 		if err == nil {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -263,7 +263,7 @@
 		m.Free, m.Freeing = m.Total.Sub(n.table.Needs[m.Name]), jobs.Resources{}
 		m.Tasks = m.Tasks[:0]
 		for id, j := range n.table.Hosts[m.Name] {
-			stopping := j.Record.Phase != jobs.Open || w != nil && w.Leaves(id)
+			stopping := j.Phase != jobs.Open || w != nil && w.Leaves(id)
 			m.Tasks = append(m.Tasks, place.Resident{ID: id, Job: j, Stopping: stopping})
 			if stopping {
 				m.Freeing = m.Freeing.Add(j.Need)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -5,6 +5,9 @@
 
 import "time"
 
+// Version of the program.
+const Version = "0.2.0"
+
 // Membership and the state service.
 const (
 	// SessionTTL is how long a node's lease in the state service lasts without
@@ -41,12 +44,16 @@
 	// ListPage is the number of keys per page of a full read: a page of
 	// values of the usual size stays under the service's 512 KiB.
 	ListPage = 400
-	// ChunkMaxKB bounds a chunk record, in KiB of JSON, below the state
-	// service's own limit: several fit one transaction of 64 KiB.
-	ChunkMaxKB = 4.0
+	// ChunkMax is the most tasks of a chunk record: several records fit one
+	// transaction of 64 KiB.
+	ChunkMax = 70
 	// GroupMax is the most machines whose records share a key: more save
 	// changes when a fleet starts, fewer fail less often by each other's changes.
 	GroupMax = 32
+	// CutsPerPlan is how many machine groups that are larger than the state
+	// service will take the leader cuts in one plan, two or more changes each,
+	// while nothing else changes them.
+	CutsPerPlan = 2
 	// GroupShare is the part of the value limit that a group of machine
 	// records may fill.
 	GroupShare = 0.9
@@ -153,6 +160,9 @@
 	// PreemptPause is how long a node waits, after it stopped tasks for a job,
 	// before it stops more for it: a stop, its report and the next claim.
 	PreemptPause = 8 * time.Second
+	// StepGap is what passes between the end of a job and the first start of
+	// one that awaits it: the end is stored, seen, placed, claimed and started.
+	StepGap = 3 * time.Second
 	// TasksPerMachine bounds the tasks of a machine, and the commands of an
 	// answer to it: a report of twice as many, exited ones among them, holds
 	// 64 KiB, the most that a message may.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -141,10 +141,13 @@
 	StakeS   float64  `cbor:"stake_s"`
 	StashS   float64  `cbor:"stash_s"`
 	DueS     *float64 `cbor:"due_s"`
+	// Awaits names the jobs that have to be done before any task starts;
+	// absent or null: none.
+	Awaits []string `cbor:"awaits,omitempty"`
 }
 
-// requiredWork lists the fields that a submission must carry; rigs, plot and
-// due_s may be null and so may be absent.
+// requiredWork lists the fields that a submission must carry; rigs, plot, due_s
+// and awaits may be null and so may be absent.
 var requiredWork = []string{
 	"ref", "cohort", "crew", "shape", "rank", "shards", "cpus", "cards", "ram_gb",
 	"bundle", "image_gb", "together", "apart", "windfall", "reckon_s", "stake_s", "stash_s",
