--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -126,11 +126,13 @@
 		}
 		l.seenJobs[ref] = true
 		if !j.Service() {
-			size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
-			if l.batchSize == 0 {
-				l.batchSize = size
+			if l.batch.Work == nil || l.batch.Work.Cohort == j.Record.Work.Cohort {
+				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
+				if l.batchSize == 0 {
+					l.batchSize = size
+				}
+				l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
 			}
-			l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
 			l.batchSeen = now
 		}
 		if !j.Service() || now.Sub(j.Seen) > tuning.RoleStep {
@@ -327,8 +329,9 @@
 	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up, movable := n.lastHeard(now), n.movable(machines)
-	batch, serving := 0.0, 0
+	serving := 0
 	var service fleet.Load
+	held := map[string]*heldBatch{} // by class
 	for _, m := range machines.Machines {
 		rec := n.reg.Hosts[m.Name]
 		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
@@ -366,8 +369,12 @@
 				service.Tasks++
 				service.Need, service.Work = r.Job.Need, wk
 			} else {
-				batch++
-				l.batch.Need, l.batch.Work = r.Job.Need, wk
+				h := held[wk.Cohort]
+				if h == nil {
+					h = &heldBatch{}
+					held[wk.Cohort] = h
+				}
+				h.add(r.Job, m.Total)
 			}
 		}
 		if m.Open && m.Role == place.Service {
@@ -403,6 +410,7 @@
 		in.Units = append(in.Units, fleet.Unit{Name: host, Kind: h.kind, Role: h.role, Booting: true, Age: now.Sub(h.at),
 			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
 	}
+	batch := l.typicalBatch(held)
 	if l.avgAt.IsZero() {
 		l.batchAvg = batch
 	} else {
@@ -465,6 +473,41 @@
 	return in
 }
 
+// heldBatch is what the tasks of a class of batch work hold.
+type heldBatch struct {
+	share float64 // of machines
+	tasks float64
+	job   *jobs.Job // one of them
+}
+
+func (h *heldBatch) add(j *jobs.Job, machine jobs.Resources) {
+	h.share += j.Need.Share(machine)
+	h.tasks++
+	if h.job == nil || j.Ref < h.job.Ref {
+		h.job = j
+	}
+}
+
+// typicalBatch takes the class that holds the most for typical, and returns
+// what all hold in tasks of its kind. Guards against headroom for hundreds of
+// tasks of a class that happens to be looked at last: small tasks that may not
+// use spot machines had a hundred ordinary machines rented ahead for them.
+func (l *leading) typicalBatch(held map[string]*heldBatch) float64 {
+	var most *heldBatch
+	all, class := 0.0, ""
+	for cohort, h := range held {
+		all += h.share
+		if most == nil || h.share > most.share || h.share == most.share && cohort < class {
+			most, class = h, cohort
+		}
+	}
+	if most == nil || most.share == 0 {
+		return 0
+	}
+	l.batch.Need, l.batch.Work = most.job.Need, most.job.Record.Work
+	return all * most.tasks / most.share
+}
+
 // endangered lists the service tasks on machines that have fallen silent beside
 // others of their owner that are heard. Their room is rented before there is
 // proof that they are gone, since a boot takes longer than that: after a hundred
