--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -66,9 +66,15 @@
 	wake(n.kick)
 }
 
-// runLead plans capacity and moves roles while leading.
+// runLead plans capacity and moves roles while leading. What it gives back and
+// stores goes beside the next plans, which meanwhile only rent. Guards against
+// a wave of lost machines whose records took the budget of changes for half a
+// minute, while nothing was rented in their place.
 func (n *Node) runLead(ctx context.Context) error {
 	var stepped time.Time
+	storing := make(chan struct{}, 1)
+	var background errgroup.Group
+	defer func() { _ = background.Wait() }()
 	for ctx.Err() == nil {
 		sleep(ctx, tuning.PlanEvery)
 		n.mu.Lock()
@@ -79,8 +85,9 @@
 		l, now := n.leadMemory(), n.now()
 		machines := n.machines(now)
 		n.noteArrivals(l, now)
+		free := len(storing) == 0
 		var moves []fleet.Change
-		if now.Sub(stepped) >= tuning.RoleStep {
+		if free && now.Sub(stepped) >= tuning.RoleStep {
 			stepped = now
 			moves = n.stepRoles(l, machines, now)
 		}
@@ -89,6 +96,13 @@
 		if listed {
 			out = fleet.Plan(n.planInput(l, machines, now))
 		}
+		if !free {
+			n.mu.Unlock()
+			for _, h := range out.Hires {
+				n.hire(ctx, h)
+			}
+			continue
+		}
 		drains, dead := n.drainChanges(out.Drains)
 		returns, drops := n.toReturn(l, now)
 		returns = append(dead, returns...)
@@ -99,16 +113,16 @@
 		n.mu.Unlock()
 
 		// Rentals don't wait for the budget of changes.
-		var g errgroup.Group
-		g.Go(func() error {
+		storing <- struct{}{}
+		background.Go(func() error {
 			n.giveBack(ctx, returns)
 			n.writeHosts(ctx, append(append(moves, drains...), drops...), cut...)
+			<-storing
 			return nil
 		})
 		for _, h := range out.Hires {
 			n.hire(ctx, h)
 		}
-		_ = g.Wait()
 	}
 	return nil
 }
