--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -464,7 +464,7 @@
 		}
 	}
 	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.Ref < in.Wants[b].Job.Ref })
-	in.Groups = min(int(n.lim.Writes(tuning.WriteReserve)), tuning.DrainGroupsMost)
+	in.Groups = n.groupsNow()
 	in.Wants = append(in.Wants, n.endangered(machines, up, now)...)
 	refs := make([]string, 0, len(n.unmet))
 	for ref := range n.unmet {
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -258,6 +261,7 @@
 // toReturn lists drained machines to give back, and records to drop; mu is
 // held. A drained machine goes back when it is empty.
 func (n *Node) toReturn(l *leading, now time.Time) (returns []string, drops []fleet.Change) {
+	over := map[string][]fleet.Change{} // by group
 	for host, rec := range n.reg.Hosts {
 		switch rec.Phase {
 		case fleet.Draining:
@@ -278,17 +282,34 @@
 				continue // its owner releases them first
 			}
 			if l.absent[host] >= tuning.GoneLists {
-				drops = append(drops, fleet.Change{Host: host, Was: &rec})
-				l.forget(host)
+				over[n.reg.Key(host)] = append(over[n.reg.Key(host)], fleet.Change{Host: host, Was: &rec})
 			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
 			}
 		}
 	}
 	sort.Strings(returns)
+	// Nothing waits for the end of a record: a few groups a plan, those with
+	// the most first. Guards against a wave of lost machines taking the budget
+	// of changes twice, once for the proofs and once for this.
+	keys := slices.SortedFunc(maps.Keys(over), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(over[b]), len(over[a])), cmp.Compare(a, b))
+	})
+	for _, key := range keys[:min(len(keys), max(n.groupsNow(), 1))] {
+		for _, c := range over[key] {
+			drops = append(drops, c)
+			l.forget(c.Host)
+		}
+	}
 	return returns, drops
 }
 
+// groupsNow is how many groups of machine records the leader may change now for
+// what can wait.
+func (n *Node) groupsNow() int {
+	return min(int(n.lim.Writes(tuning.WriteReserve)), tuning.DrainGroupsMost)
+}
+
 // forget drops what the leader remembers of a machine.
 func (l *leading) forget(host string) {
 	delete(l.listed, host)
