--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -13,12 +13,12 @@
 
 // Classes, most urgent first.
 const (
-	ClassLease  Class = iota // sessions, leadership, membership: never wait
-	ClassCancel              // users' cancellations
-	ClassClaim               // claims and releases
-	ClassIntake              // submissions
-	ClassRecords             // machine records and types, by the leader
-	ClassRead                // read barriers, watches
+	ClassLease   Class = iota // sessions, leadership, membership: never wait
+	ClassCancel               // users' cancellations
+	ClassClaim                // claims and releases
+	ClassIntake               // submissions
+	ClassRecords              // machine records and types, by the leader
+	ClassRead                 // read barriers, watches
 	classes
 )
 
