--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -122,7 +122,7 @@
 	most -= early
 	rest := make([]ends, 0, len(due))
 	for _, r := range due {
-		if r.urgent {
+		if r.haste < freesRoom {
 			txns = n.release(txns, r, &early)
 		} else {
 			rest = append(rest, r)
@@ -268,11 +268,20 @@
 // ends is what may be stored of the ends of one chunk's tasks.
 type ends struct {
 	*chunkChange
-	key    string
-	since  time.Time
-	urgent bool
+	key   string
+	since time.Time
+	haste haste
 }
 
+// haste orders the ends of tasks.
+type haste int
+
+const (
+	endsJob   haste = iota // the job is over: its user and what awaits it wait for that
+	wanted                 // a task waits for a new start, or this node's part of the job is over
+	freesRoom              // the rest
+)
+
 // releases collects the claims whose end is proven on this node's machines,
 // by chunk; what matters most comes first.
 func (n *Node) releases(now time.Time) []ends {
@@ -338,14 +347,21 @@
 		if n.busyJob[j.Ref] || now.Before(n.notUntil[j.Ref]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
 			continue
 		}
-		out = append(out, ends{c, key, since, last || j.Service() || again || wait > tuning.ReleaseLate})
+		e := ends{c, key, since, freesRoom}
+		switch {
+		case last:
+			e.haste = endsJob
+		case j.Service() || again || wait > tuning.ReleaseLate || n.partOver(j, changes):
+			e.haste = wanted
+		}
+		out = append(out, e)
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
-		if x.urgent != y.urgent {
-			return x.urgent
+		if x.haste != y.haste {
+			return x.haste < y.haste
 		}
-		if len(x.events) != len(y.events) && !x.urgent {
+		if len(x.events) != len(y.events) && x.haste == freesRoom {
 			return len(x.events) > len(y.events)
 		}
 		if !x.since.Equal(y.since) {
@@ -356,6 +372,29 @@
 	return out
 }
 
+// partOver reports whether the ends that are due leave no task of the job on
+// this node's machines, and none waits: the node that stores the job's end
+// waits for these. Guards against jobs whose last end came 12 s late because
+// the ends on other nodes' machines were thought to free room only.
+func (n *Node) partOver(j *jobs.Job, due map[string]*chunkChange) bool {
+	if j.Counts[jobs.Pending] > 0 {
+		return false
+	}
+	for i, t := range j.Live {
+		if n.ownerOf(t.Host) != n.self.Label {
+			continue
+		}
+		c := due[jobs.ChunkKey(j.Ref, i/j.Record.Chunk)]
+		if c == nil {
+			return false
+		}
+		if _, ends := c.events[i]; !ends {
+			return false
+		}
+	}
+	return true
+}
+
 // release adds the write of one chunk's ends, if the budget has room for it.
 func (n *Node) release(txns []*txn, d ends, most *float64) []*txn {
 	if *most < 1 || n.busyJob[d.job.Ref] {
