A drained machine that goes away is given back; machine records stored as decided

Ruled out: a lost write, a proof that was passed over (the owner's token had changed, so there was none). Change: drained machines with claims that are missing or silent are given back like others; a record that waited is not stored if its machine has got work, if the membership has changed, or by a node that no longer leads, and is guarded by the stamps it was decided on.

--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -105,7 +106,7 @@
 		}
 		drains, dead := n.drainChanges(out.Drains)
 		returns, drops := n.toReturn(l, now)
-		returns = append(dead, returns...)
+		returns = slices.Concat(dead, l.lost, returns)
 		var cut []string
 		if n.lim.Writes(tuning.WriteReserve) >= 2 {
 			cut = n.reg.Oversize(n.groupLimit(), tuning.CutsPerPlan)
@@ -343,6 +344,7 @@
 	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up, movable := n.lastHeard(now), n.movable(machines)
+	l.lost = nil
 	serving := 0
 	var service fleet.Load
 	held := map[string]*heldBatch{} // by class
@@ -407,6 +409,9 @@
 			// hear: another takes its place.
 			u.Suspect = now.Sub(since) > tuning.UnfitLeases*lease
 		}
+		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && (u.Missing || u.Silent) {
+			l.lost = append(l.lost, m.Name)
+		}
 		if rec.Phase == fleet.In {
 			if w := n.workers[m.Name]; m.Owner == n.self.Label && w != nil && len(w.Errors) >= tuning.HostErrorsMax {
 				u.Suspect = true
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -84,8 +84,29 @@
 	n.hostWrites.Lock()
 	defer n.hostWrites.Unlock()
 	n.mu.Lock()
+	if !n.leads() {
+		n.mu.Unlock()
+		return
+	}
 	writes := n.reg.Writes(list, cut, n.groupLimit(), n.limits.TxnOps)
+	// The stamps of what the writes were computed from. Guards against a node
+	// that has lost the lead and got it back, or not, and stores over what
+	// another leader has changed meanwhile.
+	seen := n.cache.Guard(member.Key)
+	guards := make([][]wire.Guard, len(writes))
+	for i, w := range writes {
+		guards[i] = []wire.Guard{seen, n.cache.Guard(w.Key)}
+		for key := range w.Cut {
+			guards[i] = append(guards[i], n.cache.Guard(key))
+		}
+	}
 	n.mu.Unlock()
+	idle := map[string][]string{} // machines to go because they are idle, by group
+	for _, c := range list {
+		if c.Now != nil && c.Now.Phase == fleet.Draining && c.Now.Why == fleet.WhyIdle {
+			idle[n.keyOf(c.Host)] = append(idle[n.keyOf(c.Host)], c.Host)
+		}
+	}
 	defer func() {
 		n.mu.Lock()
 		n.storing = 0
@@ -94,22 +115,35 @@
 	for i, w := range writes {
 		n.mu.Lock()
 		n.storing = len(writes) - i
-		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(w.Key)}
+		if n.cache.Stamp(member.Key) != seen.Stamp {
+			n.mu.Unlock()
+			return // the rest would fail, and count as changes
+		}
+		if slices.ContainsFunc(idle[w.Key], func(host string) bool { return len(n.table.Hosts[host]) > 0 }) {
+			n.mu.Unlock()
+			continue // one of them has got work while this waited
+		}
 		then := []wire.Change{{Drop: w.Key}}
 		if w.V != nil {
 			then = []wire.Change{{Set: w.Key, V: wire.MustMarshal(w.V)}}
 		}
 		for key, part := range w.Cut {
-			guards = append(guards, n.cache.Guard(key))
 			then = append(then, wire.Change{Set: key, V: wire.MustMarshal(part)})
 		}
 		n.mu.Unlock()
-		if err := n.write(ctx, guards, then); err != nil {
+		if err := n.write(ctx, guards[i], then); err != nil {
 			n.log.Info("machine records not stored", "group", w.Key, "err", err)
 		}
 	}
 }
 
+// keyOf is the key that holds a machine's record.
+func (n *Node) keyOf(host string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reg.Key(host)
+}
+
 // groupLimit is how much JSON a group of machine records may hold.
 func (n *Node) groupLimit() int { return int(n.limits.ValueKB * 1024 * tuning.GroupShare) }
 
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -135,6 +135,7 @@
 	idle      map[string]time.Time     // since when a machine has no claims
 	spared    map[string]time.Time     // see fleet.PlanInput
 	gone      map[string]time.Time     // machines given back, which late lists still show
+	lost      []string                 // machines that went away while they were drained, with claims on them
 	unfit     map[string]time.Time     // since when a machine reports but takes no tasks
 	heard     map[string]time.Time     // when a machine was last heard by anybody
 	since     map[string]time.Time     // when a machine was first listed
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -554,3 +554,89 @@
 		}
 	}
 }
+
+// drain stores that a machine takes no more tasks.
+func (w *world) drain(host, why string) {
+	w.t.Helper()
+	n := w.leader()
+	was := n.reg.Hosts[host]
+	is := was
+	is.Phase, is.Why = fleet.Draining, why
+	n.writeHosts(context.Background(), []fleet.Change{{Host: host, Was: &was, Now: &is}})
+	w.sync()
+}
+
+// A machine that was taken while it was being drained showed its owner's next
+// token to nobody, so its lease proved nothing, and nobody gave it back: its
+// tasks stayed claimed for ever.
+func TestADrainedMachineThatGoesAwayIsGivenBackForProof(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	w.submit(w.nodes["a"], work("wk-1", 1))
+	w.passAll()
+	w.drain("h1", fleet.WhySpare)
+	owner, other := w.owner("h1")
+	if owner.claimsOn("h1") != 1 || owner.reg.Hosts["h1"].Phase != fleet.Draining {
+		t.Fatalf("%d claims, %s", owner.claimsOn("h1"), owner.reg.Hosts["h1"].Phase)
+	}
+	// Its owner ends and never hears it again.
+	w.st.expire(owner.self.Incarnation)
+	delete(w.nodes, owner.self.Label)
+	for range 3 {
+		w.settle()
+	}
+	plan := func() []string {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		l, now := other.leadMemory(), w.clk.now()
+		other.planInput(l, other.machines(now), now)
+		return l.lost
+	}
+	if lost := plan(); len(lost) != 0 {
+		t.Fatalf("%v are given back before they are surely silent", lost)
+	}
+	w.clk.add(2*lease + 10*time.Second)
+	w.sync()
+	lost := plan()
+	if len(lost) != 1 {
+		t.Fatalf("lost: %v", lost)
+	}
+	w.passAll()
+	if other.claimsOn("h1") != 1 {
+		t.Fatal("its task is released without proof")
+	}
+	other.giveBack(context.Background(), lost)
+	w.sync()
+	w.passAll()
+	if other.claimsOn("h1") != 0 {
+		t.Fatal("its task is never released")
+	}
+}
+
+// Machine records wait for the budget, up to seconds: one that was idle may
+// have work when its turn comes, and another leader may have changed it.
+func TestMachineRecordsAreStoredAsTheyWereDecidedOrNotAtAll(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	w.submit(n, work("wk-1", 1))
+	w.passAll()
+	w.drain("h1", fleet.WhyIdle)
+	if n.reg.Hosts["h1"].Phase != fleet.In {
+		t.Fatal("a machine that has work again goes because it was idle")
+	}
+	w.drain("h1", fleet.WhySpare)
+	if n.reg.Hosts["h1"].Phase != fleet.Draining {
+		t.Fatal("a machine is not drained")
+	}
+	n.mu.Lock()
+	n.lead = nil
+	n.mu.Unlock()
+	n.writeHosts(context.Background(), []fleet.Change{{Host: "h9", Now: &fleet.Record{Rig: "g", Plot: "z", Role: "batch", Phase: fleet.In}}})
+	w.sync()
+	if n.reg.Key("h9") != "" {
+		t.Fatal("a node that does not lead stores machine records")
+	}
+}
