--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -144,8 +144,9 @@
 
 // Write is one transaction that stores several changes of machines.
 type Write struct {
-	Key string
-	V   *Group // nil: drop
+	Key     string
+	Changes int    // machines of the group that change
+	V       *Group // nil: drop
 	// Cut holds the new keys of machines that leave the group in the same
 	// transaction, because it is larger than the state service takes.
 	Cut map[string]*Group
@@ -173,8 +174,9 @@
 // that stays below limit bytes of JSON. A group that is larger, whether one of
 // its machines changes or it is named in cut, is cut in one transaction of at
 // most ops keys, so that each machine is in exactly one group at any time.
+// Those with the most changes come first.
 func (g *Register) Writes(list []Change, cut []string, limit, ops int) []Write {
-	touched := map[string]map[string]Record{}
+	touched, changes := map[string]map[string]Record{}, map[string]int{}
 	open := func(key string) map[string]Record {
 		if touched[key] == nil {
 			touched[key] = make(map[string]Record, len(g.groups[key])+1)
@@ -199,6 +201,7 @@
 		switch {
 		case c.Now == nil:
 			delete(open(key), c.Host)
+			changes[key]++
 			continue
 		case known && strings.HasPrefix(key, GroupPrefix):
 		case known:
@@ -214,13 +217,14 @@
 		r := *c.Now
 		r.Why = r.Why[:min(len(r.Why), whyMax)]
 		open(key)[c.Host] = r
+		changes[key]++
 	}
 	for _, key := range cut {
 		open(key)
 	}
 	out := make([]Write, 0, len(touched))
 	for key, m := range touched {
-		w := Write{Key: key}
+		w := Write{Key: key, Changes: changes[key]}
 		if len(m) > 0 {
 			parts := split(m, limit, ops)
 			w.V = &Group{Machines: parts[0]}
@@ -237,10 +241,17 @@
 		out = append(out, w)
 	}
 	// A machine that moves stands in its new key before it leaves the old one.
+	moves := false
+	for _, w := range out {
+		moves = moves || strings.HasPrefix(w.Key, HostPrefix)
+	}
 	sort.Slice(out, func(a, b int) bool {
-		if (out[a].V == nil) != (out[b].V == nil) {
+		if moves && (out[a].V == nil) != (out[b].V == nil) {
 			return out[a].V != nil
 		}
+		if out[a].Changes != out[b].Changes {
+			return out[a].Changes > out[b].Changes
+		}
 		return out[a].Key < out[b].Key
 	})
 	return out
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -116,8 +116,9 @@
 		// Rentals don't wait for the budget of changes.
 		storing <- struct{}{}
 		background.Go(func() error {
+			n.writeHosts(ctx, moves)
 			n.giveBack(ctx, returns)
-			n.writeHosts(ctx, append(append(moves, drains...), drops...), cut...)
+			n.storeHosts(ctx, append(drains, drops...), cut, tuning.GroupsPerBatch)
 			<-storing
 			return nil
 		})
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"wheatspur/internal/config"
@@ -78,6 +80,11 @@
 // its group's key. Several go in one change, and one call at a time, so that
 // the leader's own writes don't race for a group.
 func (n *Node) writeHosts(ctx context.Context, list []fleet.Change, cut ...string) {
+	n.storeHosts(ctx, list, cut, math.MaxInt)
+}
+
+// storeHosts stores the changes of at most most groups.
+func (n *Node) storeHosts(ctx context.Context, list []fleet.Change, cut []string, most int) {
 	if len(list) == 0 && len(cut) == 0 {
 		return
 	}
@@ -89,6 +96,9 @@
 		return
 	}
 	writes := n.reg.Writes(list, cut, n.groupLimit(), n.limits.TxnOps)
+	if len(writes) > most && !slices.ContainsFunc(writes, func(w fleet.Write) bool { return strings.HasPrefix(w.Key, fleet.HostPrefix) }) {
+		writes = writes[:most]
+	}
 	// The stamps of what the writes were computed from. Guards against a node
 	// that has lost the lead and got it back, or not, and stores over what
 	// another leader has changed meanwhile.
@@ -392,7 +402,10 @@
 		}
 	}
 	n.mu.Unlock()
-	n.writeHosts(ctx, changes)
+	// What is left is given back again by the next plan, which then has more
+	// for each group. Guards against a wave of lost machines whose groups were
+	// written three times over, while most of its tasks waited for the proof.
+	n.storeHosts(ctx, changes, nil, tuning.GroupsPerBatch)
 }
 
 // hire rents machines. A request's name holds the baton, which only one leader
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -50,6 +50,9 @@
 	// GroupMax is the most machines whose records share a key: more save
 	// changes when a fleet starts, fewer fail less often by each other's changes.
 	GroupMax = 32
+	// GroupsPerBatch is the most groups of machine records that are stored for
+	// one decision: a few seconds of the leader's budget.
+	GroupsPerBatch = 16
 	// CutsPerPlan is how many machine groups that are larger than the state
 	// service will take the leader cuts in one plan, two or more changes each,
 	// while nothing else changes them.
