--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -74,6 +74,9 @@
 	Wants   []Want
 	Service Load
 	Batch   Load
+	// Plain is the batch work that may not use spot machines; no Work: none
+	// is open, waits for others, or was lately.
+	Plain   Load
 	Refused map[Kind]time.Time // when the cloud had none
 
 	// Spared says since when the plan could do without a busy machine; the
@@ -165,6 +168,7 @@
 	}
 	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
 	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
+	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
 
 	var out PlanOutput
 	for h, n := range p.hires {
@@ -410,7 +414,8 @@
 		return x.Name < y.Name
 	})
 	spared := map[string]bool{}
-	rooms := map[place.Role]*rooms{place.Batch: p.rooms(place.Batch), place.Service: p.rooms(place.Service)}
+	rooms := map[place.Role]*rooms{place.Batch: p.rooms(p.in.Batch, p.in.Op.BatchHeadroom), place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom)}
+	plain := p.rooms(p.in.Plain, p.in.Op.BatchHeadroom)
 	busy := map[place.Role]bool{}
 	idle := map[string][]Unit{} // ready to go, by group
 	for _, u := range spare {
@@ -418,6 +423,11 @@
 		// ordinary machines, several times as dear, that stand in for the spot
 		// machines of which the cloud has no more.
 		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Windfall
+		// Guards against short work that may not use spot machines waiting for a
+		// boot each time, since spot machines hold the role's floor.
+		if u.Role == place.Batch && plain.of[u.Name] > 0 && !plain.spares(u) {
+			continue
+		}
 		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
 			continue
 		}
@@ -440,6 +450,7 @@
 		}
 		holds[floor(u)]--
 		rooms[u.Role].leave(u)
+		plain.leave(u)
 		if u.Claims > 0 {
 			busy[u.Role] = true // one that has to be emptied of each role a plan
 			out = append(out, DrainPlan{u.Name, WhySpare})
@@ -481,11 +492,7 @@
 	of   map[string]int
 }
 
-func (p *planner) rooms(role place.Role) *rooms {
-	l, share := p.in.Batch, p.in.Op.BatchHeadroom
-	if role == place.Service {
-		l, share = p.in.Service, p.in.Op.ServiceHeadroom
-	}
+func (p *planner) rooms(l Load, share float64) *rooms {
 	r := &rooms{need: spare(l, share), of: map[string]int{}}
 	if l.Work == nil {
 		return r
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -236,3 +236,30 @@
 		t.Fatalf("rented %v: nothing is left but z1", z)
 	}
 }
+
+// Spot machines hold the batch role's floor, so each short array that may not
+// use them waited for an ordinary machine to boot.
+func TestRoomIsKeptForBatchWorkThatMayNotUseSpotMachines(t *testing.T) {
+	small := &wire.Work{Ref: "wk-7", Crew: "x", Shape: wire.ShapeArray, Shards: 3, CPUs: 2, RAMGB: 4}
+	spot, ordinary := unit("s", place.Batch, true), unit("o", place.Batch, false)
+	run := func(plain bool, units ...Unit) PlanOutput {
+		in := input()
+		in.Units = units
+		w := want(wire.ShapeArray, 1).Job
+		in.Batch = Load{Need: w.Need, Work: w.Record.Work}
+		if plain {
+			in.Plain = Load{Least: 5, Need: jobs.Need(small), Work: small}
+			in.Op.BatchHeadroom = 0.25
+		}
+		return Plan(in)
+	}
+	if out := run(true, spot); len(out.Hires) != 1 || out.Hires[0].Kind.Spot || out.Hires[0].Number != 1 {
+		t.Fatalf("rented ahead: %+v", out.Hires)
+	}
+	if out := run(true, ordinary, spot, spot); len(out.Hires) != 0 || len(out.Drains) != 0 && out.Drains[0].Name == "o" {
+		t.Fatalf("with room: rented %+v, given back %+v", out.Hires, out.Drains)
+	}
+	if out := run(false, ordinary, unit("s2", place.Batch, true), spot); len(out.Hires) != 0 || len(out.Drains) == 0 || out.Drains[0].Name != "o" {
+		t.Fatalf("without such work: rented %+v, given back %+v", out.Hires, out.Drains)
+	}
+}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -39,6 +39,7 @@
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
+			n.leading.plain, n.leading.plainSeen = old.plain, old.plainSeen
 		}
 	}
 	return &n.leading
@@ -442,7 +443,7 @@
 	if now.Sub(l.batchSeen) < tuning.BatchHeadroomHold {
 		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
 	}
-	in.Batch, in.Service = l.batch, service
+	in.Batch, in.Service, in.Plain = l.batch, service, n.plain(l, now)
 	for _, j := range n.table.Open {
 		if j.Service() {
 			l.active[place.Service] = now
@@ -493,6 +494,33 @@
 	return in
 }
 
+// plain is the batch work that may not use spot machines: room for one and a
+// half of its arrays is kept on ordinary machines while any is open or waits for
+// others, and for a minute after; mu is held.
+func (n *Node) plain(l *leading, now time.Time) fleet.Load {
+	var typical *jobs.Job
+	arrays, tasks := 0, 0.0
+	for _, list := range []map[string]*jobs.Job{n.table.Open, n.table.Waiting} {
+		for _, j := range list {
+			if j.Service() || j.Record.Work.Windfall {
+				continue
+			}
+			arrays++
+			tasks += min(float64(j.Record.Tasks), tuning.TasksPerJob)
+			if typical == nil || j.Need.CPUs > typical.Need.CPUs || j.Need.CPUs == typical.Need.CPUs && j.Ref < typical.Ref {
+				typical = j
+			}
+		}
+	}
+	if typical != nil {
+		l.plain = fleet.Load{Need: typical.Need, Work: typical.Record.Work, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
+		l.plainSeen = now
+	} else if now.Sub(l.plainSeen) > tuning.BatchHeadroomHold {
+		l.plain = fleet.Load{}
+	}
+	return l.plain
+}
+
 // heldBatch is what the tasks of a class of batch work hold.
 type heldBatch struct {
 	share float64 // of machines
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -144,6 +144,8 @@
 	batchSize float64   // mean number of tasks of arriving arrays
 	batchSeen time.Time // when the last one arrived
 	avgAt     time.Time
+	plain     fleet.Load // batch work that may not use spot machines
+	plainSeen time.Time  // when there last was any
 	batch     fleet.Load // last typical loads
 	service   fleet.Load
 }
