--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -425,7 +425,7 @@
 		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Windfall
 		// Guards against short work that may not use spot machines waiting for a
 		// boot each time, since spot machines hold the role's floor.
-		if u.Role == place.Batch && plain.of[u.Name] > 0 && !plain.spares(u) {
+		if u.Role == place.Batch && !u.Kind.Spot && !plain.spares(u) {
 			continue
 		}
 		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
