--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -416,7 +416,11 @@
 	if told && sum >= 1 {
 		parts = (parts + n.want/sum) / 2
 	}
-	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
+	rate := n.set.Params.State.WriteRPS
+	if n.lim.Refused() >= 3 {
+		rate = n.limits.WriteRPS
+	}
+	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, rate*tuning.BudgetShare*parts)
 }
 
 // entitled reports whether this node is a member of the newest membership it
