--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -416,11 +416,7 @@
 	if told && sum >= 1 {
 		parts = (parts + n.want/sum) / 2
 	}
-	rate := n.set.Params.State.WriteRPS
-	if n.lim.Refused() >= 3 {
-		rate = n.limits.WriteRPS
-	}
-	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, rate*tuning.BudgetShare*parts)
+	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
 }
 
 // entitled reports whether this node is a member of the newest membership it
--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -37,7 +37,6 @@
 	queues  [classes][]*waiter
 	room    int
 	pumping bool
-	refused int // times that the service refused for rate
 }
 
 type waiter struct {
@@ -67,19 +66,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refill()
-	l.refused++
 	for i := range l.tokens {
 		l.tokens[i] = min(l.tokens[i], 0)
 	}
 }
 
-// Refused is how often the service has refused for rate.
-func (l *Limiter) Refused() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.refused
-}
-
 func (l *Limiter) refill() {
 	now := l.now()
 	dt := now.Sub(l.last).Seconds()
