--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -56,6 +57,9 @@
 	down   bool
 	reads  int // watches asked for
 	lose   int // so many answers of transactions get lost after they were applied
+
+	value, ops int // limits of a value in bytes and of a transaction's changes; 0: none
+	refused    int // transactions that were beyond them
 }
 
 func newState() *state { return &state{keys: map[string]stored{}, leases: map[uint64]bool{}} }
@@ -86,6 +90,10 @@
 			return 0, store.ErrNoLease
 		}
 	}
+	if s.beyond(guards, then) {
+		s.refused++
+		return 0, store.ErrBad
+	}
 	for _, g := range guards {
 		if s.keys[g.Key].stamp != g.Stamp {
 			return s.epoch, fmt.Errorf("%w: %s", store.ErrConflict, g.Key)
@@ -108,6 +116,57 @@
 	return s.epoch, nil
 }
 
+// beyond reports whether a transaction is larger than the service takes.
+func (s *state) beyond(guards []wire.Guard, then []wire.Change) bool {
+	if s.ops > 0 && (len(then) > s.ops || len(guards) > 4*s.ops) {
+		return true
+	}
+	for _, c := range then {
+		if s.value > 0 && c.Set != "" && jsonSize(c.V) > s.value {
+			return true
+		}
+	}
+	return false
+}
+
+// jsonSize is the size of a value's JSON form.
+func jsonSize(raw wire.Raw) int {
+	var v any
+	if err := wire.Unmarshal(raw, &v); err != nil {
+		return 0
+	}
+	b, err := json.Marshal(textKeys(v))
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
+func textKeys(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		out := map[string]any{}
+		for k, e := range v {
+			out[fmt.Sprint(k)] = textKeys(e)
+		}
+		return out
+	case []any:
+		for i := range v {
+			v[i] = textKeys(v[i])
+		}
+	}
+	return v
+}
+
+// put stores a value of any size, as an earlier version did.
+func (s *state) put(key string, v wire.Raw) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.keys[key] = stored{v, s.epoch, 0}
+	s.events = append(s.events, wire.Event{Set: key, V: v, Stamp: s.epoch})
+}
+
 func (s *state) Lease(context.Context, time.Duration) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,6 +282,22 @@
 	return w
 }
 
+// again is the world with a new process of each node; the former ones are gone.
+func (w *world) again(labels ...string) *world {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		w.st.expire(n.self.Incarnation)
+	}
+	w.nodes = map[string]*Node{}
+	for _, l := range labels {
+		w.start(l, labels)
+	}
+	for range 4 {
+		w.settle()
+	}
+	return w
+}
+
 func settings(label string, labels []string) *config.Settings {
 	s := &config.Settings{Label: label, Operator: config.DefaultOperator()}
 	for _, l := range labels {
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -12,6 +12,7 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
 )
 
 // metrics are gathered when they are asked for; only the counts of answers
@@ -31,6 +32,9 @@
 	descLeader   = desc("leader", "1 if this node leads.")
 	descState    = desc("state_service", "1 if the state service was read lately.")
 	descJobs     = desc("jobs_open", "Jobs that are not over.")
+	descWaiting  = desc("jobs_awaiting", "Jobs that wait for others.")
+	descInfo     = desc("build_info", "1, with the version of the program.", "version")
+	descNodes    = desc("members", "Members by the stored forms that they have told to read; 0: none told.", "form")
 	descTasks    = desc("tasks", "Tasks of open jobs.", "state")
 	descUnmet    = desc("tasks_without_place", "Tasks without a place in the last pass.")
 	descHosts    = desc("machines", "Machines by type, kind, role and phase.", "type", "kind", "role", "phase")
@@ -51,7 +55,7 @@
 type nodeCollector struct{ n *Node }
 
 func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descBaton, descLeader, descState, descJobs, descTasks, descUnmet, descHosts, descSplit, descEvidence} {
+	for _, d := range []*prometheus.Desc{descBaton, descLeader, descState, descJobs, descWaiting, descInfo, descNodes, descTasks, descUnmet, descHosts, descSplit, descEvidence} {
 		ch <- d
 	}
 }
@@ -70,6 +74,17 @@
 	gauge(descLeader, flag(leads))
 	gauge(descState, flag(n.hasState()))
 	gauge(descJobs, float64(len(n.table.Open)))
+	gauge(descWaiting, float64(len(n.table.Waiting)))
+	gauge(descInfo, 1, tuning.Version)
+	if n.member != nil {
+		forms := map[uint64]int{}
+		for _, m := range n.member.Nodes {
+			forms[n.versions[m.Label].Form]++
+		}
+		for form, k := range forms {
+			gauge(descNodes, float64(k), strconv.FormatUint(form, 10))
+		}
+	}
 	var tasks [3]int
 	for _, j := range n.table.Open {
 		for s, k := range j.Counts {
--- /dev/null
+++ b/internal/server/pipeline_test.go
@@ -0,0 +1,466 @@
+package server
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/peer"
+	"wheatspur/internal/store"
+	"wheatspur/wire"
+)
+
+func after(wk wire.Work, awaits ...string) wire.Work {
+	wk.Awaits = awaits
+	return wk
+}
+
+// finish lets the tasks of a job that are claimed on a machine exit with
+// "done", and stores their ends.
+func (w *world) finish(host string, shards ...string) {
+	w.t.Helper()
+	var list []wire.Shard
+	for _, s := range shards {
+		list = append(list, wire.Shard{Shard: s, Try: 1, Phase: wire.ShardExited, Cause: wire.CauseDone})
+	}
+	w.prove(host, 1, list...)
+	w.clk.add(2 * time.Second)
+	w.passAll()
+}
+
+func (w *world) phases(what string, want map[string]string) {
+	w.t.Helper()
+	w.sync()
+	for label, n := range w.nodes {
+		for ref, phase := range want {
+			if code, st, _ := ask(n, "GET", "/work/"+ref, nil); code != 200 || st.Phase != phase {
+				w.t.Errorf("%s: %s says %d %s of %s, want %s", what, label, code, st.Phase, ref, phase)
+			}
+		}
+	}
+}
+
+func TestAJobStartsOnceAllThatItAwaitsIsStoredDone(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	a, b := w.nodes["a"], w.nodes["b"]
+	w.submit(a, work("wk-1", 1))
+	w.submit(b, work("wk-2", 1))
+	w.submit(a, after(work("wk-3", 2), "wk-1", "wk-2", "wk-1"))
+	w.passAll()
+	for _, n := range w.nodes {
+		if c := n.table.Jobs["wk-3"].Counts; c[jobs.Claimed] != 0 || n.table.Used["x"].GPUs != 2 || n.unmet["wk-3"] != 0 {
+			t.Fatalf("a waiting job has claims %v, its team holds %v, unmet %d", c, n.table.Used["x"], n.unmet["wk-3"])
+		}
+		if len(n.table.Jobs["wk-3"].Record.Work.Awaits) != 2 {
+			t.Fatal("repeated names count twice")
+		}
+	}
+	w.phases("waiting", map[string]string{"wk-3": wire.PhaseQueued})
+	w.finish("h1", "wk-1/0")
+	w.phases("half done", map[string]string{"wk-1": wire.PhaseDone, "wk-3": wire.PhaseQueued})
+	if a.table.Jobs["wk-3"].Counts[jobs.Claimed] != 0 {
+		t.Fatal("it starts before all is done")
+	}
+	_, _, c := ask(a, "GET", "/status?job=wk-3", nil)
+	if body := string(c.Response.Body()); !strings.Contains(body, "awaits wk-2\n") {
+		t.Fatalf("status says %q", body)
+	}
+	// A node that starts now knows as much, and the time of release is kept.
+	end := w.clk.now()
+	w.finish("h1", "wk-2/0")
+	fresh := w.start("c", []string{"a", "b", "c"})
+	if j := fresh.table.Jobs["wk-3"]; j.Phase != jobs.Open || j.Ready < end.UnixMilli() {
+		t.Fatalf("after a restart: %s, ready %d, ended %d", j.Phase, j.Ready, end.UnixMilli())
+	}
+	delete(w.nodes, "c")
+	w.passAll()
+	if a.table.Jobs["wk-3"].Counts[jobs.Claimed] != 2 {
+		t.Fatal("it does not start")
+	}
+	w.finish("h1", "wk-3/0", "wk-3/1")
+	w.phases("over", map[string]string{"wk-3": wire.PhaseDone})
+}
+
+func TestACancellationIsTheSameAtEveryNodeAtOnce(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	a, b := w.nodes["a"], w.nodes["b"]
+	w.submit(a, work("wk-1", 1))
+	w.submit(a, after(work("wk-2", 1), "wk-1"))
+	w.submit(b, after(work("wk-3", 1), "wk-2"))
+	w.submit(b, work("wk-4", 1))
+	w.submit(b, after(work("wk-5", 1), "wk-4"))
+	writes := w.st.epoch
+	if code, st, _ := ask(a, "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("cancellation: %d %s", code, st.Phase)
+	}
+	if w.st.epoch != writes+1 {
+		t.Fatalf("%d changes", w.st.epoch-writes)
+	}
+	// A submission that races with it, at a node that has not read it yet.
+	if code, _, _ := ask(b, "POST", "/work", after(work("wk-6", 1), "wk-3")); code != 201 {
+		t.Fatalf("a submission after the cancellation: %d", code)
+	}
+	all := map[string]string{"wk-1": wire.PhaseCancelled, "wk-2": wire.PhaseCancelled, "wk-3": wire.PhaseCancelled,
+		"wk-6": wire.PhaseCancelled, "wk-4": wire.PhaseQueued, "wk-5": wire.PhaseQueued}
+	w.phases("at once", all)
+	if code, st, _ := ask(b, "POST", "/work/wk-3/cancel", nil); code != 200 || st.Phase != wire.PhaseCancelled {
+		t.Fatalf("cancelled again: %d %s", code, st.Phase)
+	}
+	// Later it is stored, so that intake records go and old versions see it.
+	w.passAll()
+	w.passAll()
+	for _, ref := range []string{"wk-2", "wk-3", "wk-6"} {
+		if r := a.job(ref); r.Phase != jobs.Cancelled || r.Via == "" {
+			t.Errorf("%s is stored %s", ref, r.Phase)
+		}
+	}
+	w.phases("stored", all)
+	// The end of a dependant by its own cancellation leaves the rest alone.
+	if code, _, _ := ask(a, "POST", "/work/wk-5/cancel", nil); code != 200 {
+		t.Fatal(code)
+	}
+	w.phases("a dependant", map[string]string{"wk-4": wire.PhaseQueued, "wk-5": wire.PhaseCancelled})
+}
+
+// The end of a job and its cancellation meet in the store: one of them wins,
+// and what awaits the job follows the one that did.
+func TestACancellationThatComesAfterTheEndLetsTheNextGoOn(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	w.submit(w.nodes["a"], work("wk-1", 1))
+	w.submit(w.nodes["a"], after(work("wk-2", 1), "wk-1"))
+	w.passAll()
+	w.finish("h1", "wk-1/0")
+	if code, st, _ := ask(w.nodes["b"], "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != wire.PhaseDone {
+		t.Fatalf("cancellation of a done job: %d %s", code, st.Phase)
+	}
+	w.passAll()
+	w.phases("after it", map[string]string{"wk-2": wire.PhaseRunning})
+}
+
+func TestSubmissionsThatNameOthers(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	a, b := w.nodes["a"], w.nodes["b"]
+	w.submit(a, service("wk-9", 1))
+	// Accepted a moment ago at the other node, which this one has not read.
+	if code, _, _ := ask(b, "POST", "/work", work("wk-1", 1)); code != 201 {
+		t.Fatal(code)
+	}
+	if code, _, _ := ask(a, "POST", "/work", after(work("wk-2", 1), "wk-1")); code != 201 {
+		t.Fatalf("a job accepted a moment ago: %d", code)
+	}
+	long := after(work("wk-3", 1))
+	for range 400 {
+		long.Awaits = append(long.Awaits, "wk-1", "wk-2", "wk-000000000000000001")
+	}
+	for what, c := range map[string]struct {
+		wk   wire.Work
+		want int
+	}{
+		"itself":         {after(work("wk-5", 1), "wk-5"), 422},
+		"a service":      {after(work("wk-5", 1), "wk-9"), 422},
+		"never accepted": {after(work("wk-5", 1), "wk-1", "wk-777"), 422},
+		"malformed name": {after(work("wk-5", 1), "seven"), 422},
+		"too many":       {long, 422},
+		"known before":   {after(work("wk-1", 1), "wk-777"), 200},
+	} {
+		if code, _, _ := ask(a, "POST", "/work", c.wk); code != c.want {
+			t.Errorf("%s: %d, want %d", what, code, c.want)
+		}
+	}
+	var fields map[string]any
+	if err := wire.Unmarshal(wire.MustMarshal(work("wk-6", 1)), &fields); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []any{"wk-1", 7, []any{7}, map[string]any{"wk-1": true}} {
+		fields["awaits"] = bad
+		if code, _, _ := ask(a, "POST", "/work", wire.MustMarshal(fields)); code != 400 {
+			t.Errorf("awaits %v: %d", bad, code)
+		}
+	}
+	fields["awaits"] = nil
+	if code, _, _ := ask(a, "POST", "/work", wire.MustMarshal(fields)); code != 201 || a.job("wk-6").Phase != jobs.Open {
+		t.Errorf("awaits null: %d", code)
+	}
+	// Without a fresh read nobody knows: never a 422.
+	w.st.down = true
+	w.clk.add(5 * time.Second)
+	code, _, c := ask(a, "POST", "/work", after(work("wk-7", 1), "wk-777"))
+	if code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("without the state service: %d", code)
+	}
+}
+
+// old takes a node for one of a version that tells no forms.
+func (w *world) old(label string, old bool) {
+	w.t.Helper()
+	n := w.nodes[label]
+	s := any(n.self)
+	if !old {
+		s = member.Session{Node: n.self, Form: member.Form, Version: "x"}
+	}
+	key := member.NodeKey(label)
+	if _, err := w.st.Multi(context.Background(), store.ClassLease, nil, []wire.Change{{Set: key, V: wire.MustMarshal(s), Tenure: n.self.Incarnation}}); err != nil {
+		w.t.Fatal(err)
+	}
+	w.sync()
+}
+
+func TestPipelinesWaitForOldMembers(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	w.prove("h1", 1)
+	a := w.nodes["a"]
+	baton := a.baton()
+	w.old("b", true)
+	w.settle()
+	if a.baton() != baton {
+		t.Fatal("what a session tells of its version changes the membership")
+	}
+	w.submit(a, work("wk-1", 1))
+	code, _, c := ask(a, "POST", "/work", after(work("wk-2", 1), "wk-1"))
+	if code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+		t.Fatalf("in a mix: %d", code)
+	}
+	w.old("b", false)
+	w.submit(a, after(work("wk-2", 1), "wk-1"))
+	w.passAll()
+	w.finish("h1", "wk-1/0")
+	// An old one is back: it would stop the task on its machines.
+	j := a.table.Jobs["wk-2"]
+	if j.Counts[jobs.Claimed] != 1 {
+		t.Fatalf("%v", j.Counts)
+	}
+	w.submit(a, after(work("wk-3", 1), "wk-1"))
+	w.submit(a, work("wk-4", 1))
+	w.submit(a, after(work("wk-5", 1), "wk-4"))
+	w.old("b", true)
+	w.passAll()
+	w.finish("h1", "wk-2/0", "wk-4/0")
+	w.passAll()
+	if c := a.table.Jobs["wk-5"].Counts; c[jobs.Claimed] != 0 || a.table.Jobs["wk-5"].Phase != jobs.Open {
+		t.Fatalf("a job that is stored waiting is claimed beside an old member: %v", c)
+	}
+	// One that is down is no member, and keeps nobody waiting.
+	w.st.expire(w.nodes["b"].self.Incarnation)
+	delete(w.nodes, "b")
+	for range 3 {
+		w.settle()
+	}
+	w.prove("h1", 1)
+	w.passAll()
+	w.passAll()
+	if c := a.table.Jobs["wk-5"].Counts; c[jobs.Claimed] != 1 {
+		t.Fatalf("it waits for a node that is down: %v, members %v", c, a.member.Nodes)
+	}
+}
+
+// production reads what the version in production writes; the file was made
+// by that version.
+func production(t testing.TB) map[string][]byte {
+	t.Helper()
+	b, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text map[string]string
+	if err := json.Unmarshal(b, &text); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string][]byte{}
+	for k, v := range text {
+		if out[k], err = hex.DecodeString(v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+func TestRecordsOfProductionAreReadAndRewritten(t *testing.T) {
+	data := production(t)
+	st, err := peer.Decode(data["peer status"])
+	if err != nil || st.Label != "b" || len(st.Hosts) != 1 || st.Hosts[0].Name != "host-000001" {
+		t.Fatalf("status of a sibling: %+v %v", st, err)
+	}
+	delete(data, "peer status")
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.st.value, w.st.ops = 2048, 4
+	for key, v := range data {
+		if key == member.Key || key == member.LeadKey || key == jobs.TeamKey("x") || strings.HasPrefix(key, member.NodePrefix) {
+			if err := n.enter(key, v, 0); err != nil {
+				t.Errorf("%s: %v", key, err)
+			}
+			continue
+		}
+		// Written under its larger limit.
+		w.st.put(key, v)
+	}
+	w = w.again("a")
+	n = w.nodes["a"]
+	n.limits.ValueKB, n.limits.TxnOps = 2, 4
+	for ref, phase := range map[string]jobs.Phase{"wk-1": jobs.Open, "wk-2": jobs.Cancelled, "wk-3": jobs.Done, "wk-4": jobs.Open, "wk-5": jobs.Open} {
+		if j := n.table.Jobs[ref]; j == nil || j.Phase != phase {
+			t.Fatalf("%s: %+v", ref, j)
+		}
+	}
+	if n.table.Jobs["wk-1"].Counts != [3]int{30, 70, 0} || len(n.reg.Hosts) != 33 {
+		t.Fatalf("%v, %d machines", n.table.Jobs["wk-1"].Counts, len(n.reg.Hosts))
+	}
+	// Pipelines may name what production took in, also in shared records and done.
+	w.submit(n, after(work("wk-10", 1), "wk-3", "wk-5"))
+	w.submit(n, after(work("wk-11", 1), "wk-1"))
+	// Its jobs can be cancelled, its machines changed, within the lower limits.
+	for _, ref := range []string{"wk-1", "wk-5"} {
+		if code, _, _ := ask(n, "POST", "/work/"+ref+"/cancel", nil); code != 200 {
+			t.Fatalf("cancellation of %s: %d", ref, code)
+		}
+	}
+	w.phases("cancelled", map[string]string{"wk-1": wire.PhaseCancelled, "wk-10": wire.PhaseCancelled, "wk-11": wire.PhaseCancelled})
+	var changes []fleet.Change
+	for _, host := range []string{"host-000000", "host-000017", "host-000031", "host-000099"} {
+		was := n.reg.Hosts[host]
+		is := was
+		is.Phase, is.Why = fleet.Draining, "a long reason for which there may be no room in the record"
+		changes = append(changes, fleet.Change{Host: host, Was: &was, Now: &is})
+	}
+	n.writeHosts(context.Background(), changes)
+	w.sync()
+	for _, c := range changes {
+		if n.reg.Hosts[c.Host].Phase != fleet.Draining {
+			t.Errorf("%s is %s", c.Host, n.reg.Hosts[c.Host].Phase)
+		}
+	}
+	if len(n.reg.Hosts) != 33 || len(n.reg.Oversize(n.groupLimit(), 9)) != 0 {
+		t.Fatalf("%d machines, too large: %v", len(n.reg.Hosts), n.reg.Oversize(n.groupLimit(), 9))
+	}
+	if w.st.refused != 0 {
+		t.Fatalf("%d transactions beyond the limits", w.st.refused)
+	}
+}
+
+// The shapes in which production reads the records.
+type (
+	oldWork struct {
+		Ref    string `cbor:"ref"`
+		Crew   string `cbor:"crew"`
+		Shards int    `cbor:"shards"`
+	}
+	oldRecord struct {
+		Phase  string   `cbor:"p"`
+		At     int64    `cbor:"at"`
+		Tasks  int      `cbor:"n"`
+		Chunk  int      `cbor:"cs"`
+		Serial uint64   `cbor:"s,omitempty"`
+		Work   *oldWork `cbor:"w,omitempty"`
+	}
+	oldNode struct {
+		Label       string `cbor:"l"`
+		Incarnation uint64 `cbor:"i"`
+	}
+)
+
+func TestOldShapesReadWhatIsWrittenNow(t *testing.T) {
+	wk := after(work("wk-2", 3), "wk-1")
+	var r oldRecord
+	if err := wire.Unmarshal(wire.MustMarshal(jobs.Record{Phase: jobs.Waiting, At: 5, Tasks: 3, Chunk: 64, Work: &wk, End: 9, Via: "wk-1"}), &r); err != nil {
+		t.Fatal(err)
+	}
+	// Neither open nor final: production answers "queued" and never places it.
+	if r.Phase == "open" || r.Phase == "done" || r.Phase == "cancelled" || r.Tasks != 3 || r.Chunk != 64 || r.Work.Ref != "wk-2" {
+		t.Fatalf("%+v", r)
+	}
+	var s oldNode
+	if err := wire.Unmarshal(wire.MustMarshal(member.Session{Node: member.Node{Label: "a", Incarnation: 7}, Form: 1, Version: "x"}), &s); err != nil || s != (oldNode{"a", 7}) {
+		t.Fatalf("%+v %v", s, err)
+	}
+}
+
+// A group that is cut stays one picture at every epoch, stopped anywhere, and
+// an old leader that writes it large again costs another cut.
+func TestGroupsAreCutWithCrashesBetween(t *testing.T) {
+	data := production(t)
+	w := newWorld(t, "a")
+	for i := range 3 {
+		var g fleet.Group
+		if err := wire.Unmarshal(data["w/fleet/000000"], &g); err != nil {
+			t.Fatal(err)
+		}
+		named := fleet.Group{Machines: map[string]fleet.Record{}}
+		for host, r := range g.Machines {
+			named.Machines[strings.Replace(host, "host-0", fmt.Sprintf("host-%d", i+1), 1)] = r
+		}
+		w.st.put(fleet.GroupKey(i), wire.MustMarshal(named))
+	}
+	w.st.value, w.st.ops = 2048, 4
+	machines := 96
+	for step := range 8 {
+		w = w.again("a") // the process that cut the last one is gone
+		n := w.nodes["a"]
+		n.limits.ValueKB, n.limits.TxnOps = 2, 4
+		if len(n.reg.Hosts) != machines {
+			t.Fatalf("step %d: %d machines", step, len(n.reg.Hosts))
+		}
+		n.writeHosts(context.Background(), nil, n.reg.Oversize(n.groupLimit(), 1)...)
+		if step == 1 {
+			// An old leader fills up a group that was cut.
+			big := fleet.Group{Machines: map[string]fleet.Record{}}
+			for host, r := range n.reg.Hosts {
+				if n.reg.Key(host) == fleet.GroupKey(0) {
+					big.Machines[host] = r
+				}
+			}
+			for ; len(big.Machines) < 32; machines++ {
+				big.Machines[fmt.Sprintf("host-9%05d", machines)] = fleet.Record{Rig: "a-large-type", Plot: "a-far-away-zone", Role: "batch", Phase: fleet.In, Why: "joins"}
+			}
+			w.st.put(fleet.GroupKey(0), wire.MustMarshal(big))
+		}
+	}
+	n := w.nodes["a"]
+	if left := n.reg.Oversize(n.groupLimit(), 9); len(left) != 0 || w.st.refused != 0 {
+		t.Fatalf("too large: %v, refused %d", left, w.st.refused)
+	}
+	seen := map[string]string{}
+	for key, e := range w.st.keys {
+		var g fleet.Group
+		if !strings.HasPrefix(key, fleet.GroupPrefix) {
+			continue
+		}
+		if err := wire.Unmarshal(e.v, &g); err != nil {
+			t.Fatal(err)
+		}
+		for host := range g.Machines {
+			if seen[host] != "" {
+				t.Errorf("%s stands in %s and %s", host, seen[host], key)
+			}
+			seen[host] = key
+		}
+	}
+	if len(seen) != machines {
+		t.Fatalf("%d machines of %d", len(seen), machines)
+	}
+}
+
+func TestLowerLimits(t *testing.T) {
+	s := settings("a", []string{"a", "b", "c"})
+	s.Params.State.Next = &config.Limits{WriteRPS: 18, ValueKB: 2, TxnOps: 5}
+	if l := s.StateLimits(); l.RPS != 1000 || l.WriteRPS != 18 || l.ValueKB != 2 || l.TxnOps != 5 {
+		t.Fatalf("%+v", l)
+	}
+	s.Params.State.Next = &config.Limits{ValueKB: 16}
+	if l := s.StateLimits(); l.ValueKB != 4 || l.TxnOps != 12 {
+		t.Fatalf("%+v", l)
+	}
+}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -1,35 +1,55 @@
 package server
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
 )
 
+// statusRows bounds the rows of a kind that the status page shows.
+const statusRows = 50
+
 // serveStatus shows operators, as plain text, what this node knows: the
-// membership, the splits with the gate that blocks each, and why jobs wait.
+// membership with the version of each node, the splits with the gate that
+// blocks each, and why jobs wait; with ?job=ID, one job.
 func (n *Node) serveStatus(c *fasthttp.RequestCtx) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var b strings.Builder
-	fmt.Fprintf(&b, "node %s session %s state_service %v\n", n.self.Label, n.session, n.hasState())
+	c.SetContentType("text/plain; charset=utf-8")
+	if ref := string(c.QueryArgs().Peek("job")); ref != "" {
+		n.jobStatus(&b, ref)
+		c.SetBodyString(b.String())
+		return
+	}
+	fmt.Fprintf(&b, "node %s version %s session %s state_service %v\n", n.self.Label, tuning.Version, n.session, n.hasState())
 	if n.member != nil {
 		fmt.Fprintf(&b, "membership baton %d leader %s nodes", n.member.Baton, n.member.Leader.Label)
 		for _, m := range n.member.Nodes {
 			fmt.Fprintf(&b, " %s", m.Label)
 		}
 		b.WriteByte('\n')
+		for _, m := range n.member.Nodes {
+			s := n.versions[m.Label]
+			fmt.Fprintf(&b, "version %s %s form %d\n", m.Label, cmp.Or(s.Version, "not told (0.1.0 or older)"), s.Form)
+		}
+		fmt.Fprintf(&b, "pipelines taken %v\n", n.pipelines())
 	}
+	fmt.Fprintf(&b, "state_limits write_rps %g value_kb %g txn_ops %d machine_groups_to_cut %d\n", n.limits.WriteRPS, n.limits.ValueKB, n.limits.TxnOps,
+		len(n.reg.Oversize(n.groupLimit(), len(n.reg.Hosts))))
 	pending := 0
 	for _, j := range n.table.Open {
 		pending += j.Counts[jobs.Pending]
 	}
-	fmt.Fprintf(&b, "jobs open %d tasks_pending %d\n", len(n.table.Open), pending)
+	fmt.Fprintf(&b, "jobs open %d waiting_for_others %d tasks_pending %d\n", len(n.table.Open), len(n.table.Waiting), pending)
 	phases := map[fleet.Phase]int{}
 	for _, h := range n.reg.Hosts {
 		phases[h.Phase]++
@@ -44,18 +64,45 @@
 			}
 		}
 	}
-	refs := make([]string, 0, len(n.unmet))
-	for ref := range n.unmet {
-		refs = append(refs, ref)
+	rows(&b, "waiting", n.unmet, func(ref string) string {
+		return fmt.Sprintf("waiting %s tasks %d because %s", ref, n.unmet[ref], n.why[ref])
+	})
+	rows(&b, "awaits", n.table.Waiting, func(ref string) string {
+		return fmt.Sprintf("awaits %s: %s", ref, strings.Join(n.table.Unfinished(n.table.Waiting[ref]), " "))
+	})
+	rows(&b, "cancelled with others", n.table.Unsaid, func(ref string) string {
+		return fmt.Sprintf("cancelled %s with %s", ref, n.table.Unsaid[ref].Via)
+	})
+	c.SetBodyString(b.String())
+}
+
+// rows writes a line for each key, in order, up to a bound.
+func rows[V any](b *strings.Builder, kind string, m map[string]V, line func(key string) string) {
+	keys := slices.Sorted(maps.Keys(m))
+	for _, k := range keys[:min(len(keys), statusRows)] {
+		fmt.Fprintln(b, line(k))
 	}
-	sort.Strings(refs)
-	for i, ref := range refs {
-		if i == 50 {
-			fmt.Fprintf(&b, "waiting +%d more\n", len(refs)-i)
-			break
-		}
-		fmt.Fprintf(&b, "waiting %s tasks %d because %s\n", ref, n.unmet[ref], n.why[ref])
+	if more := len(keys) - statusRows; more > 0 {
+		fmt.Fprintf(b, "%s +%d more\n", kind, more)
+	}
+}
+
+// jobStatus shows one job: why it waits, or with which job it was cancelled;
+// mu is held.
+func (n *Node) jobStatus(b *strings.Builder, ref string) {
+	j := n.table.Jobs[ref]
+	if j == nil {
+		fmt.Fprintf(b, "job %s is not known here\n", ref)
+		return
+	}
+	fmt.Fprintf(b, "job %s phase %s stored %s tasks %d pending %d claimed %d completed %d\n", ref, j.Phase, j.Record.Phase, j.Record.Tasks,
+		j.Counts[jobs.Pending], j.Counts[jobs.Claimed], j.Counts[jobs.Completed])
+	switch {
+	case j.Phase == jobs.Waiting:
+		fmt.Fprintf(b, "awaits %s\n", strings.Join(n.table.Unfinished(j), " "))
+	case j.Phase == jobs.Cancelled && j.Via != "":
+		fmt.Fprintf(b, "cancelled with %s\n", j.Via)
+	case n.unmet[ref] > 0:
+		fmt.Fprintf(b, "waiting tasks %d because %s\n", n.unmet[ref], n.why[ref])
 	}
-	c.SetContentType("text/plain; charset=utf-8")
-	c.SetBodyString(b.String())
 }
