--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -66,6 +66,40 @@
 	}
 }
 
+// Limits that come later are checked at the start: what would not fit them is
+// found out before they come.
+func TestLaterLimitsAreCheckedAndTheFieldIsNamed(t *testing.T) {
+	with := func(next string) string {
+		return strings.Replace(good, "[params.cloud]", "[params.state.next]\n"+next+"\n[params.cloud]", 1)
+	}
+	for next, want := range map[string]Limits{
+		"":                 {RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 12},
+		"write_rps = 18.0": {RPS: 100, WriteRPS: 18, ValueKB: 4, TxnOps: 12},
+		"value_kb = 2.0\ntxn_ops = 4\nrps = 50.0":      {RPS: 50, WriteRPS: 20, ValueKB: 2, TxnOps: 4},
+		"value_kb = 16.0\ntxn_ops = 40\nunknown = 3.0": {RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 12},
+	} {
+		if s, err := Parse([]byte(with(next))); err != nil || s.StateLimits() != want {
+			t.Errorf("%q: %+v %v", next, s, err)
+		}
+	}
+	if s, err := Parse([]byte(good)); err != nil || s.StateLimits() != s.Params.State.Limits {
+		t.Errorf("without later limits: %v", err)
+	}
+	for next, field := range map[string]string{
+		"txn_ops = 3":      "params.state.next.txn_ops",
+		"txn_ops = 2.5":    "params.state.next.txn_ops",
+		"write_rps = 0.5":  "params.state.next.write_rps",
+		"write_rps = -1.0": "params.state.next",
+		"value_kb = 0.5":   "params.state.next.value_kb",
+		"value_kb = 1.0":   "params.state.next.value_kb", // does not hold the chunks that are stored
+		`value_kb = "2"`:   "params.state.next.value_kb",
+	} {
+		if _, err := Parse([]byte(with(next))); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%q: %v", next, err)
+		}
+	}
+}
+
 // A value that can't hold a record with an entry a node is refused at the
 // start, not at the first write.
 func TestALimitTooSmallForTheNodesIsRefused(t *testing.T) {
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -28,6 +28,7 @@
 
 // accept has a new job stored and answers 201 after the write.
 func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work, phase jobs.Phase) {
+	begun := n.now()
 	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
 	defer stop()
 	s := &submission{work: w, before: time.Now().Add(tuning.DecisionWait), done: make(chan error, 1),
@@ -50,7 +51,7 @@
 	}
 	switch {
 	case err == nil:
-		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w))
+		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w), "awaits", len(w.Awaits), "took", n.now().Sub(begun))
 		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
 		// A lost answer is settled by reading again.
--- a/internal/server/pipeline_test.go
+++ b/internal/server/pipeline_test.go
@@ -464,3 +464,104 @@
 		t.Fatalf("%+v", l)
 	}
 }
+
+// Nodes are renewed one after the other while work runs; the leader's process
+// dies amid the election that its own renewal causes, and comes back old.
+func TestARollWithACrashAmidAnElection(t *testing.T) {
+	labels := []string{"a", "b", "c"}
+	w := newWorld(t, labels...)
+	for _, l := range labels {
+		w.old(l, true)
+	}
+	w.addHost("h1", "service")
+	w.prove("h1", 1)
+	w.submit(w.nodes["a"], service("wk-1", 2))
+	w.passAll()
+	running := []wire.Shard{{Shard: "wk-1/0", Try: 1, Phase: wire.ShardRunning}, {Shard: "wk-1/1", Try: 1, Phase: wire.ShardRunning}}
+	restart := func(label string, old bool) {
+		w.st.expire(w.nodes[label].self.Incarnation)
+		w.start(label, labels)
+		w.settle() // amid the election: its session is stored, nothing more is certain
+		if old {
+			w.old(label, true)
+		}
+	}
+	taken := func(want bool) {
+		t.Helper()
+		for label, n := range w.nodes {
+			n.mu.Lock()
+			got := n.pipelines()
+			n.mu.Unlock()
+			if got != want {
+				t.Fatalf("%s: pipelines %v, want %v", label, got, want)
+			}
+		}
+	}
+	lead := w.leader().self.Label
+	restart(lead, false)
+	restart(lead, true) // killed again before it is a member, and old
+	for _, l := range labels {
+		for range 4 {
+			w.settle()
+		}
+		taken(false)
+		restart(l, false)
+		for range 4 {
+			w.settle()
+		}
+		w.prove("h1", 1, running...)
+		w.passAll()
+		if n := w.nodes[l]; n.claimsOn("h1") != 2 || n.table.Jobs["wk-1"].Task(0).Try != 1 {
+			t.Fatalf("%s is renewed: %d claims, attempt %d", l, n.claimsOn("h1"), n.table.Jobs["wk-1"].Task(0).Try)
+		}
+	}
+	taken(true)
+	code, body := w.nodes["a"].take(w.checkin("h1", 1, w.nodes["a"].baton(), running...))
+	if o, ok := body.(wire.Orders); code == 200 && (!ok || len(o.Orders) != 0) {
+		t.Fatalf("healthy tasks are told %v", body)
+	}
+	w.submit(w.nodes["b"], work("wk-2", 1))
+	w.submit(w.nodes["c"], after(work("wk-3", 1), "wk-2"))
+}
+
+// Hundreds of pipelines cost no change but those of their jobs: none to
+// release a step, one to cancel all that needs a job.
+func TestHundredsOfPipelinesCostNoChangesOfTheirOwn(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	const pipelines = 300
+	ref := func(p, step int) string { return fmt.Sprintf("wk-%d", p*10+step) }
+	for p := range pipelines {
+		for step, awaits := range [][]int{{}, {0}, {0}, {1, 2}} {
+			wk := work(ref(p, step), 1)
+			for _, a := range awaits {
+				wk.Awaits = append(wk.Awaits, ref(p, a))
+			}
+			r := jobs.Record{Phase: jobs.Open, Tasks: 1, Chunk: 64, Work: &wk}
+			if step > 0 {
+				r.Phase = jobs.Waiting
+			}
+			w.st.put(jobs.JobKey(ref(p, step)), wire.MustMarshal(r))
+		}
+	}
+	w.sync()
+	if len(n.table.Open) != pipelines || len(n.table.Waiting) != 3*pipelines {
+		t.Fatalf("%d open, %d wait", len(n.table.Open), len(n.table.Waiting))
+	}
+	before := w.st.epoch
+	for p := range pipelines {
+		w.st.put(jobs.JobKey(ref(p, 0)), wire.MustMarshal(jobs.Record{Phase: jobs.Done, Tasks: 1, Chunk: 64, End: 1}))
+	}
+	w.sync()
+	w.pass(n)
+	if len(n.table.Open) != 2*pipelines || w.st.epoch != before+pipelines {
+		t.Fatalf("%d open, %d changes", len(n.table.Open), w.st.epoch-before-pipelines)
+	}
+	before = w.st.epoch
+	if code, _, _ := ask(n, "POST", "/work/"+ref(7, 1)+"/cancel", nil); code != 200 || w.st.epoch != before+1 {
+		t.Fatalf("a cancellation: %d, %d changes", code, w.st.epoch-before)
+	}
+	if n.table.Jobs[ref(7, 3)].Phase != jobs.Cancelled || n.table.Jobs[ref(7, 2)].Phase != jobs.Open {
+		t.Fatal("it reaches what it should not, or does not reach what it should")
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -183,6 +184,11 @@
 	if err := Unmarshal(b, &w); err != nil {
 		return w, malformed("%v", err)
 	}
+	// A null among the texts would be read as an empty one.
+	var names []*string
+	if raw, ok := fields["awaits"]; ok && (Unmarshal(raw, &names) != nil || slices.Contains(names, nil)) {
+		return w, malformed("awaits is not a list of texts")
+	}
 	return w, w.check()
 }
 
