--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -236,6 +237,9 @@
 			}
 			if c.starts == 1 {
 				x.want("in the outage", "wk-1", 12, 1)
+				if _, _, page := ask(x.leader(), "GET", "/status", nil); !strings.Contains(string(page.Response.Body()), "cancellations known until 0.0 s ago") {
+					t.Errorf("operators are not told:\n%s", page.Response.Body())
+				}
 			} else if k := x.everywhere("wk-1"); c.starts == 0 && k != 0 {
 				t.Errorf("%d tasks of a cancelled job run\n%s", k, x)
 			}
