A claim of an older share fails: tested

Found by taking protections out: without the guard of a claim by its team's record no test failed. The code is as it was; the test fails without the guard.

--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -181,3 +181,44 @@
 		t.Fatal("the doubt stands after its claim was applied")
 	}
 }
+
+// A node computes a claim, and before it is stored the leader shares the team's
+// limit out otherwise: the claim fails, and the limit holds, whatever
+// has changed.
+func TestAClaimOfAnOlderShareFails(t *testing.T) {
+	for name, next := range map[string]jobs.TeamRecord{
+		"frozen":    {Frozen: true},
+		"shrunk":    {Grants: map[string]jobs.Grant{"a": {GPUs: 1}, "b": {GPUs: 7}}},
+		"as before": {},
+	} {
+		w := twoNodes(t, 8, 4)
+		n := w.nodes["a"]
+		w.submit(n, work("wk-1", 2))
+		w.tell()
+		var txns []*txn
+		for _, o := range []*Node{w.nodes["a"], w.nodes["b"]} {
+			o.mu.Lock()
+			mine := o.pass()
+			o.mu.Unlock()
+			if len(mine) > 0 && txns == nil {
+				n, txns = o, mine
+			}
+		}
+		if len(txns) != 1 || txns[0].claims != "x" {
+			t.Fatalf("%s: %d writes", name, len(txns))
+		}
+		n.mu.Lock()
+		rec := n.table.Team["x"]
+		next.Baton = rec.Baton
+		if next.Grants == nil {
+			next.Grants = rec.Grants
+		}
+		n.mu.Unlock()
+		w.st.put(jobs.TeamKey("x"), wire.MustMarshal(next))
+		n.commit(context.Background(), txns[0])
+		w.sync()
+		if got := n.table.Jobs["wk-1"].Counts[jobs.Claimed]; got != 0 {
+			t.Errorf("%s: %d tasks claimed by an older share", name, got)
+		}
+	}
+}
