--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -606,6 +606,51 @@
 			x.want("after it", "wk-1", 12, 1)
 			x.want("after it", "wk-2", 8, 1)
 		}},
+		{"there is more work than room, urgent and not, over slow links", func(x *trial) {
+			x.cancelAt(x.leader(), "wk-1")
+			x.run(5 * time.Second)
+			x.each(func(m *machine) {
+				m.image = 15 * time.Second
+				m.holding = m == x.machines[0] // its direct calls come late
+			})
+			late := 0
+			goOn := func(seconds int) {
+				for range seconds {
+					if late++; late%10 == 0 {
+						x.mu.Lock()
+						m := x.machines[0]
+						held := m.calls
+						m.calls = nil
+						for _, call := range held {
+							x.take(m, call)
+						}
+						x.mu.Unlock()
+					}
+					x.step()
+				}
+			}
+			submit := func(ref, rank string, d time.Duration) {
+				wk := work(ref, 6)
+				wk.Rank = rank
+				x.runs[ref] = d
+				x.submit(x.leader(), wk)
+			}
+			for i := range 6 {
+				submit(fmt.Sprintf("wk-%d", 10+i), wire.RankNormal, 100*time.Second)
+			}
+			goOn(25)
+			for i := range 2 {
+				submit(fmt.Sprintf("wk-%d", 20+i), wire.RankUrgent, 20*time.Second)
+			}
+			goOn(80) // nothing of the others is done by then
+			for _, ref := range []string{"wk-20", "wk-21"} {
+				x.answers("urgent work goes first", ref, wire.PhaseDone)
+			}
+			goOn(600)
+			for i := range 6 {
+				x.answers("the rest is not forgotten", fmt.Sprintf("wk-%d", 10+i), wire.PhaseDone)
+			}
+		}},
 		{"jobs of two or three tasks end far apart across a change of leader", func(x *trial) {
 			x.cancelAt(x.leader(), "wk-1")
 			x.run(5 * time.Second)
