--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -63,10 +63,10 @@
 	Try uint64
 }
 
-// sentStart is a direct start under a baton.
+// sentStart is a direct start under a token.
 type sentStart struct {
 	Attempt
-	baton uint64
+	token uint64
 }
 
 // Worker is the owner's view of one machine's worker.
@@ -89,26 +89,38 @@
 	TakenAt  time.Time        // when the cloud takes the machine; zero: no notice
 	Stopping map[jobs.ID]bool // tasks that we want off this machine
 
-	// Direct starts of this stint that were sent and not answered, by the
-	// baton that they carry. They may yet be carried out.
+	// Token of our commands to this worker; the membership's, or above it once
+	// starts had to be made void (Void).
+	Token uint64
+	// Direct starts of this session that were sent and not answered, by the
+	// token that they carry. They may yet be carried out.
 	unanswered map[sentStart]int
+	// Starts of this session that are over, by the message that shows what came
+	// of them: any report with a larger tally.
+	started map[Attempt]uint64
 
 	// Commands in answers to reports that no report has shown as carried out,
 	// by when the first of those answers went.
-	told map[command]time.Time
+	told map[Command]time.Time
 
 	Images  []string              // seen here, newest last
 	Errors  map[string]bool       // jobs whose tasks failed here since the last success
 	Refused time.Time             // last refusal for want of room
-	Sent    map[Attempt]time.Time // direct starts and kills, by when
+	Sent    map[Command]time.Time // direct starts and kills, by when
 	Called  time.Time             // last direct call
 	Calling bool                  // a direct call is under way
 	Mute    bool                  // it reports, but nothing that it is told shows
 	Quiet   bool                  // nothing has changed since it last had no orders to send
 }
 
-// command is what a report must show to prove that it was carried out.
-type command struct{ verb, shard string }
+// Command is one command about one attempt. A report must show its effect to
+// prove that it was carried out.
+type Command struct{ verb, shard string }
+
+// CommandOf names an order's command.
+func CommandOf(o wire.Order) Command {
+	return Command{o.Verb, o.Shard + "#" + strconv.FormatUint(o.Try, 10)}
+}
 
 // Copy reports whether a report is a late copy of one that this node has seen,
 // or older: the network may deliver such copies minutes late. It guards against
@@ -122,10 +134,18 @@
 // through to us and our answers not to it.
 func (w *Worker) Answer(r *wire.Checkin, orders []wire.Order, now time.Time) {
 	w.Answered, w.Reported = now, r.Tally
-	told := make(map[command]time.Time, len(orders))
+	for a, tally := range w.started {
+		if tally < r.Tally {
+			delete(w.started, a) // this report shows what came of it
+		}
+	}
+	for _, a := range Starts(orders) {
+		w.started[a] = max(w.started[a], r.Tally)
+	}
+	told := make(map[Command]time.Time, len(orders))
 	late := false
 	for _, o := range orders {
-		c := command{o.Verb, o.Shard + "#" + strconv.FormatUint(o.Try, 10)}
+		c := CommandOf(o)
 		at, before := w.told[c]
 		if !before {
 			at = now
@@ -151,7 +171,7 @@
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
 	return &Worker{Host: host, State: Unproven, Shards: map[jobs.ID]wire.Shard{}, Stopping: map[jobs.ID]bool{},
-		unanswered: map[sentStart]int{}, Errors: map[string]bool{}, Sent: map[Attempt]time.Time{}}
+		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[Command]time.Time{}}
 }
 
 // RaiseBaton notes that our membership has changed, and that another node may
@@ -162,7 +182,8 @@
 func (w *Worker) Stop(id jobs.ID) { w.Stopping[id], w.Quiet = true, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
-// baton is the one of our membership.
+// baton is the one of our membership; a worker that has shown it or one that
+// stands above it for this worker alone (Void) has heard us.
 func (w *Worker) Observe(r *wire.Checkin, baton uint64, now time.Time) bool {
 	if w.First.IsZero() {
 		w.First = now
@@ -175,6 +196,8 @@
 		// against waiting for starts that the worker now refuses.
 		w.State = w.State.Next(NewStint)
 		clear(w.unanswered)
+		clear(w.started)
+		clear(w.Sent)
 		clear(w.Stopping)
 		clear(w.told)
 		w.Reported = 0
@@ -182,17 +205,19 @@
 	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
 	w.Stint, w.Tally, w.Heard, w.Quiet = r.Stint, r.Tally, now, false
 	w.Baton = max(w.Baton, r.Baton)
-	if baton > 0 && r.Baton == baton {
+	w.Token = max(w.Token, baton)
+	if baton > 0 && r.Baton >= baton {
 		if w.State == Unproven {
 			w.State = w.State.Next(BatonShown)
 			w.ProvenAt = now
 		}
-		// Starts under lower batons are dead from here on. Those under ours
-		// are not: one sent before the proof may still be held somewhere.
-		for k := range w.unanswered {
-			if k.baton < baton {
-				delete(w.unanswered, k)
-			}
+	}
+	// Starts under lower tokens than the worker has shown are dead from here on,
+	// and this message shows what came of them. Those under the same are not:
+	// one sent before the proof may still be held somewhere.
+	for k := range w.unanswered {
+		if k.token < r.Baton {
+			delete(w.unanswered, k)
 		}
 	}
 	if r.WarningS == nil {
@@ -235,20 +260,67 @@
 }
 
 // StartSent notes direct starts that are about to be sent.
-func (w *Worker) StartSent(starts []Attempt, baton uint64) {
+func (w *Worker) StartSent(starts []Attempt, token uint64) {
 	for _, a := range starts {
-		w.unanswered[sentStart{a, baton}]++
+		w.unanswered[sentStart{a, token}]++
 	}
 }
 
-// StartAnswered notes that a direct call with these starts was answered.
-func (w *Worker) StartAnswered(starts []Attempt, baton uint64) {
+// StartAnswered notes that a direct call with these starts was answered by a
+// report with this session and tally.
+func (w *Worker) StartAnswered(starts []Attempt, token, stint, tally uint64) {
 	for _, a := range starts {
-		k := sentStart{a, baton}
+		k := sentStart{a, token}
 		if w.unanswered[k]--; w.unanswered[k] <= 0 {
 			delete(w.unanswered, k)
 		}
+		if stint == w.Stint {
+			w.started[a] = max(w.started[a], tally)
+		}
+	}
+}
+
+// neverRan reports whether an attempt of the present session that the newest
+// message does not list has not begun, and can't any more unless it is started
+// anew: the worker has shown our token, so that former owners' starts are dead;
+// none of ours is under way; and a report has come since the last that was.
+func (w *Worker) neverRan(a Attempt) bool {
+	_, sent := w.started[a]
+	return w.State == Proven && !sent && !w.mayStart(a)
+}
+
+// Held lists the claims of cancelled jobs that a start, which may yet arrive,
+// keeps from being released.
+func (w *Worker) Held(claims map[jobs.ID]*jobs.Job) []Attempt {
+	if len(w.unanswered) == 0 {
+		return nil
+	}
+	var out []Attempt
+	for id, j := range claims {
+		a := Attempt{id, j.Live[id.Task].Try}
+		if s, on := w.Shards[id]; j.Phase == jobs.Cancelled && !(on && s.Try == a.Try) && w.mayStart(a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Void makes the starts that are under way void, once the worker shows the
+// token that it returns or answers a call with it. most bounds the tokens of
+// the present membership; false if they are used up. A token that is raised
+// already and not shown yet serves.
+func (w *Worker) Void(most uint64) bool {
+	top := uint64(0)
+	for k := range w.unanswered {
+		top = max(top, k.token)
+	}
+	if w.Token <= top {
+		if w.Token+tuning.VoidStep > most {
+			return false
+		}
+		w.Token, w.Quiet = w.Token+tuning.VoidStep, false
 	}
+	return true
 }
 
 // mayStart reports whether a direct start of the attempt may yet arrive.
@@ -332,6 +404,11 @@
 				kind = jobs.Fail
 			}
 			out = append(out, Release{id, kind, s.Cause})
+		case j.Phase == jobs.Cancelled && (!on || s.Try < t.Try) && w.neverRan(Attempt{id, t.Try}):
+			// Nobody starts a cancelled job's task any more. Guards against a
+			// claim that counted against its team, and filled its machine, for
+			// as long as the machine's session lasted.
+			out = append(out, Release{id, jobs.Release, "never started"})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -32,10 +33,17 @@
 }
 
 // Form is the number of the stored forms that this program reads and writes.
-// 1: pipelines (jobs that are stored waiting). It stands beside the node in its
+// 1: pipelines (jobs that are stored waiting). 2: memberships that span several
+// tokens. It stands beside the node in its
 // session's key alone, so that versions which know no forms, and say none,
 // compare nodes as ever.
-const Form = 1
+const Form = 2
+
+// Forms that a node has to know for a thing to be done.
+const (
+	FormPipelines = 1
+	FormSpans     = 2
+)
 
 // Session is the stored form of a node's session.
 type Session struct {
@@ -51,8 +59,18 @@
 	Nodes  []Node `cbor:"n"`
 	// Deaf members hear no worker and own no machines.
 	Deaf []string `cbor:"f,omitempty"`
+	// Span is how many tokens from Baton on are this membership's, if all its
+	// members know of it: an owner raises the token of one of its machines within
+	// it, to make void what may still be on its way there. Absent: one.
+	Span uint64 `cbor:"t,omitempty"`
 }
 
+// Last is the highest token of the membership.
+func (r *Record) Last() uint64 { return r.Baton + max(r.Span, 1) - 1 }
+
+// Follows reports whether the membership is the one right after another.
+func (r *Record) Follows(last *Record) bool { return r.Baton == last.Last()+1 }
+
 func (r *Record) deaf(label string) bool {
 	for _, l := range r.Deaf {
 		if l == label {
@@ -158,6 +176,7 @@
 	Deaf     map[string]bool // nodes that hear no worker
 	Lead     *Node           // holder of the lead key, nil if none
 	Member   *Record         // nil before the first
+	Spans    bool            // every node with a session knows of spans of tokens
 }
 
 // Action is what a node should do about membership.
@@ -195,7 +214,10 @@
 		if same(*v.Member, want) {
 			return Action{}
 		}
-		want.Baton = v.Member.Baton + 1
+		want.Baton = v.Member.Last() + 1
+	}
+	if v.Spans {
+		want.Span = tuning.TokenSpan
 	}
 	return Action{Write: &want}
 }
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -123,6 +123,7 @@
 // leading is the leader's memory; it starts empty with each leadership.
 type leading struct {
 	baton     uint64
+	next      uint64 // the baton of the membership after it
 	counter   int
 	listed    map[string]wire.Host
 	listAt    time.Time
@@ -364,7 +365,7 @@
 	// has had no other owner: what it has proven stands. Guards against a
 	// fleet that takes nothing until each machine has reported, with every node
 	// that comes or goes, and against tasks behind a cut that nobody may release.
-	next := last != nil && last.Baton+1 == r.Baton && last.Has(n.self) && r.Has(n.self)
+	next := last != nil && r.Follows(last) && last.Has(n.self) && r.Has(n.self)
 	for host, w := range n.workers {
 		n.held[host] = w.Images
 		if n.ownerOf(host) != n.self.Label {
@@ -434,7 +435,18 @@
 // is held. A node that does not would run such a job at once if it took it in,
 // and would stop its tasks on its machines.
 func (n *Node) pipelines() bool {
-	return n.member != nil && n.member.Knows(member.Form, n.versions)
+	return n.member != nil && n.member.Knows(member.FormPipelines, n.versions)
+}
+
+// spans reports whether every node with a session knows of memberships that
+// span several tokens; mu is held.
+func (n *Node) spans() bool {
+	for label, s := range n.sessions {
+		if v := n.versions[label]; v.Node != s || v.Form < member.FormSpans {
+			return false
+		}
+	}
+	return true
 }
 
 // hasState reports whether the state service was read lately.
@@ -562,7 +574,7 @@
 	} else {
 		now := n.now()
 		deaf := n.ears(now).Next()
-		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Deaf: n.deaf, Lead: n.lead, Member: n.member})
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Deaf: n.deaf, Lead: n.lead, Member: n.member, Spans: n.spans()})
 		switch {
 		case deaf != n.deaf[n.self.Label]:
 			guards = []wire.Guard{n.cache.Guard(key)}
--- /dev/null
+++ b/internal/server/scripted_test.go
@@ -0,0 +1,406 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/store"
+	"wheatspur/wire"
+)
+
+// machine is a scripted worker, after the protocol's page.
+type machine struct {
+	host    string
+	stint   uint64
+	tally   uint64
+	token   uint64
+	tasks   map[string]*task // by task and attempt
+	renewed time.Time        // sending of the last answered report
+	due     time.Time        // of the next report
+	node    string           // it reports to
+	image   time.Duration    // a fetch takes so long
+
+	hung     bool
+	deaf     bool            // answers and direct calls don't reach it
+	mute     bool            // it reaches no node
+	cut      map[string]bool // nodes that it does not reach
+	holding  bool            // direct calls to it are held in the network
+	calls    []wire.Commands // those
+	last     wire.Checkin    // its last report
+	sessions []session       // that have ended
+}
+
+// session is an ended session of a worker.
+type session struct {
+	stint uint64
+	tasks int // that it ended with
+	at    time.Time
+}
+
+// task is an attempt on a scripted worker.
+type task struct {
+	wire.Shard
+	ref   string
+	ready time.Time // its image is there
+	ends  time.Time // zero: never
+}
+
+// trial is a world with scripted workers that watches the rules.
+type trial struct {
+	*world
+	mu        sync.Mutex
+	machines  []*machine
+	confirmed map[string]time.Time     // cancellations that users were told of
+	patience  time.Duration            // how long after its confirmed cancellation a task may still start
+	runs      map[string]time.Duration // of a job's tasks; none: they never end
+	starts    map[string]int           // of each task
+	limit     float64                  // of the team
+}
+
+// newTrial returns a world of three nodes whose machines, as many of each
+// owner, report and are proven.
+func newTrial(t testing.TB, each int, limit float64) *trial {
+	t.Helper()
+	labels := []string{"a", "b", "c"}
+	x := &trial{world: newWorldWith(t, &direct{}, labels...),
+		confirmed: map[string]time.Time{}, runs: map[string]time.Duration{}, starts: map[string]int{}, limit: limit}
+	x.call.(*direct).x = x
+	for _, n := range x.nodes {
+		n.set.Params.Teams[0].GPUsMax = limit
+	}
+	x.raise()
+	count := map[string]int{}
+	for i := 0; len(x.machines) < each*len(labels); i++ {
+		host := fmt.Sprintf("h%d", i)
+		if o, _ := x.owner(host); count[o.self.Label] < each {
+			count[o.self.Label]++
+			x.join(host)
+		}
+	}
+	x.run(8 * time.Second)
+	return x
+}
+
+// join adds a machine that is up.
+func (x *trial) join(host string) *machine {
+	x.t.Helper()
+	m := &machine{host: host, stint: 1, tasks: map[string]*task{}, renewed: x.clk.now(), due: x.clk.now(), node: "a", cut: map[string]bool{}}
+	x.mu.Lock()
+	x.machines = append(x.machines, m)
+	x.mu.Unlock()
+	x.addHost(host, "batch")
+	return m
+}
+
+// of is the machine of an owner.
+func (x *trial) of(n *Node) *machine {
+	for _, m := range x.machines {
+		if o, _ := x.owner(m.host); o == n {
+			return m
+		}
+	}
+	x.t.Fatalf("%s owns no machine", n.self.Label)
+	return nil
+}
+
+func (m *machine) report() wire.Checkin {
+	m.tally++
+	r := wire.Checkin{Host: m.host, Address: m.host, Rig: "g", Plot: "z", Stint: m.stint, Tally: m.tally, Baton: m.token}
+	for _, k := range slices.Sorted(maps.Keys(m.tasks)) {
+		r.Shards = append(r.Shards, m.tasks[k].Shard)
+	}
+	return r
+}
+
+// carryOut carries out commands; mu is held.
+func (x *trial) carryOut(m *machine, orders []wire.Order) {
+	now := x.clk.now()
+	for _, o := range orders {
+		key := fmt.Sprintf("%s#%d", o.Shard, o.Try)
+		t := m.tasks[key]
+		switch o.Verb {
+		case wire.VerbStart:
+			if t == nil {
+				ref, _, _ := jobs.ParseShard(o.Shard)
+				m.tasks[key] = &task{Shard: wire.Shard{Shard: o.Shard, Try: o.Try, Phase: wire.ShardPulling}, ref: ref, ready: now.Add(m.image)}
+				x.begin(m)
+			}
+		case wire.VerbKill:
+			if t != nil && t.Phase != wire.ShardExited {
+				t.Phase, t.Cause = wire.ShardExited, wire.CauseStopped
+			}
+		case wire.VerbReap:
+			if t != nil && t.Phase == wire.ShardExited {
+				delete(m.tasks, key)
+			}
+		}
+	}
+}
+
+// begin lets tasks that have their image run, and ends those whose time is up;
+// mu is held.
+func (x *trial) begin(m *machine) {
+	now := x.clk.now()
+	for _, t := range m.tasks {
+		if t.Phase == wire.ShardPulling && !now.Before(t.ready) {
+			for _, o := range x.machines {
+				for _, u := range o.tasks {
+					// A machine that hangs beyond its lease ends its tasks before it goes on.
+					if u.Shard.Shard == t.Shard.Shard && u.Phase == wire.ShardRunning && now.Sub(o.renewed) <= lease {
+						x.t.Errorf("%s starts on %s while it is on %s", t.Shard.Shard, m.host, o.host)
+					}
+				}
+			}
+			if at, ok := x.confirmed[t.ref]; ok && now.Sub(at) > x.patience {
+				x.t.Errorf("%s starts %v after its cancellation was confirmed", t.Shard.Shard, now.Sub(at))
+			}
+			t.Phase = wire.ShardRunning
+			x.starts[t.Shard.Shard]++
+			if d := x.runs[t.ref]; d > 0 {
+				t.ends = now.Add(d)
+			}
+		}
+		if t.Phase == wire.ShardRunning && !t.ends.IsZero() && !now.Before(t.ends) {
+			t.Phase, t.Cause = wire.ShardExited, wire.CauseDone
+		}
+	}
+}
+
+// live lets a machine live on; mu is held.
+func (x *trial) live(m *machine) {
+	now := x.clk.now()
+	if m.hung {
+		return
+	}
+	if now.Sub(m.renewed) > lease {
+		m.sessions = append(m.sessions, session{m.stint, len(m.tasks), now})
+		clear(m.tasks)
+		m.stint++
+		m.renewed, m.due = now, now
+	}
+	x.begin(m)
+	if !m.holding {
+		held := m.calls
+		m.calls = nil
+		for _, c := range held {
+			x.take(m, c)
+		}
+	}
+	if now.Before(m.due) {
+		return
+	}
+	m.due = now.Add(3 * time.Second)
+	r := m.report()
+	m.last = r
+	if m.mute {
+		return
+	}
+	labels := slices.Sorted(maps.Keys(x.nodes))
+	next := m.node
+	for range 2 * len(labels) {
+		n := x.nodes[next]
+		if n == nil || m.cut[next] {
+			next = labels[(slices.Index(labels, next)+1)%len(labels)]
+			continue
+		}
+		code, body := n.take(&r)
+		m.node = next
+		if code == 200 {
+			o := body.(wire.Orders)
+			if !m.deaf && o.Baton >= m.token {
+				m.token, m.renewed = o.Baton, now
+				x.carryOut(m, o.Orders)
+			}
+			return
+		}
+		if d, ok := body.(wire.Redirect); ok && d.Foreman != "" && d.Foreman != next {
+			next = d.Foreman
+		} else {
+			next = labels[(slices.Index(labels, next)+1)%len(labels)]
+		}
+	}
+}
+
+// take carries out a direct call; mu is held.
+func (x *trial) take(m *machine, c wire.Commands) (int, *wire.Checkin) {
+	code := 409
+	if c.Baton >= m.token && c.Stint == m.stint {
+		code = 200
+		m.token = c.Baton
+		x.carryOut(m, c.Orders)
+	}
+	r := m.report()
+	return code, &r
+}
+
+// direct carries direct calls to the scripted workers.
+type direct struct{ x *trial }
+
+func (d *direct) commands(address string, c wire.Commands) (int, *wire.Checkin, error) {
+	x := d.x
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, m := range x.machines {
+		if m.host != address {
+			continue
+		}
+		switch {
+		case m.hung, m.holding:
+			m.calls = append(m.calls, c)
+		case !m.deaf:
+			code, r := x.take(m, c)
+			return code, r, nil
+		}
+	}
+	return 0, nil, store.ErrLost
+}
+
+func (d *direct) show(string) error { return store.ErrLost }
+
+// step is a second in the life of the world.
+func (x *trial) step() {
+	x.t.Helper()
+	x.clk.add(time.Second)
+	ctx := context.Background()
+	x.mu.Lock()
+	for _, m := range x.machines {
+		x.live(m)
+	}
+	x.mu.Unlock()
+	for _, label := range slices.Sorted(maps.Keys(x.nodes)) {
+		n := x.nodes[label]
+		if n.sync.Refresh(ctx) == nil {
+			if errors.Is(n.memberStep(ctx), store.ErrNoLease) {
+				x.register(n)
+			}
+			_ = n.sync.Refresh(ctx)
+		}
+		x.pass(n)
+		for len(n.calls) > 0 {
+			time.Sleep(100 * time.Microsecond) // direct calls end at once
+		}
+	}
+	x.tell()
+	x.check()
+}
+
+// run lets the world go on for a while.
+func (x *trial) run(d time.Duration) {
+	x.t.Helper()
+	for range int(d / time.Second) {
+		x.step()
+	}
+}
+
+// check watches the rules that hold at any moment.
+func (x *trial) check() {
+	x.t.Helper()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	used := 0.0
+	for _, m := range x.machines {
+		for _, t := range m.tasks {
+			if t.Phase == wire.ShardExited || x.clk.now().Sub(m.renewed) > lease {
+				continue
+			}
+			used++
+			if at, ok := x.confirmed[t.ref]; ok && !m.hung && x.clk.now().Sub(at) > cancel {
+				x.t.Errorf("%s is on %s %v after its cancellation was confirmed", t.Shard.Shard, m.host, x.clk.now().Sub(at))
+			}
+		}
+	}
+	if x.limit > 0 && used > x.limit {
+		x.t.Errorf("the team uses %v of %v", used, x.limit)
+	}
+	if x.t.Failed() {
+		x.t.FailNow()
+	}
+}
+
+// cancelAt lets a user cancel a job at a node; true if it is confirmed.
+func (x *trial) cancelAt(n *Node, ref string) bool {
+	code, st, _ := ask(n, "POST", "/work/"+ref+"/cancel", nil)
+	if code != 200 || st.Phase != wire.PhaseCancelled {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if _, told := x.confirmed[ref]; !told {
+		x.confirmed[ref] = x.clk.now()
+	}
+	return true
+}
+
+// running counts a job's tasks that run on a machine.
+func (x *trial) running(m *machine, ref string) (k int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, t := range m.tasks {
+		if t.ref == ref && t.Phase == wire.ShardRunning {
+			k++
+		}
+	}
+	return k
+}
+
+// everywhere counts a job's tasks that run.
+func (x *trial) everywhere(ref string) (k int) {
+	for _, m := range x.machines {
+		k += x.running(m, ref)
+	}
+	return k
+}
+
+// end ends a node's session in the state service, as after a cut; the process
+// notices when it asks.
+func (x *trial) end(n *Node) { x.st.expire(n.self.Incarnation) }
+
+// register gives a node whose session has ended a new one.
+func (x *trial) register(n *Node) {
+	n.endSession()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.self.Incarnation, _ = x.st.Lease(context.Background(), time.Second)
+	n.session = n.session.Next(member.GotLease)
+}
+
+// restart replaces a node's process by a new one.
+func (x *trial) restart(label string) {
+	x.t.Helper()
+	if n := x.nodes[label]; n != nil {
+		x.end(n)
+	}
+	n := x.start(label, []string{"a", "b", "c"})
+	n.set.Params.Teams[0].GPUsMax = x.limit
+}
+
+// others are the nodes beside one, in order.
+func (x *trial) others(n *Node) (out []*Node) {
+	for _, label := range slices.Sorted(maps.Keys(x.nodes)) {
+		if x.nodes[label] != n {
+			out = append(out, x.nodes[label])
+		}
+	}
+	return out
+}
+
+func (x *trial) String() string {
+	var b strings.Builder
+	for _, m := range x.machines {
+		fmt.Fprintf(&b, "%s at %s session %d token %d:", m.host, m.node, m.stint, m.token)
+		for _, k := range slices.Sorted(maps.Keys(m.tasks)) {
+			fmt.Fprintf(&b, " %s %s", k, m.tasks[k].Phase)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/server/storm_test.go
@@ -0,0 +1,265 @@
+package server
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"wheatspur/wire"
+)
+
+// storm lets troubles meet as chance has it: the same for the same seed, as far
+// as the program does the same.
+type storm struct {
+	*trial
+	r        *rand.Rand
+	over     map[string]func() // how troubles end
+	until    map[string]time.Time
+	ways     []*access // also of former processes
+	copies   []wire.Checkin
+	accepted map[string]time.Time
+	final    map[string]string // phases that users were told
+	asked    map[string]bool   // jobs whose users asked to cancel them
+	n        int
+}
+
+func (s *storm) chance(every float64) bool { return s.r.Float64() < 1/every }
+
+func (s *storm) seconds(least, most int) time.Duration {
+	return time.Duration(least+s.r.IntN(most-least+1)) * time.Second
+}
+
+// trouble begins one, if it is not there, and notes how and when it ends.
+func (s *storm) trouble(name string, d time.Duration, begin, end func()) {
+	if _, on := s.until[name]; on {
+		return
+	}
+	begin()
+	s.until[name], s.over[name] = s.clk.now().Add(d), end
+}
+
+// calm ends the troubles whose time is up, or all.
+func (s *storm) calm(all bool) {
+	for _, name := range slices.Sorted(maps.Keys(s.until)) {
+		if all || !s.clk.now().Before(s.until[name]) {
+			s.over[name]()
+			delete(s.until, name)
+			delete(s.over, name)
+		}
+	}
+}
+
+func (s *storm) refuse(label string, on bool) { s.way[label].set(on) }
+
+// blow begins the troubles of one second.
+func (s *storm) blow() {
+	labels := slices.Sorted(maps.Keys(s.nodes))
+	label := labels[s.r.IntN(len(labels))]
+	m := s.machines[s.r.IntN(len(s.machines))]
+	if s.chance(40) {
+		d := s.seconds(2, 25)
+		s.trouble("state", d, func() {
+			s.refuse(label, true)
+			if d > 4*time.Second && s.chance(1.5) {
+				s.end(s.nodes[label])
+			}
+		}, func() { s.refuse(label, false) })
+	}
+	if s.chance(90) {
+		s.calmOne("state")
+		s.trouble("outage", s.seconds(3, 80), func() {
+			for _, l := range labels {
+				s.refuse(l, true)
+			}
+		}, func() {
+			for _, l := range labels {
+				s.refuse(l, false)
+			}
+		})
+	}
+	if _, out := s.until["outage"]; !out && s.chance(50) {
+		s.calmOne("state")
+		s.restart(label)
+		s.ways = append(s.ways, s.way[label])
+	}
+	if s.chance(60) {
+		s.end(s.nodes[label])
+	}
+	if s.chance(8) {
+		w := s.way[label]
+		w.mu.Lock()
+		w.late = 1 + s.r.IntN(3)
+		w.mu.Unlock()
+	}
+	if s.chance(12) {
+		s.st.mu.Lock()
+		s.st.lose = 1
+		s.st.mu.Unlock()
+	}
+	for _, w := range s.ways {
+		if s.chance(6) {
+			w.carryOut()
+		}
+	}
+	on := func(name string, flag *bool, least, most int) {
+		s.trouble(name+m.host, s.seconds(least, most), func() { *flag = true }, func() { *flag = false })
+	}
+	if s.chance(25) {
+		on("hung", &m.hung, 3, 40)
+	}
+	if s.chance(25) {
+		on("deaf", &m.deaf, 3, 50)
+	}
+	if s.chance(25) {
+		on("mute", &m.mute, 3, 50)
+	}
+	if s.chance(20) {
+		on("holding", &m.holding, 2, 30)
+	}
+	if s.chance(25) {
+		s.trouble("cut"+m.host, s.seconds(3, 50), func() { m.cut[label] = true }, func() { delete(m.cut, label) })
+	}
+	for _, m := range s.machines {
+		s.copies = append(s.copies, m.last)
+	}
+	if s.chance(6) {
+		r := s.copies[s.r.IntN(len(s.copies))]
+		for _, l := range labels {
+			c := r
+			s.nodes[l].take(&c)
+		}
+	}
+}
+
+func (s *storm) calmOne(name string) {
+	if end := s.over[name]; end != nil {
+		end()
+		delete(s.over, name)
+		delete(s.until, name)
+	}
+}
+
+// told holds an answer about a job against what users were told before.
+func (s *storm) told(what, ref, label string, code int, st wire.Status) {
+	s.t.Helper()
+	if code == 404 || code == 400 || code == 422 {
+		if _, ok := s.accepted[ref]; ok {
+			s.t.Errorf("%s of %s, which is accepted, at %s: %d", what, ref, label, code)
+		}
+		return
+	}
+	if code != 200 && code != 201 {
+		return
+	}
+	if _, ok := s.accepted[ref]; !ok {
+		s.accepted[ref] = s.clk.now()
+	}
+	if was, ok := s.final[ref]; ok && st.Phase != was {
+		s.t.Errorf("%s of %s at %s: %s, told %s before", what, ref, label, st.Phase, was)
+	}
+	if st.Phase == wire.PhaseCancelled && !s.asked[ref] {
+		s.t.Errorf("%s is cancelled and its user did not ask", ref)
+	}
+	if st.Phase == wire.PhaseDone || st.Phase == wire.PhaseCancelled {
+		s.final[ref] = st.Phase
+	}
+}
+
+// users do what users do in one second.
+func (s *storm) users() {
+	labels := slices.Sorted(maps.Keys(s.nodes))
+	s.r.Shuffle(len(labels), func(a, b int) { labels[a], labels[b] = labels[b], labels[a] })
+	if s.chance(7) {
+		s.n++
+		wk := work(fmt.Sprintf("wk-%d", s.n), 1+s.r.IntN(6))
+		s.runs[wk.Ref] = s.seconds(4, 45)
+		for _, l := range labels[:1+s.r.IntN(len(labels))] {
+			code, st, _ := ask(s.nodes[l], "POST", "/work", wk)
+			s.told("submission", wk.Ref, l, code, st)
+		}
+	}
+	refs := slices.Sorted(maps.Keys(s.accepted))
+	if len(refs) == 0 {
+		return
+	}
+	if ref := refs[len(refs)-1-s.r.IntN(min(len(refs), 6))]; s.chance(9) {
+		s.asked[ref] = true
+		l := labels[0]
+		code, st, _ := ask(s.nodes[l], "POST", "/work/"+ref+"/cancel", nil)
+		s.told("cancellation", ref, l, code, st)
+		s.mu.Lock()
+		if _, ok := s.confirmed[ref]; !ok && code == 200 && st.Phase == wire.PhaseCancelled {
+			s.confirmed[ref] = s.clk.now()
+		}
+		s.mu.Unlock()
+		for _, l := range labels {
+			code, st, _ := ask(s.nodes[l], "GET", "/work/"+ref, nil)
+			s.told("question", ref, l, code, st)
+		}
+	}
+	if s.chance(10) {
+		ref := refs[s.r.IntN(len(refs))]
+		for _, l := range labels {
+			code, st, _ := ask(s.nodes[l], "GET", "/work/"+ref, nil)
+			s.told("question", ref, l, code, st)
+		}
+	}
+}
+
+// Troubles meet at random, for minutes: the rules hold at any moment, and once
+// all is over every accepted job that was not cancelled is done, nothing of the
+// others is left, and the team's whole limit is free.
+func TestTroublesAtRandom(t *testing.T) {
+	const minutes = 5
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			x := newTrial(t, 2, 16)
+			s := &storm{trial: x, r: rand.New(rand.NewPCG(seed, 1)), over: map[string]func(){}, until: map[string]time.Time{},
+				accepted: map[string]time.Time{}, final: map[string]string{}, asked: map[string]bool{}}
+			for _, m := range x.machines {
+				m.image = time.Duration(s.r.IntN(4)) * time.Second
+			}
+			for _, l := range slices.Sorted(maps.Keys(x.nodes)) {
+				s.ways = append(s.ways, x.way[l])
+			}
+			// A start that is held, or an image under way on a machine that does not
+			// hear, may come as late as the machine's lease ends.
+			s.patience = lease + 3*time.Second
+			for range minutes * 60 {
+				s.calm(false)
+				s.blow()
+				s.users()
+				s.step()
+			}
+			s.calm(true)
+			for _, w := range s.ways {
+				w.carryOut()
+				w.late = 0
+			}
+			s.run(240 * time.Second)
+			for ref := range s.accepted {
+				for _, l := range slices.Sorted(maps.Keys(s.nodes)) {
+					code, st, _ := ask(s.nodes[l], "GET", "/work/"+ref, nil)
+					s.told("question", ref, l, code, st)
+					if code != 200 || st.Phase != wire.PhaseDone && st.Phase != wire.PhaseCancelled {
+						t.Errorf("%s at the end at %s: %d %+v", ref, l, code, st)
+					}
+				}
+			}
+			n := s.leader()
+			n.mu.Lock()
+			used, claims := n.table.Used["x"], len(n.table.Hosts)
+			n.mu.Unlock()
+			if used.GPUs > 1e-6 || claims != 0 {
+				t.Errorf("claims of %v are left on %d machines\n%s", used, claims, x)
+			}
+			if len(s.accepted) < 12 || len(s.final) < 12 {
+				t.Errorf("%d jobs accepted, %d over: nothing is tested", len(s.accepted), len(s.final))
+			}
+		})
+	}
+}
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,7 +39,7 @@
 	if !n.entitled() {
 		return 503, wire.Failure{Error: "not a member"}
 	}
-	if r.Baton > n.member.Baton {
+	if r.Baton > n.token(r.Host) {
 		// Somebody newer is entitled; a 200 of ours would hold the worker here
 		// while its lease runs out.
 		wake(n.mkick)
@@ -70,7 +71,15 @@
 	if w.Mute != mute {
 		n.log.Info("machine's hearing changes", "host", w.Host, "mute", w.Mute)
 	}
-	return 200, wire.Orders{Baton: n.member.Baton, Orders: orders}
+	return 200, wire.Orders{Baton: w.Token, Orders: orders}
+}
+
+// token is the highest token that this node has used for a machine; mu is held.
+func (n *Node) token(host string) uint64 {
+	if w := n.workers[host]; w != nil {
+		return max(w.Token, n.member.Baton)
+	}
+	return n.member.Baton
 }
 
 // startable reports whether stored claims on a machine may be started: it is
@@ -188,41 +197,49 @@
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Orders
 			}
-			ref, task, ok := jobs.ParseShard(o.Shard)
-			a := fleet.Attempt{ID: jobs.ID{Ref: ref, Task: task}, Try: o.Try}
 			w.Quiet = false
-			if ok && now.Sub(w.Sent[a]) > n.set.Report() {
+			if now.Sub(w.Sent[fleet.CommandOf(o)]) > n.set.Report() {
 				orders = append(orders, o)
 			}
 		}
 	}
 	greet := w.State == fleet.Unproven && now.Sub(w.Heard) > n.set.Report()*5/4 && now.Sub(n.raisedAt) > time.Second/2
 	greet = greet || w.Mute && now.Sub(w.Called) > tuning.MutePause
+	// A raised token that the worker has not seen: the sooner it shows it, the
+	// sooner the starts below it are void.
+	greet = greet || w.State == fleet.Proven && w.Token > max(w.Baton, n.member.Baton)
 	if len(orders) == 0 && !greet || len(orders) == 0 && now.Sub(w.Called) < tuning.GreetPause {
 		return
 	}
-	select {
-	case n.calls <- struct{}{}:
-	default:
+	// Kills go before starts, and those before calls that only ask: each call to
+	// a machine that hangs holds its place for two seconds.
+	room := cap(n.calls)
+	switch {
+	case len(orders) == 0:
+		room /= 2
+	case !slices.ContainsFunc(orders, func(o wire.Order) bool { return o.Verb == wire.VerbKill }):
+		room -= room / 4
+	}
+	if len(n.calls) >= room {
 		return // the buffer of direct calls is full; the next report carries them
 	}
-	for a, at := range w.Sent {
+	n.calls <- struct{}{} // filled with mu held only
+	for c, at := range w.Sent {
 		if now.Sub(at) > 10*n.set.Report() {
-			delete(w.Sent, a)
+			delete(w.Sent, c)
 		}
 	}
 	for _, o := range orders {
-		if ref, task, ok := jobs.ParseShard(o.Shard); ok {
-			w.Sent[fleet.Attempt{ID: jobs.ID{Ref: ref, Task: task}, Try: o.Try}] = now
-		}
+		w.Sent[fleet.CommandOf(o)] = now
 	}
 	starts := fleet.Starts(orders)
-	w.StartSent(starts, n.member.Baton)
+	w.Token = max(w.Token, n.member.Baton)
+	w.StartSent(starts, w.Token)
 	w.Called, w.Calling = now, true
 	if orders == nil {
 		orders = []wire.Order{}
 	}
-	go n.callWorker(w, w.Address, wire.Commands{Baton: n.member.Baton, Stint: max(w.Stint, 1), Orders: orders}, starts)
+	go n.callWorker(w, w.Address, wire.Commands{Baton: w.Token, Stint: max(w.Stint, 1), Orders: orders}, starts)
 }
 
 func (n *Node) callWorker(w *fleet.Worker, address string, cmd wire.Commands, starts []fleet.Attempt) {
@@ -236,14 +253,30 @@
 		n.log.Debug("direct call failed", "host", w.Host, "err", err)
 		return
 	}
-	w.StartAnswered(starts, cmd.Baton)
+	w.StartAnswered(starts, cmd.Baton, r.Stint, r.Tally)
 	w.Reached()
-	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Baton <= n.member.Baton {
+	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Baton <= n.token(w.Host) {
 		n.observe(w, r, n.now())
 	}
 	wake(n.kick)
 }
 
+// void makes void what may yet start tasks of cancelled jobs on a machine: a
+// start whose call was not answered may be held in the network or by a machine
+// that hangs. The machine's token is raised, which costs nobody else anything;
+// once the machine shows it, the start is dead and its claim is released. mu is
+// held.
+func (n *Node) void(w *fleet.Worker) {
+	if w.Calling {
+		return // its answer may come yet
+	}
+	for _, a := range w.Held(n.table.Hosts[w.Host]) {
+		if w.Void(n.member.Last()) {
+			n.log.Debug("start made void", "task", a.ID, "try", a.Try, "host", w.Host, "token", w.Token)
+		}
+	}
+}
+
 // machines brings the picture of the fleet up to date; mu is held. It is
 // shared: a pass, a plan or a role decision starts from a new one.
 func (n *Node) machines(now time.Time) *place.Fleet {
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -219,7 +219,7 @@
 		s.mu.Unlock()
 		err := error(ErrRefused)
 		if ready {
-			err = s.watch(ctx, 0)
+			err = s.Refresh(ctx)
 		}
 		for _, w := range ws {
 			w <- err
@@ -253,6 +253,9 @@
 	}
 }
 
+// Refresh reads all changes up to now.
+func (s *Syncer) Refresh(ctx context.Context) error { return s.watch(ctx, 0) }
+
 func (s *Syncer) watch(ctx context.Context, hold time.Duration) error {
 	s.mu.Lock()
 	rev := s.cache.Rev()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -93,6 +93,13 @@
 	// off from the state service may renew and the cancellation limit. It
 	// covers report travel time, clock drift and late timers.
 	CancelMargin = 4 * time.Second
+	// VoidStep is by how much an owner raises the token of one of its machines
+	// to make void what may still be under way there. Versions that know nothing
+	// of it take the next token after a membership's first: they must not come
+	// upon a raised one and hold it for their own.
+	VoidStep = 1 << 10
+	// TokenSpan is how many tokens a membership has: room for fifteen steps.
+	TokenSpan = 16 * VoidStep
 	// WorkerCallTimeout bounds a direct command.
 	WorkerCallTimeout = 2 * time.Second
 	// GreetPause separates direct calls to one worker that does not answer.
