--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -355,6 +355,15 @@
 	w.Images = kept[min(first, len(kept)-1):]
 }
 
+// Renewed is the latest time at which a proven session's lease may have been
+// renewed: its last report that we answered had arrived by then.
+func (w *Worker) Renewed() time.Time {
+	if w.Answered.After(w.ProvenAt) {
+		return w.Answered
+	}
+	return w.ProvenAt
+}
+
 // LeaseOver reports whether the session's lease has surely ended: the worker
 // showed our baton, so that only our answers renew it, and the last report
 // that we answered arrived too long ago. A report is sent before it arrives,
@@ -363,11 +372,7 @@
 	if w.State != Proven {
 		return w.State == Expired
 	}
-	from := w.ProvenAt
-	if w.Answered.After(from) {
-		from = w.Answered
-	}
-	if now.Sub(from) <= time.Duration(float64(lease)*tuning.DriftFactor)+tuning.LeaseMargin {
+	if now.Sub(w.Renewed()) <= time.Duration(float64(lease)*tuning.DriftFactor)+tuning.LeaseMargin {
 		return false
 	}
 	w.State = w.State.Next(LeaseEnded)
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -258,6 +258,7 @@
 	*state
 	mu     sync.Mutex
 	refuse bool     // it alone is refused, or all are in an outage
+	cut    bool     // it is refused after the last of these
 	late   int      // so many transactions get no answer and wait in held
 	held   []func() // carries them out
 	slow   func()   // runs between a watch's answer and its arrival
@@ -284,6 +285,7 @@
 	}
 	if a.late > 0 {
 		a.late--
+		a.refuse = a.cut && a.late == 0
 		a.held = append(a.held, func() { _, _ = a.state.Multi(ctx, c, guards, then) })
 		a.mu.Unlock()
 		return 0, store.ErrLost
--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -1,10 +1,13 @@
 package server
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
 	"wheatspur/wire"
 )
 
@@ -239,3 +242,603 @@
 		})
 	}
 }
+
+// tasks checks how often each task of a job has begun, and how many run.
+func (x *trial) want(what, ref string, tasks, starts int) {
+	x.t.Helper()
+	if k := x.everywhere(ref); k != tasks {
+		x.t.Errorf("%s: %d tasks of %s run, want %d\n%s", what, k, ref, tasks, x)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for task, k := range x.starts {
+		if r, _, _ := jobs.ParseShard(task); r == ref && starts > 0 && k != starts {
+			x.t.Errorf("%s: %s has begun %d times, want %d", what, task, k, starts)
+		}
+	}
+}
+
+// answers asks every node about a job and wants the same phase of all.
+func (x *trial) answers(what, ref, phase string) {
+	x.t.Helper()
+	for _, n := range x.others(nil) {
+		if code, st, _ := ask(n, "GET", "/work/"+ref, nil); code != 200 || st.Phase != phase {
+			x.t.Errorf("%s: %s says %d %q, want %q", what, n.self.Label, code, st.Phase, phase)
+		}
+	}
+}
+
+// away ends the leader's process.
+func (x *trial) away(n *Node) {
+	x.end(n)
+	delete(x.nodes, n.self.Label)
+}
+
+// each does something to every machine.
+func (x *trial) each(f func(m *machine)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, m := range x.machines {
+		f(m)
+	}
+}
+
+// Meetings of two troubles in which rules broke elsewhere. Each starts with a
+// job on every machine; the trial watches the rules that hold at any moment.
+func TestMeetings(t *testing.T) {
+	const long = lease + 15*time.Second
+	for _, c := range []struct {
+		name string
+		do   func(x *trial)
+	}{
+		{"a zone with a controller is cut off for longer than a lease", func(x *trial) {
+			n := x.others(x.leader())[0]
+			inside := x.of(n)
+			x.way[n.self.Label].set(true)
+			x.each(func(m *machine) {
+				for _, label := range []string{"a", "b", "c"} {
+					m.cut[label] = (m == inside) != (label == n.self.Label)
+				}
+				m.holding = m == inside
+			})
+			x.run(4 * time.Second)
+			x.end(n)
+			x.run(cancel)
+			x.way[n.self.Label].set(false)
+			x.each(func(m *machine) { clear(m.cut); m.holding = false })
+			x.run(20 * time.Second)
+			x.want("after the cut", "wk-1", 12, 0)
+		}},
+		{"the leader ends, machines can't be reached for less than a lease", func(x *trial) {
+			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.away(x.leader())
+			x.run(lease - 8*time.Second)
+			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 1)
+		}},
+		{"the leader ends, machines don't hear the new one's answers for less than a lease", func(x *trial) {
+			x.each(func(m *machine) { m.deaf = true })
+			x.away(x.leader())
+			x.run(lease - 8*time.Second)
+			x.each(func(m *machine) { m.deaf = false })
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 1)
+		}},
+		{"the leader ends, machines can't be reached for longer", func(x *trial) {
+			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.away(x.leader())
+			x.run(long)
+			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 2)
+		}},
+		{"the leader ends, machines don't hear for longer", func(x *trial) {
+			x.each(func(m *machine) { m.deaf = true })
+			x.away(x.leader())
+			x.run(long)
+			x.each(func(m *machine) { m.deaf = false })
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 2)
+		}},
+		{"all controllers are away for longer than a lease", func(x *trial) {
+			x.submit(x.leader(), work("wk-2", 1))
+			if !x.cancelAt(x.leader(), "wk-2") {
+				x.t.Fatal("not confirmed")
+			}
+			for _, n := range x.others(nil) {
+				x.away(n)
+			}
+			x.run(long)
+			for _, label := range []string{"a", "b", "c"} {
+				x.restart(label)
+			}
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 2)
+			x.answers("after it", "wk-1", wire.PhaseRunning)
+			x.answers("after it", "wk-2", wire.PhaseCancelled)
+		}},
+		{"leaders change ten times in two minutes, also inside an outage", func(x *trial) {
+			token := x.leader().baton()
+			for i := range 10 {
+				if i == 5 {
+					for _, w := range x.way {
+						w.set(true)
+					}
+					x.run(10 * time.Second)
+					for _, w := range x.way {
+						w.set(false)
+					}
+				}
+				x.end(x.leader())
+				x.run(12 * time.Second)
+				if now := x.leader().baton(); now <= token {
+					x.t.Fatalf("token %d after %d", now, token)
+				} else {
+					token = now
+				}
+			}
+			x.want("after it", "wk-1", 12, 1)
+		}},
+		{"controllers hand over and back, all end, one returns within a second", func(x *trial) {
+			for range 2 {
+				x.end(x.leader())
+				x.run(2 * time.Second)
+			}
+			for _, n := range x.others(nil) {
+				x.away(n)
+			}
+			x.restart("b")
+			x.run(15 * time.Second)
+			x.want("with one back", "wk-1", 12, 1)
+			x.restart("a")
+			x.restart("c")
+			x.run(15 * time.Second)
+			x.want("with all back", "wk-1", 12, 1)
+		}},
+		{"a leader without state service and siblings goes on for its workers, jobs are cancelled through the new one", func(x *trial) {
+			old := x.leader()
+			inside := x.of(old)
+			x.way[old.self.Label].set(true)
+			x.each(func(m *machine) {
+				if m == inside {
+					m.holding = true
+					for _, n := range x.others(old) {
+						m.cut[n.self.Label] = true
+					}
+				}
+			})
+			x.run(4 * time.Second)
+			x.end(old)
+			x.run(3 * time.Second)
+			if !x.cancelAt(x.others(old)[0], "wk-1") {
+				x.t.Fatal("not confirmed")
+			}
+			if code, st, _ := ask(old, "GET", "/work/wk-1", nil); code == 200 {
+				x.t.Errorf("the old leader says %+v", st)
+			}
+			x.run(cancel + 5*time.Second)
+			x.want("in time", "wk-1", 0, 1)
+			x.way[old.self.Label].set(false)
+			x.each(func(m *machine) { clear(m.cut); m.holding = false })
+			x.run(15 * time.Second)
+			x.answers("after it", "wk-1", wire.PhaseCancelled)
+			x.full("wk-2")
+		}},
+		{"jobs are cancelled in the seconds in which a controller's work changes hands", func(x *trial) {
+			x.cancelAt(x.leader(), "wk-1")
+			x.run(5 * time.Second)
+			for i := range 6 {
+				ref := fmt.Sprintf("wk-%d", 10+i)
+				x.full(ref)
+				n := x.others(x.leader())[0]
+				if i%3 == 2 {
+					x.restart(n.self.Label) // back within a second
+				} else {
+					x.end(n)
+				}
+				x.run(time.Duration(i/2) * time.Second)
+				if !x.cancelAt(x.leader(), ref) {
+					x.t.Fatal("not confirmed")
+				}
+				x.run(10 * time.Second)
+				x.want("10 s later", ref, 0, 1)
+			}
+		}},
+		{"a report is held back until a new leader has acted", func(x *trial) {
+			var held []wire.Checkin
+			x.each(func(m *machine) { held = append(held, m.last) })
+			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.away(x.leader())
+			x.run(5 * time.Second)
+			for _, n := range x.nodes {
+				for _, r := range held {
+					n.take(&r)
+				}
+			}
+			x.submit(x.leader(), work("wk-2", 1))
+			x.run(lease)
+			for _, n := range x.nodes {
+				for _, r := range held {
+					n.take(&r)
+				}
+				n.mu.Lock()
+				for host, w := range n.workers {
+					if w.State == fleet.Proven {
+						x.t.Errorf("%s is %s by an old report", host, w.State)
+					}
+				}
+				n.mu.Unlock()
+			}
+			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 2)
+		}},
+		{"machines reach no controller while direct calls reach them", func(x *trial) {
+			m := x.machines[0]
+			m.mute = true
+			x.run(lease - 4*time.Second)
+			x.want("within the lease", "wk-1", 12, 1)
+			if !x.cancelAt(x.leader(), "wk-1") {
+				x.t.Fatal("not confirmed")
+			}
+			x.run(2 * time.Second)
+			x.want("the kill comes directly", "wk-1", 0, 1)
+			if n, _ := x.owner(m.host); n.machines(x.clk.now()).Machine(m.host).Open {
+				x.t.Error("it has just been heard, and takes tasks, which would end with its lease")
+			}
+			m.mute = false
+			x.run(10 * time.Second)
+			x.full("wk-2")
+		}},
+		{"new machines get work at once while writes lag, and the leader ends", func(x *trial) {
+			l := x.leader()
+			x.join("h90")
+			x.join("h91")
+			x.submit(l, work("wk-2", 8))
+			for _, w := range x.way {
+				w.late = 2
+			}
+			x.run(2 * time.Second)
+			x.away(l)
+			x.run(2 * time.Second)
+			for _, w := range x.way {
+				w.carryOut()
+				w.late = 0
+			}
+			x.run(20 * time.Second)
+			x.want("after it", "wk-1", 12, 1)
+			x.want("after it", "wk-2", 8, 1)
+		}},
+		{"jobs of two or three tasks end far apart across a change of leader", func(x *trial) {
+			x.cancelAt(x.leader(), "wk-1")
+			x.run(5 * time.Second)
+			x.runs["wk-2"] = 12 * time.Second
+			x.submit(x.leader(), work("wk-2", 3))
+			x.run(6 * time.Second)
+			x.mu.Lock()
+			last := 0
+			for _, m := range x.machines {
+				for _, task := range m.tasks {
+					if task.ref == "wk-2" && last == 0 {
+						task.ends = x.clk.now().Add(40 * time.Second)
+						last++
+					}
+				}
+			}
+			x.mu.Unlock()
+			x.run(10 * time.Second)
+			x.away(x.leader())
+			x.run(20 * time.Second)
+			x.answers("with one task left", "wk-2", wire.PhaseRunning)
+			x.run(20 * time.Second)
+			x.answers("after it", "wk-2", wire.PhaseDone)
+			x.want("after it", "wk-2", 0, 1)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newTrial(t, 1, 1000)
+			x.full("wk-1")
+			c.do(x)
+		})
+	}
+}
+
+// Every team is at its limit while a job is cancelled whose machines are cut
+// off, hang or don't hear, and the leader changes: others get the room within
+// 90 s of the end of the trouble, and the limit holds all the while.
+func TestATeamAtItsLimit(t *testing.T) {
+	for _, trouble := range []struct {
+		name    string
+		on, off func(m *machine)
+	}{
+		{"hang", func(m *machine) { m.hung = true }, func(m *machine) { m.hung = false }},
+		{"are cut off", func(m *machine) { m.mute, m.holding = true, true }, func(m *machine) { m.mute, m.holding = false, false }},
+		{"don't hear", func(m *machine) { m.deaf = true }, func(m *machine) { m.deaf = false }},
+	} {
+		for _, d := range []time.Duration{lease / 2, lease + 10*time.Second} {
+			for _, when := range []string{"before", "after"} {
+				t.Run(fmt.Sprintf("machines %s for %v, the leader ends %s the cancellation", trouble.name, d, when), func(t *testing.T) {
+					x := newTrial(t, 1, 8)
+					x.submit(x.leader(), work("wk-1", 5))
+					x.run(8 * time.Second)
+					x.each(trouble.on)
+					x.submit(x.leader(), work("wk-2", 3)) // claimed, and never heard of
+					x.step()
+					if when == "before" {
+						x.away(x.leader())
+						x.run(2 * time.Second)
+					}
+					for _, ref := range []string{"wk-1", "wk-2"} {
+						if !x.cancelAt(x.others(nil)[0], ref) {
+							t.Fatal("not confirmed")
+						}
+					}
+					x.submit(x.others(nil)[0], work("wk-3", 8))
+					if when == "after" {
+						x.away(x.leader())
+					}
+					x.run(d)
+					x.each(trouble.off)
+					x.run(90 * time.Second)
+					x.want("90 s after the trouble", "wk-3", 8, 0)
+				})
+			}
+		}
+	}
+}
+
+// Users ask at every node in the same instant in which another has told one
+// that a job is accepted, done or cancelled, and repeat what they sent. Some
+// nodes have not heard of it yet, and some answers of the state service are
+// lost. Nobody answers anything older.
+func TestNoNodeAnswersAnythingOlder(t *testing.T) {
+	type told struct {
+		code  int
+		phase string
+	}
+	done := func(x *trial) {
+		x.runs["wk-1"] = time.Second
+		x.submit(x.nodes["a"], work("wk-1", 1))
+		x.run(12 * time.Second)
+	}
+	for _, lost := range []bool{false, true} {
+		for _, c := range []struct {
+			name  string
+			do    func(x *trial) (method, path string, body any)
+			first []told // what the first user may be told
+			then  string // what all others are told
+		}{
+			{"accepted", func(x *trial) (string, string, any) { return "POST", "/work", work("wk-1", 1) },
+				[]told{{201, wire.PhaseQueued}, {200, wire.PhaseQueued}}, wire.PhaseQueued},
+			{"cancelled", func(x *trial) (string, string, any) {
+				x.submit(x.nodes["a"], work("wk-1", 1))
+				return "POST", "/work/wk-1/cancel", nil
+			}, []told{{200, wire.PhaseCancelled}}, wire.PhaseCancelled},
+			{"cancelled when it was done", func(x *trial) (string, string, any) { done(x); return "POST", "/work/wk-1/cancel", nil },
+				[]told{{200, wire.PhaseDone}}, wire.PhaseDone},
+			{"done", func(x *trial) (string, string, any) { done(x); return "GET", "/work/wk-1", nil },
+				[]told{{200, wire.PhaseDone}}, wire.PhaseDone},
+		} {
+			t.Run(fmt.Sprintf("%s, an answer lost: %v", c.name, lost), func(t *testing.T) {
+				x := newTrial(t, 1, 1000)
+				method, path, body := c.do(x)
+				if lost && method == "POST" && c.then != wire.PhaseDone {
+					x.st.lose = 1
+				}
+				code, st, _ := ask(x.nodes["b"], method, path, body)
+				ok := false
+				for _, f := range c.first {
+					ok = ok || f == told{code, st.Phase}
+				}
+				if !ok {
+					t.Fatalf("the first user is told %d %+v", code, st)
+				}
+				for _, label := range []string{"c", "a", "b"} {
+					n := x.nodes[label]
+					if code, st, _ := ask(n, "GET", "/work/wk-1", nil); code != 200 || st.Phase != c.then {
+						t.Errorf("%s says %d %+v", label, code, st)
+					}
+					if code, st, _ := ask(n, "POST", "/work", work("wk-1", 1)); code != 200 && code != 201 || st.Phase != c.then {
+						t.Errorf("%s answers a repeat by %d %+v", label, code, st)
+					}
+					if c.then != wire.PhaseQueued {
+						if code, st, _ := ask(n, "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != c.then {
+							t.Errorf("%s answers a cancellation by %d %+v", label, code, st)
+						}
+					}
+					if code, _, _ := ask(n, "POST", "/work", map[string]any{"ref": "wk-1"}); code != 200 {
+						t.Errorf("%s answers a repeat that lacks fields by %d", label, code)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A cancellation, a question or a repeat meets the end of a job's last task:
+// before the end is stored it counts, after it doesn't, and every node says the
+// same from then on.
+func TestACancellationMeetsTheEndOfTheLastTask(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before bool // the cancellation is stored before the end
+		lose   bool // the answer to the end's write is lost
+		want   string
+	}{
+		{"cancelled before the end is stored", true, false, wire.PhaseCancelled},
+		{"cancelled after it", false, false, wire.PhaseDone},
+		{"cancelled after it, and the node that stored it does not know", false, true, wire.PhaseDone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newTrial(t, 1, 1000)
+			x.submit(x.leader(), work("wk-1", 1))
+			x.run(8 * time.Second)
+			x.mu.Lock()
+			for _, m := range x.machines {
+				for _, task := range m.tasks {
+					task.Phase, task.Cause = wire.ShardExited, wire.CauseDone
+				}
+			}
+			x.mu.Unlock()
+			x.each(func(m *machine) { m.due = x.clk.now(); x.live(m) })
+			var writes []func()
+			for _, n := range x.others(nil) {
+				n.mu.Lock()
+				txns := n.pass()
+				n.mu.Unlock()
+				for _, t := range txns {
+					writes = append(writes, func() { n.commit(context.Background(), t) })
+				}
+			}
+			if len(writes) == 0 {
+				t.Fatal("the end is not to be stored")
+			}
+			end := func() {
+				if c.lose {
+					x.st.lose = 1
+				}
+				for _, f := range writes {
+					f()
+				}
+			}
+			if !c.before {
+				end()
+			}
+			n := x.others(x.leader())[0] // it has not heard of the end
+			x.confirmed["wk-1"] = x.clk.now()
+			if code, st, _ := ask(n, "POST", "/work/wk-1/cancel", nil); code != 200 || st.Phase != c.want {
+				t.Fatalf("the user is told %d %+v, want %s", code, st, c.want)
+			}
+			if c.before {
+				end()
+			}
+			x.answers("at once", "wk-1", c.want)
+			if code, st, _ := ask(x.leader(), "POST", "/work", work("wk-1", 1)); code != 200 || st.Phase != c.want {
+				t.Errorf("a repeat is told %d %+v", code, st)
+			}
+			x.run(15 * time.Second)
+			x.answers("later", "wk-1", c.want)
+			x.full("wk-2")
+		})
+	}
+}
+
+// A transaction without an answer is carried out late, after newer ones of the
+// same node and of others, in every kind of write.
+func TestWritesThatAreCarriedOutLate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(x *trial, hold func(n *Node), carryOut func())
+	}{
+		{"an acceptance, the user goes elsewhere and cancels", func(x *trial, hold func(*Node), carryOut func()) {
+			hold(x.nodes["a"])
+			if code, _, _ := ask(x.nodes["a"], "POST", "/work", work("wk-2", 1)); code != 503 {
+				x.t.Fatalf("answered %d", code)
+			}
+			x.submit(x.nodes["b"], work("wk-2", 1))
+			if !x.cancelAt(x.nodes["c"], "wk-2") {
+				x.t.Fatal("not confirmed")
+			}
+			carryOut()
+			x.answers("at once", "wk-2", wire.PhaseCancelled)
+		}},
+		{"an acceptance, and nobody asks before", func(x *trial, hold func(*Node), carryOut func()) {
+			hold(x.nodes["a"])
+			ask(x.nodes["a"], "POST", "/work", work("wk-2", 1))
+			carryOut()
+			if code, _, _ := ask(x.nodes["b"], "POST", "/work", work("wk-2", 1)); code != 200 && code != 201 {
+				x.t.Errorf("the repeat gets %d", code)
+			}
+			x.cancelAt(x.nodes["c"], "wk-2")
+		}},
+		{"a cancellation, the job ends before", func(x *trial, hold func(*Node), carryOut func()) {
+			x.cancelAt(x.leader(), "wk-1")
+			x.run(5 * time.Second)
+			x.runs["wk-2"] = 2 * time.Second
+			x.submit(x.nodes["a"], work("wk-2", 1))
+			hold(x.nodes["a"])
+			x.way["a"].cut = true
+			if x.cancelAt(x.nodes["a"], "wk-2") {
+				x.t.Fatal("confirmed without an answer")
+			}
+			x.way["a"].set(false)
+			x.run(15 * time.Second)
+			x.answers("before", "wk-2", wire.PhaseDone)
+			carryOut()
+			x.answers("after", "wk-2", wire.PhaseDone)
+		}},
+		{"a cancellation, and nothing else", func(x *trial, hold func(*Node), carryOut func()) {
+			hold(x.nodes["a"])
+			x.way["a"].cut = true
+			if x.cancelAt(x.nodes["a"], "wk-1") {
+				x.t.Fatal("confirmed without an answer")
+			}
+			x.way["a"].set(false)
+			x.run(5 * time.Second)
+			carryOut()
+			x.confirmed["wk-1"] = x.clk.now()
+			x.run(5 * time.Second)
+			x.answers("after", "wk-1", wire.PhaseCancelled)
+			x.want("after", "wk-1", 0, 1)
+		}},
+		{"claims and shares, at every node", func(x *trial, hold func(*Node), carryOut func()) {
+			x.cancelAt(x.leader(), "wk-1")
+			x.run(5 * time.Second)
+			x.submit(x.nodes["a"], work("wk-2", 12))
+			for _, n := range x.others(nil) {
+				hold(n)
+			}
+			x.run(6 * time.Second)
+			carryOut()
+			x.run(10 * time.Second)
+			x.want("after", "wk-2", 12, 1)
+		}},
+		{"releases, at every node", func(x *trial, hold func(*Node), carryOut func()) {
+			x.cancelAt(x.leader(), "wk-1")
+			for _, n := range x.others(nil) {
+				hold(n)
+			}
+			x.run(6 * time.Second)
+			x.submit(x.nodes["a"], work("wk-2", 12))
+			x.run(6 * time.Second)
+			carryOut()
+			x.run(10 * time.Second)
+			x.want("after", "wk-2", 12, 1)
+		}},
+		{"sessions and memberships", func(x *trial, hold func(*Node), carryOut func()) {
+			for _, n := range x.others(nil) {
+				hold(n)
+			}
+			x.end(x.leader())
+			x.run(6 * time.Second)
+			carryOut()
+			x.run(6 * time.Second)
+			x.end(x.leader())
+			x.run(6 * time.Second)
+			x.want("after", "wk-1", 12, 1)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newTrial(t, 1, 12)
+			x.full("wk-1")
+			c.do(x, func(n *Node) { x.way[n.self.Label].late = 1 }, func() {
+				for _, w := range x.way {
+					w.carryOut()
+				}
+			})
+			x.run(15 * time.Second)
+			n := x.leader()
+			n.mu.Lock()
+			used := n.table.Used["x"].GPUs
+			n.mu.Unlock()
+			running := 0
+			for _, ref := range []string{"wk-1", "wk-2"} {
+				running += x.everywhere(ref)
+			}
+			if float64(running) != used {
+				t.Errorf("%d tasks run, %v are claimed", running, used)
+			}
+		})
+	}
+}
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -191,12 +191,16 @@
 		return
 	}
 	var orders []wire.Order
-	if !w.Quiet && w.Stint > 0 && now.Sub(w.Heard) < n.silentAfter() {
+	silent := now.Sub(w.Heard) >= n.silentAfter()
+	if !w.Quiet && w.Stint > 0 {
 		w.Quiet = true
 		for _, o := range w.Orders(n.table.Hosts[w.Host], n.startable(w.Host)) {
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Orders
 			}
+			if silent && o.Verb != wire.VerbKill {
+				continue // it may only be unable to reach us, and run what was cancelled
+			}
 			w.Quiet = false
 			if now.Sub(w.Sent[fleet.CommandOf(o)]) > n.set.Report() {
 				orders = append(orders, o)
@@ -215,7 +219,7 @@
 	// a machine that hangs holds its place for two seconds.
 	room := cap(n.calls)
 	switch {
-	case len(orders) == 0:
+	case len(orders) == 0, silent:
 		room /= 2
 	case !slices.ContainsFunc(orders, func(o wire.Order) bool { return o.Verb == wire.VerbKill }):
 		room -= room / 4
@@ -307,9 +311,11 @@
 			if w != nil {
 				m.Stint, m.Images = w.Stint, w.Images
 				// Only a machine that has shown our token takes tasks. It guards
-				// against a late copy of a report of a machine that is gone.
+				// against a late copy of a report of a machine that is gone. And only
+				// one whose reports come: one that answers calls and can't report
+				// ends with its lease.
 				m.Open = rec.Phase == fleet.In && w.State == fleet.Proven &&
-					now.Sub(w.Heard) < silent && w.TakenAt.IsZero() && !n.unfit(w)
+					now.Sub(w.Heard) < silent && now.Sub(w.Renewed()) < silent && w.TakenAt.IsZero() && !n.unfit(w)
 			}
 		} else if s := n.siblings[m.Owner]; s != nil && n.freshSibling(s) && s.seen.Baton == n.member.Baton {
 			if h, ok := s.hosts[m.Name]; ok {
