--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -377,3 +378,43 @@
 		t.Fatalf("%d tiny tasks on one machine", n)
 	}
 }
+
+// Jobs that are bound to one zone, by name or by their other tasks, lose
+// machines: what is lost waits for room in that zone and for no other, and is
+// placed as soon as there is some; once nothing of a job is left, any zone does.
+func TestJobsBoundToAZoneThatLoseMachines(t *testing.T) {
+	z1 := "z1"
+	bound := func(edit func(*wire.Work), live ...string) *jobs.Job {
+		j := job("wk-1", wire.ShapeArray, wire.RankNormal, 4, edit)
+		j.Chunks[0] = make([]jobs.Task, 4)
+		for i, host := range live {
+			j.Chunks[0][i] = jobs.Task{State: jobs.Claimed, Host: host, Stint: 3}
+			j.Live[i] = j.Chunks[0][i]
+		}
+		return j
+	}
+	named := func(w *wire.Work) { w.Plot = &z1 }
+	together := func(w *wire.Work) { w.Together = true }
+	for _, c := range []struct {
+		name string
+		job  *jobs.Job
+		z1   float64 // room there
+		want map[string]int
+	}{
+		{"named, no room there", bound(named, "m0"), 0, map[string]int{}},
+		{"named, room for two", bound(named, "m0"), 2, map[string]int{"m1": 2}},
+		{"together with what is left, no room there", bound(together, "m0"), 0, map[string]int{}},
+		{"together with what is left, room for two", bound(together, "m0", "m0"), 2, map[string]int{"m1": 2}},
+		{"together, nothing is left", bound(together), 0, map[string]int{"m2": 4}},
+		{"together, its machine is not proven gone", bound(together, "lost"), 8, map[string]int{}},
+	} {
+		m0, m1, m2 := machine("m0", "L", "z1", Batch, 0), machine("m1", "L", "z1", Batch, c.z1), machine("m2", "L", "z2", Batch, 8)
+		got := map[string]int{}
+		for _, cl := range Pass(input("L", []*Machine{m0, m1, m2}, c.job)).Claims {
+			got[cl.Host]++
+		}
+		if !maps.Equal(got, c.want) {
+			t.Errorf("%s: placed on %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -935,3 +935,58 @@
 		})
 	}
 }
+
+// One-task jobs come four a second, a quarter of them is cancelled: none is left
+// behind, none waits for long, and each costs a handful of changes.
+func TestAStreamOfOneTaskJobs(t *testing.T) {
+	x := newTrial(t, 3, 1000)
+	for _, m := range x.machines {
+		m.image = time.Second
+	}
+	x.patience = 5 * time.Second // images under way
+	begun := len(x.st.events)
+	const seconds = 40
+	jobs := 0
+	cancelled := map[int]bool{}
+	for s := range seconds + 20 {
+		for k := range 4 {
+			if s >= seconds {
+				break
+			}
+			ref := fmt.Sprintf("wk-%d", jobs)
+			x.runs[ref] = 5 * time.Second
+			x.submit(x.others(nil)[(s+k)%3], work(ref, 1))
+			jobs++
+		}
+		if back := jobs - 1 - 4*((5*s)%7); s < seconds && back >= 0 { // at once, or when it runs, or is over
+			ref := fmt.Sprintf("wk-%d", back)
+			_, st, _ := ask(x.others(nil)[s%3], "POST", "/work/"+ref+"/cancel", nil)
+			if st.Phase == wire.PhaseCancelled {
+				cancelled[back] = true
+				x.confirmed[ref] = x.clk.now()
+			}
+		}
+		x.step()
+	}
+	n := x.leader()
+	for i := range jobs {
+		want := wire.PhaseDone
+		if cancelled[i] {
+			want = wire.PhaseCancelled
+		}
+		if st, known, _ := n.known(fmt.Sprintf("wk-%d", i)); !known || st.Phase != want {
+			t.Errorf("wk-%d: %+v, want %s", i, st, want)
+		}
+	}
+	if len(n.table.Hosts) != 0 {
+		t.Errorf("claims are left on %d machines", len(n.table.Hosts))
+	}
+	if len(cancelled) < seconds/2 {
+		t.Errorf("%d cancelled: nothing is tested", len(cancelled))
+	}
+	if changes := len(x.st.events) - begun; changes > 5*jobs {
+		t.Errorf("%d changes for %d jobs", changes, jobs)
+	} else {
+		t.Logf("%d changes for %d jobs, %d cancelled", changes, jobs, len(cancelled))
+	}
+}
