--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -103,14 +103,15 @@
 	// by when the first of those answers went.
 	told map[Command]time.Time
 
-	Images  []string              // seen here, newest last
-	Errors  map[string]bool       // jobs whose tasks failed here since the last success
-	Refused time.Time             // last refusal for want of room
-	Sent    map[Command]time.Time // direct starts and kills, by when
-	Called  time.Time             // last direct call
-	Calling bool                  // a direct call is under way
-	Mute    bool                  // it reports, but nothing that it is told shows
-	Quiet   bool                  // nothing has changed since it last had no orders to send
+	Images         []string              // seen here, newest last
+	Errors         map[string]bool       // jobs whose tasks failed here since the last success
+	Refused        time.Time             // last refusal for want of room
+	Sent           map[Command]time.Time // direct starts and kills, by when
+	Called         time.Time             // last direct call
+	Calling        bool                  // a direct call is under way
+	Mute           bool                  // it reports, but nothing that it is told shows
+	Quiet          bool                  // nothing has changed since it last had no orders to send
+	nothingToProve bool                  // nothing has changed since no claim's end could be proven
 }
 
 // Command is one command about one attempt. A report must show its effect to
@@ -134,6 +135,7 @@
 // through to us and our answers not to it.
 func (w *Worker) Answer(r *wire.Checkin, orders []wire.Order, now time.Time) {
 	w.Answered, w.Reported = now, r.Tally
+	w.nothingToProve = false // a start that this report shows the end of may be forgotten
 	for a, tally := range w.started {
 		if tally < r.Tally {
 			delete(w.started, a) // this report shows what came of it
@@ -176,10 +178,20 @@
 
 // RaiseBaton notes that our membership has changed, and that another node may
 // have owned the machine meanwhile.
-func (w *Worker) RaiseBaton() { w.State, w.Quiet = w.State.Next(BatonRaised), false }
+func (w *Worker) RaiseBaton() {
+	w.State = w.State.Next(BatonRaised)
+	w.Changed()
+}
 
 // Stop notes that a task is wanted off the machine.
-func (w *Worker) Stop(id jobs.ID) { w.Stopping[id], w.Quiet = true, false }
+func (w *Worker) Stop(id jobs.ID) {
+	w.Stopping[id] = true
+	w.Changed()
+}
+
+// Changed notes that something has changed that commands or proofs follow from:
+// the claims on the machine, their jobs, or what is known of its worker.
+func (w *Worker) Changed() { w.Quiet, w.nothingToProve = false, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
 // baton is the one of our membership; a worker that has shown it or one that
@@ -203,7 +215,8 @@
 		w.Reported = 0
 	}
 	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
-	w.Stint, w.Tally, w.Heard, w.Quiet = r.Stint, r.Tally, now, false
+	w.Stint, w.Tally, w.Heard = r.Stint, r.Tally, now
+	w.Changed()
 	w.Baton = max(w.Baton, r.Baton)
 	w.Token = max(w.Token, baton)
 	if baton > 0 && r.Baton >= baton {
@@ -245,12 +258,15 @@
 // KeepStopping forgets the wish to stop tasks whose claim is released. Until
 // then it stands, also for an exited task: its room is about to be free, and
 // stopping others for the same room would be in vain.
-func (w *Worker) KeepStopping(claims map[jobs.ID]*jobs.Job) {
+// It reports whether it forgot any.
+func (w *Worker) KeepStopping(claims map[jobs.ID]*jobs.Job) bool {
+	before := len(w.Stopping)
 	for id := range w.Stopping {
 		if claims[id] == nil {
 			delete(w.Stopping, id)
 		}
 	}
+	return len(w.Stopping) < before
 }
 
 // Leaves reports whether a claimed task is on its way off the machine.
@@ -269,6 +285,7 @@
 // StartAnswered notes that a direct call with these starts was answered by a
 // report with this session and tally.
 func (w *Worker) StartAnswered(starts []Attempt, token, stint, tally uint64) {
+	w.nothingToProve = false
 	for _, a := range starts {
 		k := sentStart{a, token}
 		if w.unanswered[k]--; w.unanswered[k] <= 0 {
@@ -386,11 +403,18 @@
 	Cause string
 }
 
+// NothingToProve reports whether Proofs would return nothing: it did, and since
+// then nothing has changed, nor has the session's lease ended.
+func (w *Worker) NothingToProve(now time.Time, lease time.Duration) bool {
+	return w.nothingToProve && !w.LeaseOver(now, lease)
+}
+
 // Proofs returns the claims on the machine whose attempts have surely ended.
 // claims are those stored for this machine.
 func (w *Worker) Proofs(claims map[jobs.ID]*jobs.Job, now time.Time, lease time.Duration) []Release {
 	over := w.LeaseOver(now, lease)
 	var out []Release
+	defer func() { w.nothingToProve = len(out) == 0 }()
 	for id, j := range claims {
 		t := j.Live[id.Task]
 		switch s, on := w.Shards[id]; {
--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -166,6 +166,9 @@
 		}
 		if rank != j.Rank || due != j.Due {
 			j.Rank, j.Due = rank, due
+			for _, task := range j.Live {
+				t.Moved(task.Host)
+			}
 			list = append(list, j.awaits()...)
 		}
 	}
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -258,22 +258,15 @@
 	return nil
 }
 
+// replace enters the tasks of a chunk. Only the tasks that differ are entered
+// anew: a chunk changes a few of its tasks at a time, and every other machine
+// that it names would be looked at again.
 func (t *Table) replace(j *Job, chunk int, tasks []Task) {
 	old := j.Chunks[chunk]
-	team := j.Team
+	same := func(i int) bool { return i < len(old) && i < len(tasks) && old[i] == tasks[i] }
 	for i, task := range old {
-		n := chunk*j.Record.Chunk + i
-		j.Counts[task.State]--
-		if task.State == Claimed {
-			delete(j.Live, n)
-			t.Used[team] = t.Used[team].Sub(j.Need)
-			delete(t.Hosts[task.Host], ID{j.Ref, n})
-			t.Moved(task.Host)
-			t.Needs[task.Host] = t.Needs[task.Host].Sub(j.Need)
-			if len(t.Hosts[task.Host]) == 0 {
-				delete(t.Hosts, task.Host)
-				delete(t.Needs, task.Host)
-			}
+		if !same(i) {
+			t.removeTask(j, chunk*j.Record.Chunk+i, task)
 		}
 	}
 	if len(old) == 0 {
@@ -286,26 +279,57 @@
 	}
 	j.Chunks[chunk] = tasks
 	for i, task := range tasks {
-		n := chunk*j.Record.Chunk + i
-		j.Counts[task.State]++
-		if task.Errs > 0 && (i >= len(old) || old[i].Errs < task.Errs) {
-			t.FailedAt[ID{j.Ref, n}] = t.now()
-		} else if task.Errs == 0 && i < len(old) && old[i].Errs > 0 {
-			delete(t.FailedAt, ID{j.Ref, n})
+		if same(i) {
+			continue
 		}
-		if task.State == Claimed {
-			j.Live[n] = task
-			t.Used[team] = t.Used[team].Add(j.Need)
-			if t.Hosts[task.Host] == nil {
-				t.Hosts[task.Host] = map[ID]*Job{}
-			}
-			t.Hosts[task.Host][ID{j.Ref, n}] = j
-			t.Moved(task.Host)
-			t.Needs[task.Host] = t.Needs[task.Host].Add(j.Need)
+		var before Task
+		if i < len(old) {
+			before = old[i]
 		}
+		t.addTask(j, chunk*j.Record.Chunk+i, before, task)
 	}
 }
 
+// removeTask takes a task out of the counts and the indexes.
+func (t *Table) removeTask(j *Job, number int, task Task) {
+	j.Counts[task.State]--
+	if task.State != Claimed {
+		return
+	}
+	id, host := ID{j.Ref, number}, task.Host
+	delete(j.Live, number)
+	t.Used[j.Team] = t.Used[j.Team].Sub(j.Need)
+	delete(t.Hosts[host], id)
+	t.Moved(host)
+	t.Needs[host] = t.Needs[host].Sub(j.Need)
+	if len(t.Hosts[host]) == 0 {
+		delete(t.Hosts, host)
+		delete(t.Needs, host)
+	}
+}
+
+// addTask enters a task, which was before, in the counts and the indexes.
+func (t *Table) addTask(j *Job, number int, before, task Task) {
+	j.Counts[task.State]++
+	id, host := ID{j.Ref, number}, task.Host
+	if task.Errs > before.Errs {
+		t.FailedAt[id] = t.now()
+	} else if task.Errs == 0 && before.Errs > 0 {
+		delete(t.FailedAt, id)
+	}
+	if task.State != Claimed {
+		return
+	}
+	j.Live[number] = task
+	t.Used[j.Team] = t.Used[j.Team].Add(j.Need)
+	if t.Hosts[host] == nil {
+		t.Hosts[host] = map[ID]*Job{}
+	}
+	t.Hosts[host][id] = j
+	t.Moved(host)
+	t.Needs[host] = t.Needs[host].Add(j.Need)
+}
+
 // ApplyTeam enters a team record.
 func (t *Table) ApplyTeam(team string, raw wire.Raw) error {
 	var r TeamRecord
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -8,7 +8,9 @@
 
 // Fleet indexes the machines of a pass: by name, and in pools of machines that
 // are alike for every job, so that a job looks only at those it may use. It is
-// built when machines, roles or owners change, and refreshed before each pass.
+// built when machines, roles or owners change. Before each pass the machines
+// whose tasks or images have changed are entered anew (Machine.Enter), and what
+// the last pass has placed is undone (Rewind).
 type Fleet struct {
 	Machines []*Machine // by name
 	named    map[string]*Machine
@@ -56,23 +58,26 @@
 // Machine finds a machine by name; nil if it is not known.
 func (f *Fleet) Machine(name string) *Machine { return f.named[name] }
 
-// Refresh sums up the pools after their machines' tasks, room and images were
-// entered.
+// Refresh enters every machine anew and sums up the pools.
 func (f *Fleet) Refresh() {
+	for _, m := range f.Machines {
+		m.Enter()
+	}
+	f.Rewind()
+}
+
+// Rewind undoes what a pass has placed and planned, and sums up the pools.
+func (f *Fleet) Rewind() {
 	for _, p := range f.pools {
 		p.room, p.freeing, p.worst = jobs.Resources{}, false, -1
 		for _, m := range p.machines {
-			m.Refresh()
+			m.rewind()
 			if !m.Open {
 				continue
 			}
 			p.room = p.room.Max(m.Free)
 			p.freeing = p.freeing || m.Freeing.GPUs > 0 || m.Freeing.CPUs > 0 || m.Freeing.RAM > 0
-			for _, r := range m.Tasks {
-				if r.Job.Record.Work != nil && !r.Stopping {
-					p.worst = max(p.worst, r.Job.Rank)
-				}
-			}
+			p.worst = max(p.worst, m.entered.worst)
 		}
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -30,6 +30,8 @@
 	ID       jobs.ID
 	Job      *jobs.Job
 	Stopping bool
+
+	evicted bool // Stopping was set by the pass
 }
 
 // Machine is a machine as the pass sees it.
@@ -46,8 +48,17 @@
 	FetchGBPerS             float64        // 0: not known
 	Tasks                   []Resident
 
-	pulls  []pull // images that its tasks wait for
-	placed int    // tasks placed on it in this pass
+	pulls   []pull // images that its tasks wait for
+	placed  int    // tasks placed on it in this pass
+	evicts  bool   // the pass stops some of its tasks
+	entered entered
+}
+
+// entered is what a machine was like before a pass began to place on it.
+type entered struct {
+	free, freeing jobs.Resources
+	pulls         int
+	worst         int // the lowest rank, as a number, of the tasks that could be stopped; -1: none
 }
 
 // slots is how many more tasks the machine's reports can name.
@@ -69,12 +80,34 @@
 	return false
 }
 
-// Refresh makes the machine ready for a pass, after its tasks and images were
-// entered.
-func (m *Machine) Refresh() {
-	m.pulls, m.placed = m.pulls[:0], 0
+// Enter takes the machine's room, tasks and images, as its fields hold them, for
+// what the next passes begin with.
+func (m *Machine) Enter() {
+	m.pulls, m.placed, m.evicts = m.pulls[:0], 0, false
+	worst := -1
 	for i := range m.Tasks {
-		m.pulling(m.Tasks[i].Job.Record.Work)
+		r := &m.Tasks[i]
+		r.evicted = false
+		m.pulling(r.Job.Record.Work)
+		if r.Job.Record.Work != nil && !r.Stopping {
+			worst = max(worst, r.Job.Rank)
+		}
+	}
+	m.entered = entered{m.Free, m.Freeing, len(m.pulls), worst}
+}
+
+// rewind undoes what a pass did to the machine.
+func (m *Machine) rewind() {
+	m.Free, m.Freeing = m.entered.free, m.entered.freeing
+	m.pulls, m.placed = m.pulls[:m.entered.pulls], 0
+	if !m.evicts {
+		return
+	}
+	m.evicts = false
+	for i := range m.Tasks {
+		if r := &m.Tasks[i]; r.evicted {
+			r.Stopping, r.evicted = false, false
+		}
 	}
 }
 
@@ -631,10 +664,11 @@
 	}
 	for _, v := range victims {
 		for i := range best.Tasks {
-			if best.Tasks[i].ID == v.ID {
-				best.Tasks[i].Stopping = true
+			if r := &best.Tasks[i]; r.ID == v.ID {
+				r.Stopping, r.evicted = true, true
 			}
 		}
+		best.evicts = true
 		best.Freeing = best.Freeing.Add(v.Job.Need)
 		if best.Owner == in.Me {
 			out.Evict = append(out.Evict, Eviction{v, d.Job.Ref})
--- /dev/null
+++ b/internal/server/fleetview_test.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+	"wheatspur/wire"
+)
+
+// picture is what a pass sees of the machines, in a form that can be compared.
+func picture(f *place.Fleet) []string {
+	var out []string
+	for _, m := range f.Machines {
+		tasks := slices.Clone(m.Tasks)
+		slices.SortFunc(tasks, func(a, b place.Resident) int {
+			return cmp.Or(cmp.Compare(a.ID.Ref, b.ID.Ref), cmp.Compare(a.ID.Task, b.ID.Task))
+		})
+		line := fmt.Sprintf("%s %s %s %s %v %s open %v stint %d images %v free %.3f freeing %.3f tasks", m.Name, m.Type, m.Zone, m.Owner,
+			m.Spot, m.Role, m.Open, m.Stint, m.Images, m.Free, m.Freeing)
+		for _, r := range tasks {
+			line += fmt.Sprintf(" %s/%v", r.ID, r.Stopping)
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// checkView compares the kept picture of the fleet, and the kept sums of claims,
+// with ones that are made anew.
+func checkView(t testing.TB, n *Node) {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.member == nil || !n.entitled() {
+		return
+	}
+	now := n.now()
+	kept, held, view := picture(n.machines(now)), n.heldByOwner(), n.view
+	n.resetView()
+	anew, sums := picture(n.machines(now)), n.heldByOwner()
+	n.view = view // goes on, so that what it misses adds up
+	if !slices.Equal(kept, anew) {
+		for i := range anew {
+			if i >= len(kept) || kept[i] != anew[i] {
+				t.Fatalf("%s: %d machines are kept, %d are there; the first that differs:\n%s\n%s", n.self.Label, len(kept), len(anew), kept[min(i, len(kept)-1)], anew[i])
+			}
+		}
+		t.Fatalf("%s: %d machines are kept, %d are there", n.self.Label, len(kept), len(anew))
+	}
+	for _, m := range n.member.Nodes {
+		for _, team := range n.set.Params.Teams {
+			if a, b := held[m.Label][team.Name], sums[m.Label][team.Name]; math.Abs(a.GPUs-b.GPUs) > 1e-6 || math.Abs(a.CPUs-b.CPUs) > 1e-6 {
+				t.Fatalf("%s: claims of %s on the machines of %s: %v kept, %v are there", n.self.Label, team.Name, m.Label, a, b)
+			}
+		}
+	}
+}
+
+// One end of a task on a fleet with thousands of claims enters one machine anew,
+// not all that the chunk's tasks are on. Guards against a pass that walks all
+// tasks of the fleet: it took half of a small machine's processor.
+func TestAChangeOfOneTaskEntersOneMachine(t *testing.T) {
+	w := bigWorld(t, "a")
+	w.teamRoom()
+	w.fill(0, 20)
+	n := w.leader()
+	for range 6 {
+		w.passAll()
+	}
+	n.mu.Lock()
+	n.machines(n.now())
+	j := n.table.Jobs["wk-200000"]
+	task := j.Task(0)
+	if len(j.Live) != 60 || len(n.view.touched) != 0 {
+		t.Fatalf("%d tasks are claimed, %d machines are to be entered", len(j.Live), len(n.view.touched))
+	}
+	// Two copies of a chunk that differ in one task, as a watch brings them.
+	tasks := j.ChunkCopy(0)
+	tasks[0], _ = tasks[0].Next(jobs.TaskEvent{Kind: jobs.Complete})
+	raw := wire.MustMarshal(jobs.ChunkRecord{Tasks: tasks})
+	if err := n.table.ApplyChunk(jobs.ChunkKey("wk-200000", 0), raw); err != nil {
+		t.Fatal(err)
+	}
+	if len(n.view.touched) != 1 || !n.view.touched[task.Host] {
+		t.Errorf("%d machines are to be entered, only %s has changed", len(n.view.touched), task.Host)
+	}
+	if err := n.table.ApplyChunk(jobs.ChunkKey("wk-200000", 0), raw); err != nil {
+		t.Fatal(err)
+	}
+	if len(n.view.touched) != 1 {
+		t.Errorf("%d machines are to be entered after the same chunk came once more", len(n.view.touched))
+	}
+	n.mu.Unlock()
+	checkView(t, n)
+}
+
+// What a pass planned for others' machines does not outlive it: tasks that it
+// would stop there are tasks like others in the next one.
+func TestAPassLeavesThePictureAsItWas(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.teamRoom()
+	w.raise()
+	for i := range 6 {
+		w.addHost(fmt.Sprintf("h%d", i), "service")
+	}
+	for _, h := range w.cl.list {
+		owner, _ := w.owner(h.Ref)
+		owner.take(w.checkin(h.Ref, 1, owner.baton()))
+	}
+	w.tell()
+	low := service("wk-1", 24)
+	low.Rank = wire.RankLow
+	w.submit(w.leader(), low)
+	for range 4 {
+		w.passAll()
+	}
+	w.submit(w.leader(), service("wk-2", 12))
+	evicted := 0
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		now := n.now()
+		before := picture(n.machines(now))
+		out := place.Pass(n.placeInput(n.machines(now), now))
+		during := picture(n.view.fleet)
+		after := picture(n.machines(now))
+		n.mu.Unlock()
+		evicted += len(out.Evict)
+		if slices.Equal(before, during) {
+			t.Errorf("%s plans nothing: the test needs a pass that does", n.self.Label)
+		}
+		if !slices.Equal(before, after) {
+			t.Errorf("%s: before and after a pass:\n%v\n%v", n.self.Label, before, after)
+		}
+	}
+	if evicted != 12 {
+		t.Errorf("%d tasks are stopped for 12", evicted)
+	}
+}
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -40,7 +40,7 @@
 			i++
 		}
 	}
-	held := n.heldByNode()
+	held := n.heldByOwner()
 	out := map[string]*place.Team{}
 	for _, t := range n.set.Params.Teams {
 		team := &place.Team{Used: n.table.Used[t.Name], Max: jobs.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax},
@@ -68,19 +68,10 @@
 	return out
 }
 
-// heldByNode sums the claims on each node's machines by team; mu is held.
-func (n *Node) heldByNode() map[string]map[string]jobs.Resources {
-	out := map[string]map[string]jobs.Resources{}
-	for _, m := range n.member.Nodes {
-		out[m.Label] = map[string]jobs.Resources{}
-	}
-	for host, claims := range n.table.Hosts {
-		by := out[n.ownerOf(host)]
-		for _, j := range claims {
-			by[j.Team] = by[j.Team].Add(j.Need)
-		}
-	}
-	return out
+// heldByOwner is what the claims on each node's machines take; mu is held.
+func (n *Node) heldByOwner() heldByOwner {
+	n.enterTouched()
+	return n.view.held
 }
 
 // charge adds to a write of claims the guard on the team's key and, for claims
@@ -139,7 +130,7 @@
 		return nil
 	}
 	var out []*txn
-	var held map[string]map[string]jobs.Resources
+	var held heldByOwner
 	for _, cfg := range n.set.Params.Teams {
 		key := jobs.TeamKey(cfg.Name)
 		rec := n.table.Team[cfg.Name]
@@ -153,7 +144,7 @@
 			// Nobody claims before this is stored, and every claim before is
 			// in the cache.
 			if held == nil {
-				held = n.heldByNode()
+				held = n.heldByOwner()
 			}
 			next.Grants = n.grants(cfg, held)
 			delete(n.shortAt, cfg.Name)
@@ -182,7 +173,7 @@
 // equal parts, two of them to the leader, which claims for jobs too large for
 // one node. Where a part would not hold the largest waiting job, the leader
 // gets all the rest and claims for all. mu is held.
-func (n *Node) grants(cfg config.Team, held map[string]map[string]jobs.Resources) map[string]jobs.Grant {
+func (n *Node) grants(cfg config.Team, held heldByOwner) map[string]jobs.Grant {
 	rest := jobs.Resources{CPUs: cfg.CPUsMax, GPUs: cfg.GPUsMax}
 	for _, by := range held {
 		rest = rest.Sub(by[cfg.Name])
--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -70,7 +70,7 @@
 	w.sync()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	held, sum := n.heldByNode(), 0.0
+	held, sum := n.heldByOwner(), 0.0
 	rec := n.table.Team["x"]
 	for label, by := range held {
 		claimed += by["x"].GPUs
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -83,9 +83,9 @@
 	member   *member.Record
 	reg      *fleet.Register
 	owners   map[string]string // of machines under the present membership
-	fleet    *place.Fleet      // of the last pass; nil: its machines have changed
+	view     fleetView
 	told     map[string]*told
-	view     uint64 // number of the last change in told
+	toldView uint64 // number of the last change in told
 	viewAt   time.Time
 	types    []wire.Rig
 	rigs     map[string]wire.Rig
@@ -190,9 +190,11 @@
 	n.open = func() int { return 0 }
 	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
+	n.view = newFleetView()
 	n.table.Moved = func(host string) {
+		n.view.touch(host)
 		if w := n.workers[host]; w != nil {
-			w.Quiet = false
+			w.Changed()
 		}
 	}
 	n.cache = store.NewCache(n.sink)
@@ -301,7 +303,7 @@
 	case strings.HasPrefix(key, jobs.TeamPrefix):
 		return n.table.ApplyTeam(strings.TrimPrefix(key, jobs.TeamPrefix), v)
 	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
-		n.fleet = nil
+		n.view.stale = true
 		return n.reg.Apply(key, v)
 	case strings.HasPrefix(key, member.NodePrefix):
 		label := strings.TrimPrefix(key, member.NodePrefix)
@@ -340,7 +342,7 @@
 		if err := wire.Unmarshal(v, &r); err != nil {
 			return err
 		}
-		n.types, n.fleet = r.Rigs, nil
+		n.types, n.view.stale = r.Rigs, true
 		clear(n.rigs)
 		for _, t := range r.Rigs {
 			n.rigs[t.Label] = t
@@ -361,7 +363,6 @@
 	last := n.member
 	n.member = &r
 	n.raisedAt = n.now()
-	n.fleet = nil
 	clear(n.owners)
 	clear(n.told)
 	// Who takes a machine over knows its images from what its former owner
@@ -386,6 +387,7 @@
 			w.RaiseBaton()
 		}
 	}
+	n.resetView()
 	n.shareBudget()
 	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
@@ -751,9 +753,13 @@
 	}
 	if answer && (st.Whole || seen.Baton == s.seen.Baton && seen.Incarnation == s.seen.Incarnation) {
 		if st.Whole {
+			for host := range s.hosts {
+				n.view.touch(host)
+			}
 			clear(s.hosts)
 		}
 		for _, h := range st.Hosts {
+			n.view.touch(h.Name)
 			s.hosts[h.Name] = h
 			if h.Silent && n.leading.heard != nil {
 				n.leading.hear(h.Name, now.Add(-h.Age))
@@ -808,8 +814,8 @@
 	}
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
 	st.Want = uint32(math.Ceil(n.want))
-	st.View = n.view
-	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.view
+	st.View = n.toldView
+	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.toldView
 	if n.entitled() {
 		for _, t := range n.told {
 			if st.Whole || t.view > seen.View {
@@ -842,8 +848,8 @@
 		}
 		h.Age = now.Sub(w.Heard)
 		h.Images = slices.Clone(w.Images)
-		n.view++
-		t.host, t.view = h, n.view
+		n.toldView++
+		t.host, t.view = h, n.toldView
 	}
 }
 
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -82,7 +82,9 @@
 	}
 	now := n.now()
 	for host, w := range n.workers {
-		w.KeepStopping(n.table.Hosts[host])
+		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
+			n.view.touch(host)
+		}
 	}
 	for ref, at := range n.served {
 		if now.Sub(at) > tuning.PreemptPause {
@@ -104,7 +106,7 @@
 	n.noteUnmet(out, now)
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
-			w.Stop(r.ID)
+			n.stopTask(w, r.ID)
 			n.served[r.For] = now
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
@@ -297,29 +299,30 @@
 		changes[key].events[id.Task] = jobs.TaskEvent{Kind: kind}
 	}
 	first := map[string]bool{} // jobs whose first node this is
-	for host, claims := range n.table.Hosts {
-		if n.reg.Hosts[host].Phase == fleet.Returned {
-			// The proof is stored, so any node may release: the job's first
-			// does, in one write for the machines of all owners.
-			for id := range claims {
-				mine, ok := first[id.Ref]
-				if !ok {
-					mine = n.member.Order(id.Ref)[0] == n.self.Label
-					first[id.Ref] = mine
-				}
-				if mine {
-					add(id, jobs.Release)
-				}
-			}
+	for host, rec := range n.reg.Hosts {
+		if rec.Phase != fleet.Returned {
 			continue
 		}
-		if n.ownerOf(host) != n.self.Label {
+		// The proof is stored, so any node may release: the job's first
+		// does, in one write for the machines of all owners.
+		for id := range n.table.Hosts[host] {
+			mine, ok := first[id.Ref]
+			if !ok {
+				mine = n.member.Order(id.Ref)[0] == n.self.Label
+				first[id.Ref] = mine
+			}
+			if mine {
+				add(id, jobs.Release)
+			}
+		}
+	}
+	lease := n.set.Lease()
+	for host, w := range n.workers {
+		if w.NothingToProve(now, lease) || n.ownerOf(host) != n.self.Label || n.reg.Hosts[host].Phase == fleet.Returned {
 			continue
 		}
-		if w := n.workers[host]; w != nil {
-			for _, r := range w.Proofs(claims, now, n.set.Lease()) {
-				add(r.ID, r.Kind)
-			}
+		for _, r := range w.Proofs(n.table.Hosts[host], now, lease) {
+			add(r.ID, r.Kind)
 		}
 	}
 	for key := range n.dueSince {
@@ -639,7 +642,7 @@
 	machines, tries := f.Machines, 0
 	for _, m := range machines {
 		for _, r := range m.Tasks {
-			if r.Job.Service() && r.Stopping && r.Job.Phase == jobs.Open {
+			if r.Stopping && r.Job.Service() && r.Job.Phase == jobs.Open {
 				return // one at a time
 			}
 		}
@@ -650,9 +653,12 @@
 		}
 	}
 	for _, m := range machines {
+		if m.Owner != n.self.Label {
+			continue
+		}
 		rec := n.reg.Hosts[m.Name]
 		w := n.workers[m.Name]
-		if m.Owner != n.self.Label || w == nil || m.Role == place.Service && rec.Phase == fleet.In && w.TakenAt.IsZero() {
+		if w == nil || m.Role == place.Service && rec.Phase == fleet.In && w.TakenAt.IsZero() {
 			continue
 		}
 		for _, r := range m.Tasks {
@@ -663,7 +669,7 @@
 				return
 			}
 			if place.Elsewhere(f, r.Job, r.ID.Task, m.Name) != nil {
-				w.Stop(r.ID)
+				n.stopTask(w, r.ID)
 				n.log.Info("service task moves", "task", r.ID, "host", m.Name, "role", string(m.Role), "phase", string(rec.Phase))
 				return
 			}
--- a/internal/server/storm_test.go
+++ b/internal/server/storm_test.go
@@ -242,6 +242,9 @@
 				s.blow()
 				s.users()
 				s.step()
+				for _, n := range s.nodes {
+					checkView(t, n)
+				}
 			}
 			s.calm(true)
 			for _, w := range s.ways {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -10,7 +10,6 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/httpc"
 	"wheatspur/internal/jobs"
-	"wheatspur/internal/place"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -95,6 +94,7 @@
 		w = fleet.NewWorker(host)
 		w.Images = n.held[host]
 		n.workers[host] = w
+		n.view.touch(host)
 	}
 	return w
 }
@@ -108,6 +108,7 @@
 	if !w.Observe(r, n.member.Baton, now) {
 		return
 	}
+	n.view.touch(w.Host)
 	for id, s := range w.Shards {
 		j := n.table.Jobs[id.Ref]
 		if before[id] != s.Phase {
@@ -140,13 +141,20 @@
 		left := time.Duration(float64(w.TakenAt.Sub(now)) * tuning.WarningKillFactor)
 		for id, j := range n.table.Hosts[w.Host] {
 			if wk := j.Record.Work; wk != nil && (j.Service() || wk.ReckonS > left.Seconds()) {
-				w.Stop(id)
+				n.stopTask(w, id)
 			}
 		}
 	}
 	wake(n.kick)
 }
 
+// stopTask notes that a task is wanted off one of this node's machines; mu is
+// held.
+func (n *Node) stopTask(w *fleet.Worker, id jobs.ID) {
+	w.Stop(id)
+	n.view.touch(w.Host)
+}
+
 // imageSize is the size of an image in GB, as the last job that uses it says;
 // mu is held.
 func (n *Node) imageSize(image string) float64 { return n.imageGB[image] }
@@ -187,6 +195,9 @@
 // direct sends a worker what it should not wait a report interval for: starts,
 // kills, and our baton if it has not shown it; mu is held.
 func (n *Node) direct(w *fleet.Worker, now time.Time) {
+	if w.Quiet && w.State == fleet.Proven && !w.Mute && w.Token <= max(w.Baton, n.member.Baton) {
+		return // nothing has changed, and there is nothing to ask
+	}
 	if w.Calling || w.Address == "" || w.State == fleet.Expired || !n.hasState() {
 		return
 	}
@@ -280,50 +291,3 @@
 		}
 	}
 }
-
-// machines brings the picture of the fleet up to date; mu is held. It is
-// shared: a pass, a plan or a role decision starts from a new one.
-func (n *Node) machines(now time.Time) *place.Fleet {
-	if n.fleet == nil {
-		list := make([]*place.Machine, 0, len(n.reg.Hosts))
-		for host, rec := range n.reg.Hosts {
-			t := n.rigs[rec.Rig]
-			list = append(list, &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
-				Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
-				Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
-		}
-		n.fleet = place.NewFleet(list)
-	}
-	silent := n.silentAfter()
-	for _, m := range n.fleet.Machines {
-		rec, w := n.reg.Hosts[m.Name], n.workers[m.Name]
-		m.Free, m.Freeing = m.Total.Sub(n.table.Needs[m.Name]), jobs.Resources{}
-		m.Tasks = m.Tasks[:0]
-		for id, j := range n.table.Hosts[m.Name] {
-			stopping := j.Phase != jobs.Open || w != nil && w.Leaves(id)
-			m.Tasks = append(m.Tasks, place.Resident{ID: id, Job: j, Stopping: stopping})
-			if stopping {
-				m.Freeing = m.Freeing.Add(j.Need)
-			}
-		}
-		m.Open, m.Stint, m.Images = false, 0, nil
-		if m.Owner == n.self.Label {
-			if w != nil {
-				m.Stint, m.Images = w.Stint, w.Images
-				// Only a machine that has shown our token takes tasks. It guards
-				// against a late copy of a report of a machine that is gone. And only
-				// one whose reports come: one that answers calls and can't report
-				// ends with its lease.
-				m.Open = rec.Phase == fleet.In && w.State == fleet.Proven &&
-					now.Sub(w.Heard) < silent && now.Sub(w.Renewed()) < silent && w.TakenAt.IsZero() && !n.unfit(w)
-			}
-		} else if s := n.siblings[m.Owner]; s != nil && n.freshSibling(s) && s.seen.Baton == n.member.Baton {
-			if h, ok := s.hosts[m.Name]; ok {
-				m.Stint, m.Images = h.Stint, h.Images
-				m.Open = rec.Phase == fleet.In && h.Proven && !h.Silent && h.Warning < 0 && !h.Suspect
-			}
-		}
-	}
-	n.fleet.Refresh()
-	return n.fleet
-}
