--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -87,11 +87,14 @@
 	Hosts  map[string]Record
 	keys   map[string]string          // of each machine
 	groups map[string]map[string]bool // machines of each key
+
+	// Moved is told of machines whose record has changed, has come or is gone.
+	Moved func(host string)
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{Hosts: map[string]Record{}, keys: map[string]string{}, groups: map[string]map[string]bool{}}
+	return &Register{Hosts: map[string]Record{}, keys: map[string]string{}, groups: map[string]map[string]bool{}, Moved: func(string) {}}
 }
 
 // Key is the key that holds the machine's record, "" if it has none.
@@ -119,6 +122,7 @@
 		if _, still := now[host]; !still && g.keys[host] == key {
 			delete(g.Hosts, host)
 			delete(g.keys, host)
+			g.Moved(host)
 		}
 	}
 	delete(g.groups, key)
@@ -129,7 +133,11 @@
 		if strings.HasPrefix(key, HostPrefix) && strings.HasPrefix(g.keys[host], GroupPrefix) {
 			continue // it has moved; its former key is about to go
 		}
+		old, known := g.Hosts[host]
 		g.Hosts[host], g.keys[host] = r, key
+		if !known || old != r {
+			g.Moved(host)
+		}
 		g.groups[key][host] = true
 	}
 	return nil
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -409,6 +409,12 @@
 	return w.nothingToProve && !w.LeaseOver(now, lease)
 }
 
+// Settled reports whether nothing is due for the machine until something
+// changes or time passes: no command, no proof, no start that may yet arrive.
+func (w *Worker) Settled() bool {
+	return w.Quiet && w.nothingToProve && len(w.Stopping) == 0 && len(w.unanswered) == 0
+}
+
 // Proofs returns the claims on the machine whose attempts have surely ended.
 // claims are those stored for this machine.
 func (w *Worker) Proofs(claims map[jobs.ID]*jobs.Job, now time.Time, lease time.Duration) []Release {
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -39,15 +39,19 @@
 
 // Share is the largest share that r takes of total.
 func (r Resources) Share(total Resources) float64 {
-	s := 0.0
-	for _, p := range [][2]float64{{r.CPUs, total.CPUs}, {r.GPUs, total.GPUs}, {r.RAM, total.RAM}} {
-		if p[1] > 0 {
-			s = max(s, p[0]/p[1])
-		} else if p[0] > 0 {
-			s = max(s, 1e9)
-		}
+	return max(part(r.CPUs, total.CPUs), part(r.GPUs, total.GPUs), part(r.RAM, total.RAM))
+}
+
+// part is the share that an amount takes of a total; of nothing, more than any
+// machine has.
+func part(amount, total float64) float64 {
+	switch {
+	case total > 0:
+		return max(0, amount/total)
+	case amount > 0:
+		return 1e9
 	}
-	return s
+	return 0
 }
 
 // Need is what one task of the submission takes.
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -16,6 +16,7 @@
 	named    map[string]*Machine
 	pools    []*pool
 	scratch  []candidate // of the last search, for its memory
+	changed  []*Machine  // machines that the pass has placed on, or plans to stop tasks on
 }
 
 // kind is what a pool's machines have in common.
@@ -28,6 +29,7 @@
 type pool struct {
 	kind
 	machines []*Machine
+	stale    bool           // what follows is to be summed up again
 	room     jobs.Resources // no open machine has more free, in any resource
 	freeing  bool           // some room is being freed
 	worst    int            // the lowest rank, as a number, of what could be stopped
@@ -51,6 +53,8 @@
 			f.pools = append(f.pools, p)
 		}
 		p.machines = append(p.machines, m)
+		m.pool = p
+		p.stale = true
 	}
 	return f
 }
@@ -66,19 +70,39 @@
 	f.Rewind()
 }
 
-// Rewind undoes what a pass has placed and planned, and sums up the pools.
+// Rewind undoes what a pass has placed and planned, and sums up the pools whose
+// machines have changed.
 func (f *Fleet) Rewind() {
+	for _, m := range f.changed {
+		m.rewind()
+	}
+	f.changed = f.changed[:0]
 	for _, p := range f.pools {
-		p.room, p.freeing, p.worst = jobs.Resources{}, false, -1
-		for _, m := range p.machines {
-			m.rewind()
-			if !m.Open {
-				continue
-			}
-			p.room = p.room.Max(m.Free)
-			p.freeing = p.freeing || m.Freeing.GPUs > 0 || m.Freeing.CPUs > 0 || m.Freeing.RAM > 0
-			p.worst = max(p.worst, m.entered.worst)
+		if p.stale {
+			p.sum()
+		}
+	}
+}
+
+// change notes that a pass changes a machine.
+func (f *Fleet) change(m *Machine) {
+	if !m.changed {
+		m.changed = true
+		f.changed = append(f.changed, m)
+	}
+}
+
+// sum works out what the pool's machines have in common.
+func (p *pool) sum() {
+	p.stale = false
+	p.room, p.freeing, p.worst = jobs.Resources{}, false, -1
+	for _, m := range p.machines {
+		if !m.Open {
+			continue
 		}
+		p.room = p.room.Max(m.Free)
+		p.freeing = p.freeing || m.Freeing.GPUs > 0 || m.Freeing.CPUs > 0 || m.Freeing.RAM > 0
+		p.worst = max(p.worst, m.entered.worst)
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -51,7 +51,9 @@
 	pulls   []pull // images that its tasks wait for
 	placed  int    // tasks placed on it in this pass
 	evicts  bool   // the pass stops some of its tasks
+	changed bool   // the pass has changed it
 	entered entered
+	pool    *pool
 }
 
 // entered is what a machine was like before a pass began to place on it.
@@ -94,10 +96,22 @@
 		}
 	}
 	m.entered = entered{m.Free, m.Freeing, len(m.pulls), worst}
+	if m.pool != nil {
+		m.pool.stale = true
+	}
+}
+
+// SetOpen notes whether the machine takes new tasks.
+func (m *Machine) SetOpen(open bool) {
+	if m.Open != open {
+		m.Open = open
+		m.pool.stale = true
+	}
 }
 
 // rewind undoes what a pass did to the machine.
 func (m *Machine) rewind() {
+	m.changed, m.pool.stale = false, true
 	m.Free, m.Freeing = m.entered.free, m.entered.freeing
 	m.pulls, m.placed = m.pulls[:m.entered.pulls], 0
 	if !m.evicts {
@@ -389,6 +403,7 @@
 		}
 	}
 	for i, m := range picks {
+		in.Fleet.change(m)
 		m.Free = m.Free.Sub(d.Job.Need)
 		m.pulling(w)
 		m.placed++
@@ -464,6 +479,7 @@
 		}
 	}
 	if best != nil {
+		in.Fleet.change(best)
 		best.Free = jobs.Resources{}
 	}
 }
@@ -503,8 +519,8 @@
 				cand = append(cand, candidate{m, m.wait(d.Job), m.Free.Sub(d.Job.Need).Share(m.Total)})
 			}
 		}
-		if in.track {
-			p.room = room
+		if in.track && p.room != room {
+			p.room, p.stale = room, true
 		}
 	}
 	in.Fleet.scratch = cand
@@ -648,6 +664,7 @@
 			}
 			room := m.Free.Add(m.Freeing)
 			if d.Job.Need.Fits(room) {
+				in.Fleet.change(m)
 				m.Freeing = m.Freeing.Sub(d.Job.Need)
 				return true
 			}
@@ -662,6 +679,7 @@
 	if best == nil {
 		return false
 	}
+	in.Fleet.change(best)
 	for _, v := range victims {
 		for i := range best.Tasks {
 			if r := &best.Tasks[i]; r.ID == v.ID {
--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -6,6 +6,7 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
 )
 
 // fleetView is the picture of all machines that passes, plans and role decisions
@@ -16,8 +17,12 @@
 	fleet    *place.Fleet
 	list     []*machineView // in the order of fleet.Machines
 	machines map[string]*machineView
-	stale    bool            // machine records have changed since fleet was built
+	stale    bool            // the machines are not those that fleet was built of
+	records  map[string]bool // machines whose records have changed
 	touched  map[string]bool // machines whose claims, worker or owner's status has changed
+	active   map[string]bool // machines of this node that the next pass looks at
+	swept    time.Time       // when a pass last looked at all of them
+	opened   time.Time       // when the openness of all machines was last worked out
 
 	claims map[string]hostClaims // what is held on each machine, as it stands in held
 	held   heldByOwner
@@ -41,11 +46,12 @@
 }
 
 func newFleetView() fleetView {
-	return fleetView{machines: map[string]*machineView{}, touched: map[string]bool{}, claims: map[string]hostClaims{}, held: heldByOwner{}}
+	return fleetView{machines: map[string]*machineView{}, records: map[string]bool{}, touched: map[string]bool{}, active: map[string]bool{},
+		claims: map[string]hostClaims{}, held: heldByOwner{}}
 }
 
 // touch notes that something has changed on a machine.
-func (v *fleetView) touch(host string) { v.touched[host] = true }
+func (v *fleetView) touch(host string) { v.touched[host], v.active[host] = true, true }
 
 // resetView starts the picture anew: the owners of the machines have changed.
 // mu is held.
@@ -56,53 +62,110 @@
 	}
 }
 
+// sweep lists the workers of this node that a pass looks at: those that
+// something has changed for or is due for, and every so often all, for what
+// follows from time alone, such as the end of a lease; mu is held.
+func (n *Node) sweep(now time.Time) map[string]*fleet.Worker {
+	v := &n.view
+	if now.Sub(v.swept) >= tuning.SweepEvery || now.Before(v.swept) {
+		v.swept = now
+		return n.workers
+	}
+	some := make(map[string]*fleet.Worker, len(v.active))
+	for host := range v.active {
+		if w := n.workers[host]; w != nil {
+			some[host] = w
+		}
+	}
+	return some
+}
+
+// settle takes the machines that nothing is due for out of what the next pass
+// looks at; mu is held.
+func (n *Node) settle() {
+	for host := range n.view.active {
+		if w := n.workers[host]; w == nil || w.Settled() {
+			delete(n.view.active, host)
+		}
+	}
+}
+
 // machines brings the picture of the fleet up to date; mu is held.
 func (n *Node) machines(now time.Time) *place.Fleet {
 	v := &n.view
+	n.enterRecords()
 	if v.fleet == nil || v.stale {
 		n.buildFleet()
 	}
-	n.enterTouched()
-	silent := n.silentAfter()
+	some := n.enterTouched()
+	if now.Sub(v.opened) >= tuning.SweepEvery || now.Before(v.opened) {
+		v.opened = now
+		some = v.list
+	}
 	told := map[string]bool{} // owners whose status holds for this membership
 	for label, s := range n.siblings {
 		told[label] = n.freshSibling(s) && s.seen.Baton == n.member.Baton
 	}
-	for _, m := range v.list {
-		if m.Owner != n.self.Label {
-			m.Open = m.in && m.usable && told[m.Owner]
-			continue
+	silent := n.silentAfter()
+	for _, m := range some {
+		if m.Owner == n.self.Label {
+			m.SetOpen(m.in && n.takesTasks(m.worker, now, silent))
+		} else {
+			m.SetOpen(m.in && m.usable && told[m.Owner])
 		}
-		// Only a machine that has shown our token takes tasks. It guards
-		// against a late copy of a report of a machine that is gone. And only
-		// one whose reports come: one that answers calls and can't report
-		// ends with its lease.
-		w := m.worker
-		m.Open = m.in && w != nil && w.State == fleet.Proven &&
-			now.Sub(w.Heard) < silent && now.Sub(w.Renewed()) < silent && w.TakenAt.IsZero() && !n.unfit(w)
 	}
 	v.fleet.Rewind()
 	return v.fleet
 }
 
+// takesTasks reports whether a machine of this node takes new tasks: only one
+// that has shown our token, which guards against a late copy of a report of a
+// machine that is gone. And only one whose reports come: one that answers calls
+// and can't report ends with its lease. mu is held.
+func (n *Node) takesTasks(w *fleet.Worker, now time.Time, silent time.Duration) bool {
+	return w != nil && w.State == fleet.Proven && now.Sub(w.Heard) < silent && now.Sub(w.Renewed()) < silent &&
+		w.TakenAt.IsZero() && !n.unfit(w, now)
+}
+
+// enterRecords looks at the machine records that have changed: most of them only
+// in their phase, which needs no new index; mu is held.
+func (n *Node) enterRecords() {
+	v := &n.view
+	for host := range v.records {
+		rec, stored := n.reg.Hosts[host]
+		m := v.machines[host]
+		if stored != (m != nil) || stored && !sameMachine(m.Machine, n.newMachine(host, rec)) {
+			v.stale = true
+		}
+		v.touch(host)
+	}
+	clear(v.records)
+}
+
+// newMachine is the picture of an empty machine; mu is held.
+func (n *Node) newMachine(host string, rec fleet.Record) *place.Machine {
+	t := n.rigs[rec.Rig]
+	return &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
+		Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
+		Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}}
+}
+
 // buildFleet indexes the machines as stored, and keeps the pictures of those
 // that are what they were; mu is held.
 func (n *Node) buildFleet() {
 	v := &n.view
+	if v.fleet != nil {
+		v.fleet.Rewind() // the machines that are kept hold what the last pass placed
+	}
 	kept := v.machines
 	v.machines = make(map[string]*machineView, len(n.reg.Hosts))
 	list := make([]*place.Machine, 0, len(n.reg.Hosts))
 	for host, rec := range n.reg.Hosts {
-		t := n.rigs[rec.Rig]
-		next := place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
-			Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
-			Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}}
-		m := kept[host]
-		if m == nil || !sameMachine(m.Machine, &next) {
-			m = &machineView{Machine: &next}
+		next, m := n.newMachine(host, rec), kept[host]
+		if m == nil || !sameMachine(m.Machine, next) {
+			m = &machineView{Machine: next}
 			v.touch(host)
 		}
-		m.in = rec.Phase == fleet.In
 		v.machines[host] = m
 		list = append(list, m.Machine)
 	}
@@ -121,24 +184,26 @@
 		a.FetchGBPerS == b.FetchGBPerS && a.Total == b.Total
 }
 
-// enterTouched enters anew the machines that something has changed on; mu is
-// held.
-func (n *Node) enterTouched() {
+// enterTouched enters anew the machines that something has changed on, and
+// returns them; mu is held.
+func (n *Node) enterTouched() []*machineView {
 	v := &n.view
+	var entered []*machineView
 	for host := range v.touched {
 		n.sumClaims(host)
-		if m := v.machines[host]; m != nil && v.fleet != nil {
+		if m := v.machines[host]; m != nil {
 			n.enterMachine(m)
-		} else if v.fleet == nil || v.stale {
-			continue // it is entered once the fleet is built
+			entered = append(entered, m)
 		}
-		delete(v.touched, host)
 	}
+	clear(v.touched)
+	return entered
 }
 
 // enterMachine enters a machine's claims, and what its owner knows of it; mu is
 // held.
 func (n *Node) enterMachine(m *machineView) {
+	m.in = n.reg.Hosts[m.Name].Phase == fleet.In
 	m.worker, m.usable, m.Stint, m.Images = nil, false, 0, nil
 	if m.Owner == n.self.Label {
 		if m.worker = n.workers[m.Name]; m.worker != nil {
--- a/internal/server/fleetview_test.go
+++ b/internal/server/fleetview_test.go
@@ -128,7 +128,13 @@
 		out := place.Pass(n.placeInput(n.machines(now), now))
 		during := picture(n.view.fleet)
 		after := picture(n.machines(now))
+		place.Pass(n.placeInput(n.view.fleet, now))
+		n.view.stale = true // a machine has come: all are indexed anew
+		rebuilt := picture(n.machines(now))
 		n.mu.Unlock()
+		if !slices.Equal(before, rebuilt) {
+			t.Errorf("%s: before a pass and in a new index:\n%v\n%v", n.self.Label, before, rebuilt)
+		}
 		evicted += len(out.Evict)
 		if slices.Equal(before, during) {
 			t.Errorf("%s plans nothing: the test needs a pass that does", n.self.Label)
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -70,7 +70,9 @@
 
 // heldByOwner is what the claims on each node's machines take; mu is held.
 func (n *Node) heldByOwner() heldByOwner {
-	n.enterTouched()
+	for host := range n.view.touched {
+		n.sumClaims(host)
+	}
 	return n.view.held
 }
 
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -191,6 +191,7 @@
 	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
 	n.view = newFleetView()
+	n.reg.Moved = func(host string) { n.view.records[host] = true }
 	n.table.Moved = func(host string) {
 		n.view.touch(host)
 		if w := n.workers[host]; w != nil {
@@ -303,7 +304,6 @@
 	case strings.HasPrefix(key, jobs.TeamPrefix):
 		return n.table.ApplyTeam(strings.TrimPrefix(key, jobs.TeamPrefix), v)
 	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
-		n.view.stale = true
 		return n.reg.Apply(key, v)
 	case strings.HasPrefix(key, member.NodePrefix):
 		label := strings.TrimPrefix(key, member.NodePrefix)
@@ -834,7 +834,7 @@
 			continue
 		}
 		h := peer.Host{Name: host, Stint: w.Stint, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
-			Warning: -1, Suspect: n.unfit(w)}
+			Warning: -1, Suspect: n.unfit(w, now)}
 		if !w.TakenAt.IsZero() {
 			h.Warning = 0
 		}
@@ -859,6 +859,6 @@
 }
 
 // unfit reports whether a machine should get no tasks for now.
-func (n *Node) unfit(w *fleet.Worker) bool {
-	return w.Mute || len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
+func (n *Node) unfit(w *fleet.Worker, now time.Time) bool {
+	return w.Mute || len(w.Errors) >= tuning.HostErrorsMax || now.Sub(w.Refused) < tuning.NoRoomPause
 }
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -81,7 +81,8 @@
 		return nil
 	}
 	now := n.now()
-	for host, w := range n.workers {
+	workers := n.sweep(now)
+	for host, w := range workers {
 		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
 			n.view.touch(host)
 		}
@@ -100,7 +101,7 @@
 	// budget's queue until its guards are old, and fail.
 	most := n.lim.Writes(tuning.WriteReserve)
 	txns := n.shareOut(now, &most)
-	due := n.releases(now)
+	due := n.releases(workers, now)
 	fleet := n.machines(now)
 	out := place.Pass(n.placeInput(fleet, now))
 	n.noteUnmet(out, now)
@@ -143,7 +144,7 @@
 	waits := n.lim.Waiting() + float64(n.storing+max(0, len(due)+len(jobsToClaim)-len(txns)))
 	n.want += (waits - n.want) / 2
 	n.shareBudget()
-	for host, w := range n.workers {
+	for host, w := range workers {
 		if n.ownerOf(host) == n.self.Label {
 			n.void(w)
 			n.direct(w, now)
@@ -151,6 +152,7 @@
 			delete(n.workers, host)
 		}
 	}
+	n.settle()
 	return txns
 }
 
@@ -286,8 +288,8 @@
 )
 
 // releases collects the claims whose end is proven on this node's machines,
-// by chunk; what matters most comes first.
-func (n *Node) releases(now time.Time) []ends {
+// by chunk; what matters most comes first. workers are those that may have any.
+func (n *Node) releases(workers map[string]*fleet.Worker, now time.Time) []ends {
 	changes := map[string]*chunkChange{}
 	add := func(id jobs.ID, kind jobs.TaskEventKind) {
 		j := n.table.Jobs[id.Ref]
@@ -317,7 +319,7 @@
 		}
 	}
 	lease := n.set.Lease()
-	for host, w := range n.workers {
+	for host, w := range workers {
 		if w.NothingToProve(now, lease) || n.ownerOf(host) != n.self.Label || n.reg.Hosts[host].Phase == fleet.Returned {
 			continue
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,6 +146,10 @@
 const (
 	// TickEvery is the pause between passes when nothing happens.
 	TickEvery = 500 * time.Millisecond
+	// SweepEvery is how often a pass looks at every machine, for what follows
+	// from time alone: the end of a lease, a machine that falls silent. Other
+	// passes look at those that something has changed for.
+	SweepEvery = 500 * time.Millisecond
 	// PassPause is the least time between two passes; it batches events.
 	PassPause = 80 * time.Millisecond
 	// ConflictPause is the mean wait after a placement lost a race for a
