--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -23,6 +23,9 @@
 	active   map[string]bool // machines of this node that the next pass looks at
 	swept    time.Time       // when a pass last looked at all of them
 	opened   time.Time       // when the openness of all machines was last worked out
+	returned map[string]bool // machines that are stored as returned
+	untold   map[string]bool // machines that may differ from what siblings are told of them
+	toldAll  time.Time       // when all machines were last compared with that
 
 	claims map[string]hostClaims // what is held on each machine, as it stands in held
 	held   heldByOwner
@@ -47,11 +50,14 @@
 
 func newFleetView() fleetView {
 	return fleetView{machines: map[string]*machineView{}, records: map[string]bool{}, touched: map[string]bool{}, active: map[string]bool{},
+		returned: map[string]bool{}, untold: map[string]bool{},
 		claims: map[string]hostClaims{}, held: heldByOwner{}}
 }
 
 // touch notes that something has changed on a machine.
-func (v *fleetView) touch(host string) { v.touched[host], v.active[host] = true, true }
+func (v *fleetView) touch(host string) {
+	v.touched[host], v.active[host], v.untold[host] = true, true, true
+}
 
 // resetView starts the picture anew: the owners of the machines have changed.
 // mu is held.
@@ -60,16 +66,19 @@
 	for host := range n.table.Hosts {
 		n.view.touch(host)
 	}
+	for host := range n.reg.Hosts {
+		n.view.records[host] = true
+	}
 }
 
 // sweep lists the workers of this node that a pass looks at: those that
 // something has changed for or is due for, and every so often all, for what
 // follows from time alone, such as the end of a lease; mu is held.
-func (n *Node) sweep(now time.Time) map[string]*fleet.Worker {
+func (n *Node) sweep(now time.Time) (workers map[string]*fleet.Worker, all bool) {
 	v := &n.view
 	if now.Sub(v.swept) >= tuning.SweepEvery || now.Before(v.swept) {
 		v.swept = now
-		return n.workers
+		return n.workers, true
 	}
 	some := make(map[string]*fleet.Worker, len(v.active))
 	for host := range v.active {
@@ -77,7 +86,7 @@
 			some[host] = w
 		}
 	}
-	return some
+	return some, false
 }
 
 // settle takes the machines that nothing is due for out of what the next pass
@@ -137,6 +146,11 @@
 		if stored != (m != nil) || stored && !sameMachine(m.Machine, n.newMachine(host, rec)) {
 			v.stale = true
 		}
+		if stored && rec.Phase == fleet.Returned {
+			v.returned[host] = true
+		} else {
+			delete(v.returned, host)
+		}
 		v.touch(host)
 	}
 	clear(v.records)
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -92,6 +92,7 @@
 	imageGB  map[string]float64  // sizes of images
 	held     map[string][]string // images of machines, as their former owners knew them
 	workers  map[string]*fleet.Worker
+	failing  map[string]*fleet.Worker // those whose tasks failed lately
 	siblings map[string]*sibling
 	busyJob  map[string]bool           // a write about the job is under way
 	busyTeam map[string]bool           // a write of the team's key is under way
@@ -178,7 +179,7 @@
 		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
 		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
 		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
-		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
+		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, failing: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
 		served: map[string]time.Time{}, deaf: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
@@ -829,7 +830,7 @@
 // lookOver notes what has changed of this node's machines; mu is held.
 func (n *Node) lookOver(now time.Time) {
 	silent := n.silentAfter()
-	for host, w := range n.workers {
+	for host, w := range n.unpublished(now) {
 		if w.Heard.IsZero() {
 			continue
 		}
@@ -853,6 +854,26 @@
 	}
 }
 
+// unpublished lists the workers whose machines may differ from what siblings are
+// told of them: those that something has changed for, and every so often all, for
+// those that have fallen silent; mu is held.
+func (n *Node) unpublished(now time.Time) map[string]*fleet.Worker {
+	v := &n.view
+	some := n.workers
+	if now.Sub(v.toldAll) < tuning.SweepEvery && !now.Before(v.toldAll) {
+		some = make(map[string]*fleet.Worker, len(v.untold))
+		for host := range v.untold {
+			if w := n.workers[host]; w != nil {
+				some[host] = w
+			}
+		}
+	} else {
+		v.toldAll = now
+	}
+	clear(v.untold)
+	return some
+}
+
 // silentAfter is how long after its last message a machine counts as silent.
 func (n *Node) silentAfter() time.Duration {
 	return time.Duration(tuning.SilentReports * float64(n.set.Report()))
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -81,12 +81,18 @@
 		return nil
 	}
 	now := n.now()
-	workers := n.sweep(now)
+	n.enterRecords()
+	workers, all := n.sweep(now)
 	for host, w := range workers {
 		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
 			n.view.touch(host)
 		}
 	}
+	for host, w := range n.failing {
+		if len(w.Errors) == 0 || n.workers[host] != w {
+			delete(n.failing, host)
+		}
+	}
 	for ref, at := range n.served {
 		if now.Sub(at) > tuning.PreemptPause {
 			delete(n.served, ref)
@@ -112,7 +118,9 @@
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
-	n.displace(fleet)
+	if all {
+		n.displace(fleet)
+	}
 	// Ends of jobs and of tasks that are to start again come first, but no more
 	// than half of what can be written while tasks wait for their claims. The
 	// other ends only free room, which is not short while there are claims.
@@ -178,7 +186,7 @@
 	in := place.Input{Me: n.self.Label, Leader: n.member.Leader.Label, Order: n.member.Order,
 		Fleet: fleet, Teams: n.teams(), Now: now, MostJobs: tuning.JobsPerPass}
 	avoid := map[string]map[string]bool{}
-	for host, w := range n.workers {
+	for host, w := range n.failing {
 		for ref := range w.Errors {
 			if avoid[ref] == nil {
 				avoid[ref] = map[string]bool{}
@@ -301,10 +309,7 @@
 		changes[key].events[id.Task] = jobs.TaskEvent{Kind: kind}
 	}
 	first := map[string]bool{} // jobs whose first node this is
-	for host, rec := range n.reg.Hosts {
-		if rec.Phase != fleet.Returned {
-			continue
-		}
+	for host := range n.view.returned {
 		// The proof is stored, so any node may release: the job's first
 		// does, in one write for the machines of all owners.
 		for id := range n.table.Hosts[host] {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -131,6 +131,7 @@
 				clear(w.Errors)
 			case wire.CauseError:
 				w.Errors[id.Ref] = true
+				n.failing[w.Host] = w
 			case wire.CauseNoRoom:
 				w.Refused = now
 			}
