Golden tests of every wire message, stored record and sibling message

Each format has a sample with every field filled, and no two with the same value, and its bytes as the present code writes them. Both directions are compared. `go test -run Golden -update ./wire` rewrites them after a change of format that is meant. The constants that are stored or sent, and the size that a submission counts for in an intake record, are pinned beside them.

New: internal/golden (support for these tests).

--- /dev/null
+++ b/internal/fleet/golden_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"flag"
+	"testing"
+
+	"wheatspur/internal/golden"
+	"wheatspur/internal/place"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden bytes")
+
+// What a node has stored must stay readable to every later version, and to the
+// version that works beside it.
+func TestGoldenRecords(t *testing.T) {
+	record := Record{Rig: "g8", Plot: "zone-1", Spot: true, Role: place.Batch, Phase: Draining, Why: "no work"}
+	golden.Check(t, []golden.Sample{
+		golden.CBOR("machine record", record),
+		golden.CBOR("group record", Group{Machines: map[string]Record{"host-1": record}}),
+	}, *update)
+}
+
+// The values of the stored phases and key prefixes.
+func TestStoredConstants(t *testing.T) {
+	for _, c := range []struct{ got, want string }{
+		{string(In), "in"}, {string(Draining), "draining"}, {string(Returned), "returned"},
+		{GroupKey(7), "w/fleet/000007"}, {HostPrefix, "w/host/"},
+	} {
+		if c.got != c.want {
+			t.Errorf("stored constant %q, want %q", c.got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/golden/cbor.go
@@ -0,0 +1,17 @@
+package golden
+
+import "wheatspur/wire"
+
+// CBOR returns the sample of a CBOR format.
+func CBOR[T any](name string, value T) Sample {
+	return Sample{
+		Name:   name,
+		Value:  &value,
+		Encode: func() ([]byte, error) { return wire.Marshal(&value) },
+		Decode: func(b []byte) (any, error) {
+			decoded := new(T)
+			err := wire.Unmarshal(b, decoded)
+			return decoded, err
+		},
+	}
+}
--- /dev/null
+++ b/internal/jobs/golden_test.go
@@ -0,0 +1,59 @@
+package jobs
+
+import (
+	"flag"
+	"testing"
+
+	"wheatspur/internal/golden"
+	"wheatspur/wire"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden bytes")
+
+func goldenWork() *wire.Work {
+	zone, deadline := "zone-1", 901.5
+	return &wire.Work{
+		Ref: "wk-000412", Cohort: "train", Crew: "vision", Shape: wire.ShapeArray, Rank: wire.RankUrgent,
+		Shards: 16, CPUs: 8.5, Cards: 1.5, RAMGB: 64.5, Bundle: "img-07", ImageGB: 6.25,
+		Rigs: []string{"g8", "g4"}, Plot: &zone, Together: true, Apart: true, Windfall: true,
+		ReckonS: 240, StakeS: 30, StashS: 4, DueS: &deadline, Awaits: []string{"wk-000398", "wk-000405"},
+	}
+}
+
+// What a node has stored must stay readable to every later version, and to the
+// version that works beside it.
+func TestGoldenRecords(t *testing.T) {
+	record := Record{Phase: Waiting, At: 1_700_000_000_001, Tasks: 17, Chunk: 64, Serial: 71,
+		Work: goldenWork(), End: 1_700_000_000_002, Via: "wk-000397"}
+	task := Task{State: Claimed, Try: 72, Host: "host-1", Stint: 73, Errs: 74}
+	golden.Check(t, []golden.Sample{
+		golden.CBOR("job record", record),
+		golden.CBOR("intake record", IntakeRecord{Jobs: map[string]Record{"intake": record}}),
+		golden.CBOR("chunk record", ChunkRecord{Tasks: []Task{task, {State: Completed, Try: 75, Host: "host-2", Stint: 76, Errs: 77}}}),
+		golden.CBOR("team record", TeamRecord{Baton: 78, Frozen: true, Grants: map[string]Grant{"node-1": {CPUs: 100.5, GPUs: 12.5}}}),
+	}, *update)
+}
+
+// The values of the stored phases, states and key prefixes.
+func TestStoredConstants(t *testing.T) {
+	for _, c := range []struct{ got, want string }{
+		{string(Open), "open"}, {string(Waiting), "waiting"}, {string(Done), "done"}, {string(Cancelled), "cancelled"},
+		{JobKey("wk-1"), "w/job/wk-1"}, {ChunkKey("wk-1", 2), "w/task/wk-1/2"}, {TeamKey("vision"), "w/team/vision"},
+		{IntakePrefix, "w/intake/"},
+	} {
+		if c.got != c.want {
+			t.Errorf("stored constant %q, want %q", c.got, c.want)
+		}
+	}
+	if Pending != 0 || Claimed != 1 || Completed != 2 {
+		t.Errorf("stored states %d, %d, %d; want 0, 1, 2", Pending, Claimed, Completed)
+	}
+}
+
+// The size of a description decides which submissions are taken and how many
+// go into one intake record.
+func TestIntakeBytesOfADescription(t *testing.T) {
+	if got, want := IntakeBytes(goldenWork()), 426; got != want {
+		t.Errorf("%d bytes, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/wire/golden_test.go
@@ -0,0 +1,84 @@
+package wire_test
+
+import (
+	"flag"
+	"testing"
+
+	"wheatspur/internal/golden"
+	"wheatspur/wire"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden bytes")
+
+func text(b string) wire.Raw { return wire.MustMarshal(b) }
+
+func samples() []golden.Sample {
+	zone, deadline, notice, grace := "zone-1", 901.5, 31.5, 12.5
+	task := wire.Shard{Shard: "wk-000412/7", Try: 41, Phase: wire.ShardExited, Cause: wire.CauseError, Saved: true}
+	order := wire.Order{Verb: wire.VerbKill, Shard: "wk-000413/8", Try: 42, LeewayS: &grace}
+	machineType := wire.Rig{Label: "g8", CPUs: 64, Cards: 8, RAMGB: 512, LocalGB: 900, FetchGBPerS: 0.5,
+		Price: 12.25, SpotPrice: 4.75, StartupS: 95, Plots: []string{"zone-a", "zone-b"}}
+	host := wire.Host{Ref: "host-3", Address: "10.0.0.3:80", Rig: "g4", Plot: zone, Windfall: true,
+		Phase: wire.HostStarting, HeldS: 77.5}
+	pair := wire.Pair{Key: "w/a", V: text("value a"), Stamp: 61}
+	guard := wire.Guard{Key: "w/b", Stamp: 62}
+	change := wire.Change{Set: "w/c", V: text("value c"), Tenure: 63, Drop: "w/d"}
+	event := wire.Event{Set: "w/e", V: text("value e"), Drop: "w/f", Stamp: 64}
+	return []golden.Sample{
+		golden.CBOR("job submission", wire.Work{
+			Ref: "wk-000412", Cohort: "train", Crew: "vision", Shape: wire.ShapeArray, Rank: wire.RankUrgent,
+			Shards: 16, CPUs: 8.5, Cards: 1.5, RAMGB: 64.5, Bundle: "img-07", ImageGB: 6.25,
+			Rigs: []string{"g8", "g4"}, Plot: &zone, Together: true, Apart: true, Windfall: true,
+			ReckonS: 240, StakeS: 30, StashS: 4, DueS: &deadline, Awaits: []string{"wk-000398", "wk-000405"},
+		}),
+		golden.CBOR("job status", wire.Status{Ref: "wk-000412", Phase: wire.PhaseRunning, Done: 3, Running: 13}),
+		golden.CBOR("refusal", wire.Failure{Error: "unknown team"}),
+		golden.CBOR("task report", task),
+		golden.CBOR("worker report", wire.Checkin{
+			Host: "host-1", Address: "10.0.0.1:80", Rig: "g8", Plot: zone, Windfall: true,
+			Stint: 21, Tally: 22, Baton: 23, WarningS: &notice, Shards: []wire.Shard{task},
+		}),
+		golden.CBOR("command", order),
+		golden.CBOR("report response", wire.Orders{Baton: 24, Orders: []wire.Order{order}}),
+		golden.CBOR("command request", wire.Commands{Baton: 25, Stint: 26, Orders: []wire.Order{order}}),
+		golden.CBOR("redirect", wire.Redirect{Foreman: "node-2"}),
+		golden.CBOR("machine type", machineType),
+		golden.CBOR("machine types", wire.Rigs{Rigs: []wire.Rig{machineType}}),
+		golden.CBOR("rent request", wire.Hire{Hire: "rent-9", Rig: "g2", Plot: zone, Windfall: true, Number: 5}),
+		golden.CBOR("host names", wire.HostNames{Hosts: []string{"host-1", "host-2"}}),
+		golden.CBOR("host", host),
+		golden.CBOR("host page", wire.HostPage{Hosts: []wire.Host{host}, Truncated: true}),
+		golden.CBOR("pair", pair),
+		golden.CBOR("pairs", wire.Pairs{Pairs: []wire.Pair{pair}, Truncated: true, Epoch: 65}),
+		golden.CBOR("guard", guard),
+		golden.CBOR("change", change),
+		golden.CBOR("transaction", wire.Multi{Guards: []wire.Guard{guard}, Then: []wire.Change{change}}),
+		golden.CBOR("transaction result", wire.MultiResult{Epoch: 66, Failed: []string{"w/g"}, Error: "guard failed"}),
+		golden.CBOR("lease request", wire.LeaseRequest{TTLMs: 5000}),
+		golden.CBOR("lease", wire.Lease{Tenure: 67}),
+		golden.CBOR("event", event),
+		golden.CBOR("events", wire.Events{Epoch: 68, Events: []wire.Event{event}}),
+	}
+}
+
+// The protocol's keys and values never change with the names in the program.
+func TestGoldenMessages(t *testing.T) { golden.Check(t, samples(), *update) }
+
+// The values of constants are part of the protocol too.
+func TestConstants(t *testing.T) {
+	for _, c := range []struct{ got, want string }{
+		{wire.ShapeArray, "array"}, {wire.ShapeStanding, "standing"}, {wire.ShapeGang, "gang"},
+		{wire.RankCritical, "critical"}, {wire.RankUrgent, "urgent"}, {wire.RankNormal, "normal"}, {wire.RankLow, "low"},
+		{wire.PhaseQueued, "queued"}, {wire.PhaseRunning, "running"}, {wire.PhaseDone, "done"}, {wire.PhaseCancelled, "cancelled"},
+		{wire.ShardPulling, "pulling"}, {wire.ShardRunning, "running"}, {wire.ShardFlushing, "flushing"}, {wire.ShardExited, "exited"},
+		{wire.CauseDone, "done"}, {wire.CauseStopped, "stopped"}, {wire.CauseError, "error"},
+		{wire.CauseNoRoom, "no_room"}, {wire.CauseInUse, "in_use"}, {wire.CauseUnknown, "unknown"},
+		{wire.VerbStart, "start"}, {wire.VerbKill, "kill"}, {wire.VerbReap, "reap"},
+		{wire.HostStarting, "starting"}, {wire.HostRunning, "running"}, {wire.HostFailed, "failed"},
+		{wire.ContentType, "application/cbor"},
+	} {
+		if c.got != c.want {
+			t.Errorf("constant %q, the protocol says %q", c.got, c.want)
+		}
+	}
+}
