make lint: staticcheck with every check, part of make check

It is pinned in a module file of its own, tools/go.mod, so that the program's own requirements stay as they are.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build and test targets; README.md explains them.
-.PHONY: build check generate
+.PHONY: build check lint generate
 
 build:
 	go build -ldflags=-linkmode=external -o target/wheatspur ./cmd/wheatspur
@@ -7,8 +7,14 @@
 check:
 	@unformatted=$$(gofmt -l cmd internal wire); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
 	go vet ./...
+	$(MAKE) lint
 	go run ./internal/testrun -race ./...
 
+# staticcheck, in the version of tools/go.mod and with the checks of
+# staticcheck.conf.
+lint:
+	go tool -modfile=tools/go.mod staticcheck ./...
+
 # Needs flatc (Debian package flatbuffers-compiler).
 generate:
 	go generate ./internal/peer
