--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -25,8 +25,8 @@
 
 // Cloud is what the leader needs of the cloud.
 type Cloud interface {
-	Types() ([]wire.Rig, error)
-	Hire(h wire.Hire) ([]string, error)
+	Types() ([]wire.MachineType, error)
+	Rent(h wire.RentRequest) ([]string, error)
 	Return(hosts []string) error
 	List() ([]wire.Host, error)
 }
@@ -91,14 +91,14 @@
 }
 
 // Types reads the machine types.
-func (c *CloudClient) Types() ([]wire.Rig, error) {
-	var out wire.Rigs
+func (c *CloudClient) Types() ([]wire.MachineType, error) {
+	var out wire.MachineTypes
 	err := c.call("GET", "/machine_types", nil, &out)
-	return out.Rigs, err
+	return out.Types, err
 }
 
-// Hire rents machines.
-func (c *CloudClient) Hire(h wire.Hire) ([]string, error) {
+// Rent rents machines.
+func (c *CloudClient) Rent(h wire.RentRequest) ([]string, error) {
 	var out wire.HostNames
 	err := c.call("POST", "/hosts", h, &out)
 	return out.Hosts, err
@@ -129,6 +129,6 @@
 		if !page.Truncated || len(page.Hosts) == 0 {
 			return all, nil
 		}
-		after = page.Hosts[len(page.Hosts)-1].Ref
+		after = page.Hosts[len(page.Hosts)-1].Name
 	}
 }
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -13,7 +13,7 @@
 // What a node has stored must stay readable to every later version, and to the
 // version that works beside it.
 func TestGoldenRecords(t *testing.T) {
-	record := Record{Rig: "g8", Plot: "zone-1", Spot: true, Role: place.Batch, Phase: Draining, Why: "no work"}
+	record := Record{MachineType: "g8", Zone: "zone-1", Spot: true, Role: place.Batch, Phase: Draining, Why: "no work"}
 	golden.Check(t, []golden.Sample{
 		golden.CBOR("machine record", record),
 		golden.CBOR("group record", Group{Machines: map[string]Record{"host-1": record}}),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -25,8 +25,8 @@
 
 // Kind is what one rental asks for.
 type Kind struct {
-	Rig, Zone string
-	Spot      bool
+	MachineType, Zone string
+	Spot              bool
 }
 
 // Unit is a machine in the plan.
@@ -62,19 +62,19 @@
 	Least int            // tasks that the headroom holds at least
 	Wait  float64        // tasks that wait for machines to boot
 	Need  jobs.Resources // of a typical task
-	Work  *wire.JobSpec  // a typical job
+	Spec  *wire.JobSpec  // a typical job
 }
 
 // PlanInput is what the capacity plan is made from.
 type PlanInput struct {
 	Now     time.Time
 	Op      config.Operator
-	Types   []wire.Rig
+	Types   []wire.MachineType
 	Units   []Unit
 	Wants   []Want
 	Service Load
 	Batch   Load
-	// Plain is the batch work that may not use spot machines; no Work: none
+	// Plain is the batch work that may not use spot machines; no Spec: none
 	// is open, waits for others, or was lately.
 	Plain   Load
 	Refused map[Kind]time.Time // when the cloud had none
@@ -91,12 +91,12 @@
 	Active map[place.Role]bool
 }
 
-// HirePlan is a number of machines to rent for a role.
-type HirePlan struct {
-	Kind   Kind
-	Role   place.Role
-	Number int
-	Why    string
+// RentPlan is a number of machines to rent for a role.
+type RentPlan struct {
+	Kind  Kind
+	Role  place.Role
+	Count int
+	Why   string
 }
 
 // DrainPlan is a machine to give back once it is empty.
@@ -112,8 +112,8 @@
 
 // PlanOutput is what to rent and to give back.
 type PlanOutput struct {
-	Hires  []HirePlan
-	Drains []DrainPlan
+	Rentals []RentPlan
+	Drains  []DrainPlan
 }
 
 type bin struct {
@@ -125,13 +125,13 @@
 }
 
 type planner struct {
-	in     PlanInput
-	types  map[string]wire.Rig
-	bins   []*bin
-	crowds map[crowd]int // bins by zone and role
-	dark   map[string]bool
-	hires  map[HirePlan]int
-	whys   map[HirePlan]string // why the first of them is rented
+	in      PlanInput
+	types   map[string]wire.MachineType
+	bins    []*bin
+	crowds  map[crowd]int // bins by zone and role
+	dark    map[string]bool
+	rentals map[RentPlan]int
+	whys    map[RentPlan]string // why the first of them is rented
 }
 
 type crowd struct {
@@ -141,7 +141,7 @@
 
 // Plan decides what to rent and what to give back. It is pure.
 func Plan(in PlanInput) PlanOutput {
-	p := &planner{in: in, types: map[string]wire.Rig{}, crowds: map[crowd]int{}, hires: map[HirePlan]int{}, whys: map[HirePlan]string{}}
+	p := &planner{in: in, types: map[string]wire.MachineType{}, crowds: map[crowd]int{}, rentals: map[RentPlan]int{}, whys: map[RentPlan]string{}}
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
@@ -171,19 +171,19 @@
 	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
 
 	var out PlanOutput
-	for h, n := range p.hires {
-		h.Number, h.Why = n, p.whys[h]
-		out.Hires = append(out.Hires, h)
+	for h, n := range p.rentals {
+		h.Count, h.Why = n, p.whys[h]
+		out.Rentals = append(out.Rentals, h)
 	}
-	sort.Slice(out.Hires, func(a, b int) bool {
-		x, y := out.Hires[a], out.Hires[b]
+	sort.Slice(out.Rentals, func(a, b int) bool {
+		x, y := out.Rentals[a], out.Rentals[b]
 		if x.Role != y.Role {
 			return x.Role == place.Service
 		}
 		if x.Kind.Zone != y.Kind.Zone {
 			return x.Kind.Zone < y.Kind.Zone
 		}
-		return x.Kind.Rig < y.Kind.Rig
+		return x.Kind.MachineType < y.Kind.MachineType
 	})
 	out.Drains = p.drains(unmet)
 	return out
@@ -208,15 +208,17 @@
 	return out
 }
 
-func (p *planner) boot(u Unit) time.Duration { return config.Seconds(p.types[u.Kind.Rig].StartupS) }
+func (p *planner) boot(u Unit) time.Duration {
+	return config.Seconds(p.types[u.Kind.MachineType].StartupS)
+}
 
-func total(t wire.Rig) jobs.Resources {
-	return jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
+func total(t wire.MachineType) jobs.Resources {
+	return jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 }
 
 // suits reports whether the job may use machines of the kind in the role.
 func suits(j *jobs.Job, k Kind, role place.Role) bool {
-	return place.Suits(j, &place.Machine{Type: k.Rig, Zone: k.Zone, Spot: k.Spot, Role: role})
+	return place.Suits(j, &place.Machine{Type: k.MachineType, Zone: k.Zone, Spot: k.Spot, Role: role})
 }
 
 func roleOf(j *jobs.Job) place.Role {
@@ -248,7 +250,7 @@
 		}
 	}
 	for count > 0 {
-		b := p.hire(j, waiting, why)
+		b := p.rent(j, waiting, why)
 		if b == nil {
 			return
 		}
@@ -258,10 +260,10 @@
 	}
 }
 
-// hire plans one more machine for a task: the cheapest for each task it holds,
+// rent plans one more machine for a task: the cheapest for each task it holds,
 // in the zone with the fewest machines of the role, and in a dark zone only if
 // there is none elsewhere; nil if none is to be had.
-func (p *planner) hire(j *jobs.Job, waiting time.Duration, why string) *bin {
+func (p *planner) rent(j *jobs.Job, waiting time.Duration, why string) *bin {
 	role := roleOf(j)
 	var best Kind
 	cost, least, far := math.Inf(1), 0, true
@@ -271,7 +273,7 @@
 			continue
 		}
 		fit := 1 / max(j.Need.Share(tot), 1e-9)
-		for _, z := range t.Plots {
+		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				k := Kind{t.Label, z, spot}
 				if !suits(j, k, role) {
@@ -288,7 +290,7 @@
 					price = t.SpotPrice
 				}
 				c, n := price/math.Floor(fit+1e-6), p.crowds[crowd{z, role}]
-				if k := p.hires[HirePlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.HireMax > 0 {
+				if k := p.rentals[RentPlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.RentMax > 0 {
 					n = -1 // batch work fills one call before the next
 				}
 				if d := p.dark[z]; d != far {
@@ -304,18 +306,18 @@
 	if math.IsInf(cost, 1) {
 		return nil
 	}
-	h := HirePlan{Kind: best, Role: role}
-	if p.hires[h]++; p.whys[h] == "" {
+	h := RentPlan{Kind: best, Role: role}
+	if p.rentals[h]++; p.whys[h] == "" {
 		p.whys[h] = why
 	}
-	b := &bin{kind: best, role: role, free: total(p.types[best.Rig])}
+	b := &bin{kind: best, role: role, free: total(p.types[best.MachineType])}
 	p.add(b)
 	return b
 }
 
 // spare is the number of typical tasks that a role's headroom holds.
 func spare(l Load, share float64) int {
-	if l.Work == nil || share <= 0 {
+	if l.Spec == nil || share <= 0 {
 		return 0
 	}
 	return max(int(math.Ceil(l.Tasks*share)), l.Least)
@@ -323,7 +325,7 @@
 
 // typical makes a job that stands for a load.
 func typical(l Load) *jobs.Job {
-	w := *l.Work
+	w := *l.Spec
 	w.Zone = nil
 	return &jobs.Job{Record: jobs.Record{Phase: jobs.Open, Spec: &w}, Need: l.Need}
 }
@@ -333,7 +335,7 @@
 		return
 	}
 	n := spare(l, share)
-	if l.Work != nil && l.Wait > 0 {
+	if l.Spec != nil && l.Wait > 0 {
 		n += p.hedge(typical(l), l.Wait)
 	}
 	if n > 0 {
@@ -365,12 +367,12 @@
 // ones whose loss leaves the headroom and the role floors.
 func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
 	var out []DrainPlan
-	type roleOfRig struct {
-		rig  string
+	type roleOfType struct {
+		name string
 		role place.Role
 	}
-	holds := map[roleOfRig]int{} // machines that keep a role's floor
-	floor := func(u Unit) roleOfRig { return roleOfRig{u.Kind.Rig, u.Role} }
+	holds := map[roleOfType]int{} // machines that keep a role's floor
+	floor := func(u Unit) roleOfType { return roleOfType{u.Kind.MachineType, u.Role} }
 	for _, u := range p.in.Units {
 		if u.Open && !u.Suspect && !u.Silent && !u.Missing {
 			holds[floor(u)]++
@@ -393,7 +395,7 @@
 		}
 	}
 	price := func(u Unit) float64 {
-		t := p.types[u.Kind.Rig]
+		t := p.types[u.Kind.MachineType]
 		if u.Kind.Spot {
 			return t.SpotPrice
 		}
@@ -422,7 +424,7 @@
 		// What is not rented for headroom is not kept for it. Guards against idle
 		// ordinary machines, several times as dear, that stand in for the spot
 		// machines of which the cloud has no more.
-		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Spot
+		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Spec != nil && p.in.Batch.Spec.Spot
 		// Guards against short work that may not use spot machines waiting for a
 		// boot each time, since spot machines hold the role's floor.
 		if u.Role == place.Batch && !u.Kind.Spot && !plain.spares(u) {
@@ -445,7 +447,7 @@
 		if u.Claims > 0 {
 			rest = p.in.Now.Sub(since)
 		}
-		if rest < limit || unmet[u.Role] || len(p.hires) > 0 || u.Claims > 0 && busy[u.Role] {
+		if rest < limit || unmet[u.Role] || len(p.rentals) > 0 || u.Claims > 0 && busy[u.Role] {
 			continue
 		}
 		holds[floor(u)]--
@@ -494,7 +496,7 @@
 
 func (p *planner) rooms(l Load, share float64) *rooms {
 	r := &rooms{need: spare(l, share), of: map[string]int{}}
-	if l.Work == nil {
+	if l.Spec == nil {
 		return r
 	}
 	r.job = typical(l)
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -11,9 +11,9 @@
 	"wheatspur/wire"
 )
 
-var types = []wire.Rig{
-	{Label: "big", CPUs: 16, Cards: 8, RAMGB: 128, Price: 8, SpotPrice: 2, StartupS: 40, Plots: []string{"z1", "z2"}},
-	{Label: "dear", CPUs: 16, Cards: 8, RAMGB: 128, Price: 16, SpotPrice: 6, StartupS: 40, Plots: []string{"z1"}},
+var types = []wire.MachineType{
+	{Label: "big", CPUs: 16, GPUs: 8, RAMGB: 128, Price: 8, SpotPrice: 2, StartupS: 40, Zones: []string{"z1", "z2"}},
+	{Label: "dear", CPUs: 16, GPUs: 8, RAMGB: 128, Price: 16, SpotPrice: 6, StartupS: 40, Zones: []string{"z1"}},
 }
 
 func want(shape string, n int) Want {
@@ -37,10 +37,10 @@
 	in.Wants = []Want{want(wire.KindArray, 12)}
 	out := Plan(in)
 	n := 0
-	for _, h := range out.Hires {
-		n += h.Number
-		if !h.Kind.Spot || h.Kind.Rig != "big" || h.Role != place.Batch {
-			t.Fatalf("hired %+v", h)
+	for _, h := range out.Rentals {
+		n += h.Count
+		if !h.Kind.Spot || h.Kind.MachineType != "big" || h.Role != place.Batch {
+			t.Fatalf("rented %+v", h)
 		}
 	}
 	if n != 2 {
@@ -50,16 +50,16 @@
 		in.Refused[Kind{"big", z, true}] = t0
 	}
 	in.Refused[Kind{"dear", "z1", true}] = t0
-	if out = Plan(in); len(out.Hires) != 0 {
-		t.Fatalf("ordinary machines at once for work that may wait for spot ones: %+v", out.Hires)
+	if out = Plan(in); len(out.Rentals) != 0 {
+		t.Fatalf("ordinary machines at once for work that may wait for spot ones: %+v", out.Rentals)
 	}
 	in.Wants[0].Waiting = tuning.OrdinaryBatchAfter
-	if out = Plan(in); len(out.Hires) == 0 || out.Hires[0].Kind.Spot {
-		t.Fatalf("no fallback: %+v", out.Hires)
+	if out = Plan(in); len(out.Rentals) == 0 || out.Rentals[0].Kind.Spot {
+		t.Fatalf("no fallback: %+v", out.Rentals)
 	}
 	in.Now = t0.Add(tuning.RefusedPause)
-	if out = Plan(in); len(out.Hires) == 0 || !out.Hires[0].Kind.Spot {
-		t.Fatalf("spot machines are not tried again: %+v", out.Hires)
+	if out = Plan(in); len(out.Rentals) == 0 || !out.Rentals[0].Kind.Spot {
+		t.Fatalf("spot machines are not tried again: %+v", out.Rentals)
 	}
 }
 
@@ -70,13 +70,13 @@
 	boot.Open, boot.Booting = false, true
 	in.Units = []Unit{boot}
 	out := Plan(in)
-	if len(out.Hires) != 1 || out.Hires[0].Kind.Spot || out.Hires[0].Role != place.Service {
-		t.Fatalf("%+v", out.Hires)
+	if len(out.Rentals) != 1 || out.Rentals[0].Kind.Spot || out.Rentals[0].Role != place.Service {
+		t.Fatalf("%+v", out.Rentals)
 	}
 	boot.Role = place.Service
 	in.Units = []Unit{boot}
-	if out = Plan(in); len(out.Hires) != 0 {
-		t.Fatalf("hired beside a machine that boots for it: %+v", out.Hires)
+	if out = Plan(in); len(out.Rentals) != 0 {
+		t.Fatalf("rented beside a machine that boots for it: %+v", out.Rentals)
 	}
 }
 
@@ -87,11 +87,11 @@
 	late := unit("late", place.Service, false)
 	late.Open, late.Booting, late.Age = false, true, 59*time.Second
 	in.Units = []Unit{late}
-	if out := Plan(in); len(out.Hires) != 0 {
-		t.Fatalf("replaced within the usual time: %+v", out.Hires)
+	if out := Plan(in); len(out.Rentals) != 0 {
+		t.Fatalf("replaced within the usual time: %+v", out.Rentals)
 	}
 	in.Units[0].Age = 61 * time.Second
-	if out := Plan(in); len(out.Hires) != 1 || len(out.Drains) != 0 {
+	if out := Plan(in); len(out.Rentals) != 1 || len(out.Drains) != 0 {
 		t.Fatalf("a late boot: %+v", out)
 	}
 }
@@ -113,7 +113,7 @@
 	in = input()
 	in.Units = []Unit{unit("s1", place.Service, false), unit("s2", place.Service, false)}
 	w := want(wire.KindService, 1)
-	in.Service = Load{Tasks: 4, Need: w.Job.Need, Work: w.Job.Record.Spec}
+	in.Service = Load{Tasks: 4, Need: w.Job.Need, Spec: w.Job.Record.Spec}
 	if d := Plan(in).Drains; len(d) != 1 || d[0].Why != WhyIdle {
 		t.Fatalf("an idle machine beside the floor: %v", d)
 	}
@@ -132,7 +132,7 @@
 	}
 	in.Units = []Unit{a, b, c}
 	w := want(wire.KindService, 1)
-	in.Service = Load{Tasks: 6, Need: w.Job.Need, Work: w.Job.Record.Spec}
+	in.Service = Load{Tasks: 6, Need: w.Job.Need, Spec: w.Job.Record.Spec}
 	if d := Plan(in).Drains; len(d) != 0 {
 		t.Fatalf("drained at once: %v", d)
 	}
@@ -152,12 +152,12 @@
 	in.Op.BatchHeadroom = 0.25
 	in.Units = []Unit{unit("s1", place.Service, false), unit("b1", place.Batch, false)}
 	w := want(wire.KindArray, 1)
-	in.Batch = Load{Tasks: 0.01, Need: w.Job.Need, Work: w.Job.Record.Spec}
+	in.Batch = Load{Tasks: 0.01, Need: w.Job.Need, Spec: w.Job.Record.Spec}
 	if d := Plan(in).Drains; len(d) != 0 {
 		t.Fatalf("the floors were given back: %v", d)
 	}
 	in.Active = nil
-	if out := Plan(in); len(out.Drains) != 2 || len(out.Hires) != 0 {
+	if out := Plan(in); len(out.Drains) != 2 || len(out.Rentals) != 0 {
 		t.Fatalf("without work: %+v", out)
 	}
 }
@@ -182,8 +182,8 @@
 	w.Untried = true
 	in.Wants = []Want{w}
 	n := 0
-	for _, h := range Plan(in).Hires {
-		n += h.Number
+	for _, h := range Plan(in).Rentals {
+		n += h.Count
 	}
 	if n != 1 {
 		t.Fatalf("%d machines of 8 rented for 20 tasks beside 16 free places", n)
@@ -196,7 +196,7 @@
 	in := input()
 	in.Op.BatchHeadroom = 0.5
 	in.Units = []Unit{unit("a", place.Batch, false), unit("b", place.Batch, false)}
-	in.Batch = Load{Tasks: 100, Need: want(wire.KindArray, 1).Job.Need, Work: want(wire.KindArray, 1).Job.Record.Spec}
+	in.Batch = Load{Tasks: 100, Need: want(wire.KindArray, 1).Job.Need, Spec: want(wire.KindArray, 1).Job.Record.Spec}
 	for _, z := range []string{"z1", "z2"} {
 		in.Refused[Kind{"big", z, true}] = t0
 	}
@@ -204,7 +204,7 @@
 	if out := Plan(in); len(out.Drains) != 1 {
 		t.Fatalf("%+v: one of two idle machines goes back, one keeps the role's floor", out.Drains)
 	}
-	in.Batch.Work.Spot = false
+	in.Batch.Spec.Spot = false
 	in.Refused[Kind{"big", "z1", false}], in.Refused[Kind{"big", "z2", false}], in.Refused[Kind{"dear", "z1", false}] = t0, t0, t0
 	if out := Plan(in); len(out.Drains) != 0 {
 		t.Fatalf("%+v: the headroom of work that needs ordinary machines", out.Drains)
@@ -223,8 +223,8 @@
 	}
 	zones := func() map[string]int {
 		out := map[string]int{}
-		for _, h := range Plan(in).Hires {
-			out[h.Kind.Zone] += h.Number
+		for _, h := range Plan(in).Rentals {
+			out[h.Kind.Zone] += h.Count
 		}
 		return out
 	}
@@ -246,20 +246,20 @@
 		in := input()
 		in.Units = units
 		w := want(wire.KindArray, 1).Job
-		in.Batch = Load{Need: w.Need, Work: w.Record.Spec}
+		in.Batch = Load{Need: w.Need, Spec: w.Record.Spec}
 		if plain {
-			in.Plain = Load{Least: 5, Need: jobs.Need(small), Work: small}
+			in.Plain = Load{Least: 5, Need: jobs.Need(small), Spec: small}
 			in.Op.BatchHeadroom = 0.25
 		}
 		return Plan(in)
 	}
-	if out := run(true, spot); len(out.Hires) != 1 || out.Hires[0].Kind.Spot || out.Hires[0].Number != 1 {
-		t.Fatalf("rented ahead: %+v", out.Hires)
+	if out := run(true, spot); len(out.Rentals) != 1 || out.Rentals[0].Kind.Spot || out.Rentals[0].Count != 1 {
+		t.Fatalf("rented ahead: %+v", out.Rentals)
 	}
-	if out := run(true, ordinary, spot, spot); len(out.Hires) != 0 || len(out.Drains) != 0 && out.Drains[0].Name == "o" {
-		t.Fatalf("with room: rented %+v, given back %+v", out.Hires, out.Drains)
+	if out := run(true, ordinary, spot, spot); len(out.Rentals) != 0 || len(out.Drains) != 0 && out.Drains[0].Name == "o" {
+		t.Fatalf("with room: rented %+v, given back %+v", out.Rentals, out.Drains)
 	}
-	if out := run(false, ordinary, unit("s2", place.Batch, true), spot); len(out.Hires) != 0 || len(out.Drains) == 0 || out.Drains[0].Name != "o" {
-		t.Fatalf("without such work: rented %+v, given back %+v", out.Hires, out.Drains)
+	if out := run(false, ordinary, unit("s2", place.Batch, true), spot); len(out.Rentals) != 0 || len(out.Drains) == 0 || out.Drains[0].Name != "o" {
+		t.Fatalf("without such work: rented %+v, given back %+v", out.Rentals, out.Drains)
 	}
 }
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -58,17 +58,19 @@
 
 // Record is the stored form of a machine.
 type Record struct {
-	Rig   string     `cbor:"r"`
-	Plot  string     `cbor:"z"`
-	Spot  bool       `cbor:"s,omitempty"`
-	Role  place.Role `cbor:"o"`
-	Phase Phase      `cbor:"p"`
-	Why   string     `cbor:"w,omitempty"` // of the last change, for operators
+	MachineType string     `cbor:"r"`
+	Zone        string     `cbor:"z"`
+	Spot        bool       `cbor:"s,omitempty"`
+	Role        place.Role `cbor:"o"`
+	Phase       Phase      `cbor:"p"`
+	Why         string     `cbor:"w,omitempty"` // of the last change, for operators
 }
 
 // bytes bounds the JSON form of the record in its group, whatever becomes of
 // its role and phase; the reason is kept where there is room.
-func (r Record) bytes(host string) int { return len(host) + len(r.Rig) + len(r.Plot) + recordBytes }
+func (r Record) bytes(host string) int {
+	return len(host) + len(r.MachineType) + len(r.Zone) + recordBytes
+}
 
 const (
 	recordBytes = 68 // all but the names and the reason
--- a/internal/fleet/record_test.go
+++ b/internal/fleet/record_test.go
@@ -24,8 +24,8 @@
 	}
 }
 
-func rec(rig string) Record {
-	return Record{Rig: rig, Plot: "a-zone-with-a-long-name", Role: place.Batch, Phase: In}
+func rec(machineType string) Record {
+	return Record{MachineType: machineType, Zone: "a-zone-with-a-long-name", Role: place.Batch, Phase: In}
 }
 
 func TestMachinesShareKeysAndStayBelowTheValueLimit(t *testing.T) {
@@ -68,7 +68,7 @@
 		all := map[string]map[string]any{}
 		for host := range g.groups[key] {
 			r := g.Hosts[host]
-			all[host] = map[string]any{"r": r.Rig, "z": r.Plot, "s": r.Spot, "o": r.Role, "p": r.Phase, "w": r.Why}
+			all[host] = map[string]any{"r": r.MachineType, "z": r.Zone, "s": r.Spot, "o": r.Role, "p": r.Phase, "w": r.Why}
 		}
 		if b, _ := json.Marshal(map[string]any{"m": all}); len(b) > limit {
 			t.Fatalf("%s holds %d bytes", key, len(b))
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -140,7 +140,7 @@
 }
 
 func TestWhatCanNeverRunIsRefused(t *testing.T) {
-	rigs := []wire.Rig{{Label: "g", CPUs: 8, Cards: 4, RAMGB: 64, Plots: []string{"z"}}}
+	types := []wire.MachineType{{Label: "g", CPUs: 8, GPUs: 4, RAMGB: 64, Zones: []string{"z"}}}
 	zone := "elsewhere"
 	for name, c := range map[string]struct {
 		edit  func(*wire.JobSpec)
@@ -159,7 +159,7 @@
 	} {
 		w := &wire.JobSpec{Kind: wire.KindArray, Tasks: 2, CPUs: 1, GPUs: 1, RAMGB: 1}
 		c.edit(w)
-		err := Check(w, Limits{GPUsMax: 3}, c.known, rigs, 64)
+		err := Check(w, Limits{GPUsMax: 3}, c.known, types, 64)
 		var r Refusal
 		if (err == nil) != c.ok || err != nil && !errors.As(err, &r) {
 			t.Errorf("%s: %v", name, err)
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -328,13 +328,13 @@
 
 // Check refuses a job that can never run: 422 to its user. oneWrite is the
 // number of tasks that one write can claim.
-func Check(w *wire.JobSpec, lim Limits, known bool, rigs []wire.Rig, oneWrite int) error {
+func Check(w *wire.JobSpec, lim Limits, known bool, types []wire.MachineType, oneWrite int) error {
 	if !known {
 		return Refusal("unknown team")
 	}
 	fits := false
-	for _, r := range rigs {
-		if Allowed(w, r.Label) && AnyZone(w, r.Plots) && Need(w).Fits(Resources{r.CPUs, r.Cards, r.RAMGB}) {
+	for _, r := range types {
+		if Allowed(w, r.Label) && AnyZone(w, r.Zones) && Need(w).Fits(Resources{r.CPUs, r.GPUs, r.RAMGB}) {
 			fits = true
 		}
 	}
@@ -355,12 +355,12 @@
 }
 
 // Allowed reports whether the job may use a machine type.
-func Allowed(w *wire.JobSpec, rig string) bool {
+func Allowed(w *wire.JobSpec, machineType string) bool {
 	if len(w.MachineTypes) == 0 {
 		return true
 	}
 	for _, r := range w.MachineTypes {
-		if r == rig {
+		if r == machineType {
 			return true
 		}
 	}
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -219,14 +219,14 @@
 	mu       sync.Mutex
 	list     []wire.Host
 	returned []string
-	hires    []wire.Hire
+	rentals  []wire.RentRequest
 }
 
-func (c *cloud) Types() ([]wire.Rig, error) { return rigs, nil }
-func (c *cloud) Hire(h wire.Hire) ([]string, error) {
+func (c *cloud) Types() ([]wire.MachineType, error) { return machineTypes, nil }
+func (c *cloud) Rent(h wire.RentRequest) ([]string, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hires = append(c.hires, h)
+	c.rentals = append(c.rentals, h)
 	return nil, fleet.ErrNoCapacity
 }
 func (c *cloud) Return(h []string) error {
@@ -237,7 +237,7 @@
 }
 func (c *cloud) List() ([]wire.Host, error) { return c.list, nil }
 
-var rigs = []wire.Rig{{Label: "g", CPUs: 8, Cards: 4, RAMGB: 64, FetchGBPerS: 1, Price: 4, SpotPrice: 1, StartupS: 30, Plots: []string{"z"}}}
+var machineTypes = []wire.MachineType{{Label: "g", CPUs: 8, GPUs: 4, RAMGB: 64, FetchGBPerS: 1, Price: 4, SpotPrice: 1, StartupS: 30, Zones: []string{"z"}}}
 
 // deaf is a worker side that never answers direct calls.
 type deaf struct{}
@@ -446,9 +446,9 @@
 func (w *world) addHost(host string, role string) {
 	w.t.Helper()
 	l := w.leader()
-	w.cl.list = append(w.cl.list, wire.Host{Ref: host, Address: "10.9.9.9:1", Rig: "g", Plot: "z", Phase: wire.HostRunning, HeldS: 100})
+	w.cl.list = append(w.cl.list, wire.Host{Name: host, Address: "10.9.9.9:1", MachineType: "g", Zone: "z", State: wire.HostRunning, AgeS: 100})
 	l.mu.Lock()
-	l.leadMemory().hired[host] = hired{role: placeRole(role)}
+	l.leadMemory().rented[host] = rental{role: placeRole(role)}
 	l.mu.Unlock()
 	l.enterList(context.Background(), w.cl.list)
 	w.sync()
--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -126,8 +126,8 @@
 func (w *world) keepAlive() {
 	w.sync()
 	for _, h := range w.cl.list {
-		owner, _ := w.owner(h.Ref)
-		owner.take(w.report(h.Ref, 1, owner.membershipToken()))
+		owner, _ := w.owner(h.Name)
+		owner.take(w.report(h.Name, 1, owner.membershipToken()))
 	}
 	w.tell()
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -25,14 +25,14 @@
 	if n.leading.token != n.member.Token {
 		old := n.leading
 		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
-			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
+			active: map[place.Role]time.Time{}, rented: map[string]rental{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
 			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
-		if old.token > 0 && old.nextToken == n.member.Token && old.hired != nil {
+		if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
-			n.leading.hired, n.leading.refused = old.hired, old.refused
+			n.leading.rented, n.leading.refused = old.rented, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.unfit, n.leading.gone = old.unfit, old.gone
 			n.leading.spared, n.leading.active = old.spared, old.active
@@ -100,8 +100,8 @@
 		}
 		if !free {
 			n.mu.Unlock()
-			for _, h := range out.Hires {
-				n.hire(ctx, h)
+			for _, h := range out.Rentals {
+				n.rent(ctx, h)
 			}
 			continue
 		}
@@ -123,8 +123,8 @@
 			<-storing
 			return nil
 		})
-		for _, h := range out.Hires {
-			n.hire(ctx, h)
+		for _, h := range out.Rentals {
+			n.rent(ctx, h)
 		}
 	}
 	return nil
@@ -143,7 +143,7 @@
 		}
 		l.seenJobs[ref] = true
 		if !j.Service() {
-			if l.batch.Work == nil || l.batch.Work.Class == j.Record.Spec.Class {
+			if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
 				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
 				if l.batchSize == 0 {
 					l.batchSize = size
@@ -157,7 +157,7 @@
 		}
 		for _, t := range n.types {
 			if jobs.Allowed(j.Record.Spec, t.Label) {
-				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
+				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 				l.control[t.Label].Arrive(now, j.Need.Share(tot)*float64(j.Record.Tasks))
 			}
 		}
@@ -170,7 +170,7 @@
 }
 
 // split describes one type's ordinary machines and demand; mu is held.
-func (n *Node) split(t wire.Rig, machines *place.Fleet) roles.Split {
+func (n *Node) split(t wire.MachineType, machines *place.Fleet) roles.Split {
 	s := roles.Split{Type: t.Label, Complete: true}
 	for _, sib := range n.siblings {
 		if n.member.Has(member.Node{Label: sib.cfg.Label, Incarnation: sib.status.Incarnation}) && !n.freshSibling(sib) {
@@ -217,7 +217,7 @@
 			}
 		}
 	}
-	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
+	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 	for ref, k := range n.unmet {
 		j := n.table.Jobs[ref]
 		if j == nil || j.Record.Spec == nil || !jobs.Allowed(j.Record.Spec, t.Label) {
@@ -352,12 +352,12 @@
 	held := map[string]*heldBatch{} // by class
 	for _, m := range machines.Machines {
 		rec := n.reg.Hosts[m.Name]
-		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
+		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{MachineType: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
 			Open: m.Open, Claims: len(m.Tasks), Free: m.Free, Group: n.reg.Key(m.Name)}
 		listed, isListed := l.listed[m.Name]
 		if age, ok := up[m.Name]; ok {
 			l.hear(m.Name, now.Add(-age))
-		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.Phase == wire.HostRunning) {
+		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.State == wire.HostRunning) {
 			// Up, but not heard under this leader yet: its time begins now.
 			l.hear(m.Name, now)
 		}
@@ -365,7 +365,7 @@
 		quiet := now.Sub(at)
 		u.Booting = !wasUp && rec.Phase == fleet.In
 		if isListed {
-			u.Age = time.Duration(listed.HeldS*float64(time.Second)) + now.Sub(l.listAt)
+			u.Age = time.Duration(listed.AgeS*float64(time.Second)) + now.Sub(l.listAt)
 		}
 		u.Silent = wasUp && quiet > 2*lease
 		u.Quiet = wasUp && quiet > n.silentAfter()
@@ -385,7 +385,7 @@
 			}
 			if r.Job.Service() {
 				service.Tasks++
-				service.Need, service.Work = r.Job.Need, wk
+				service.Need, service.Spec = r.Job.Need, wk
 			} else {
 				h := held[wk.Class]
 				if h == nil {
@@ -422,14 +422,14 @@
 		}
 	}
 	in.Movers = int(float64(serving) * tuning.MoversShare)
-	for host, h := range l.hired {
+	for host, h := range l.rented {
 		if _, known := n.reg.Hosts[host]; known || now.Sub(h.at) > time.Minute {
-			delete(l.hired, host)
+			delete(l.rented, host)
 			continue
 		}
-		t := n.rigs[h.kind.Rig]
+		t := n.machineTypes[h.kind.MachineType]
 		in.Units = append(in.Units, fleet.Unit{Name: host, Kind: h.kind, Role: h.role, Booting: true, Age: now.Sub(h.at),
-			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
+			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}})
 	}
 	batch := l.typicalBatch(held)
 	if l.avgAt.IsZero() {
@@ -487,7 +487,7 @@
 			// The headroom is for what will run too.
 			in.Service.Tasks += float64(n.unmet[ref])
 			in.Service.Wait += float64(n.unmet[ref])
-			in.Service.Need, in.Service.Work = j.Need, j.Record.Spec
+			in.Service.Need, in.Service.Spec = j.Need, j.Record.Spec
 		}
 		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
 	}
@@ -513,7 +513,7 @@
 		}
 	}
 	if typical != nil {
-		l.plain = fleet.Load{Need: typical.Need, Work: typical.Record.Spec, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
+		l.plain = fleet.Load{Need: typical.Need, Spec: typical.Record.Spec, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
 		l.plainSeen = now
 	} else if now.Sub(l.plainSeen) > tuning.BatchHeadroomHold {
 		l.plain = fleet.Load{}
@@ -552,7 +552,7 @@
 	if most == nil || most.share == 0 {
 		return 0
 	}
-	l.batch.Need, l.batch.Work = most.job.Need, most.job.Record.Spec
+	l.batch.Need, l.batch.Spec = most.job.Need, most.job.Record.Spec
 	return all * most.tasks / most.share
 }
 
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -73,7 +73,7 @@
 	if same {
 		return nil
 	}
-	return n.write(ctx, guards, []wire.Change{{Set: typesKey, V: wire.MustMarshal(wire.Rigs{Rigs: list})}})
+	return n.write(ctx, guards, []wire.Change{{Set: typesKey, V: wire.MustMarshal(wire.MachineTypes{Types: list})}})
 }
 
 // writeHosts stores changes of machine records, each guarded by the stamp of
@@ -175,43 +175,43 @@
 		}
 	}
 	for _, h := range list {
-		if _, ok := l.gone[h.Ref]; ok {
+		if _, ok := l.gone[h.Name]; ok {
 			continue
 		}
-		seen[h.Ref] = true
-		if _, ok := l.since[h.Ref]; !ok {
-			l.since[h.Ref] = now
+		seen[h.Name] = true
+		if _, ok := l.since[h.Name]; !ok {
+			l.since[h.Name] = now
 		}
-		l.listed[h.Ref] = h
-		delete(l.absent, h.Ref)
-		rec, known := n.reg.Hosts[h.Ref]
+		l.listed[h.Name] = h
+		delete(l.absent, h.Name)
+		rec, known := n.reg.Hosts[h.Name]
 		switch {
-		case h.Phase == wire.HostFailed:
+		case h.State == wire.HostFailed:
 			was := &rec
 			if !known {
 				// Its record is dropped already; the entry stays until deleted.
-				was, rec = nil, fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Role: place.Batch}
+				was, rec = nil, fleet.Record{MachineType: h.MachineType, Zone: h.Zone, Spot: h.Spot, Role: place.Batch}
 			}
 			if next, err := rec.Phase.Next(fleet.Gone); err == nil && rec.Phase != fleet.Returned {
 				gone := rec
 				gone.Phase, gone.Why = next, "listed as failed"
-				changes = append(changes, fleet.Change{Host: h.Ref, Was: was, Now: &gone})
-				n.log.Info("machine failed", "host", h.Ref)
+				changes = append(changes, fleet.Change{Host: h.Name, Was: was, Now: &gone})
+				n.log.Info("machine failed", "host", h.Name)
 			}
 		case !known:
-			rec = fleet.Record{Rig: h.Rig, Plot: h.Plot, Spot: h.Windfall, Phase: fleet.In, Role: n.firstRole(l, h, changes)}
-			changes = append(changes, fleet.Change{Host: h.Ref, Now: &rec})
-			n.log.Info("machine joins", "host", h.Ref, "type", h.Rig, "zone", h.Plot, "spot", h.Windfall, "role", string(rec.Role))
+			rec = fleet.Record{MachineType: h.MachineType, Zone: h.Zone, Spot: h.Spot, Phase: fleet.In, Role: n.firstRole(l, h, changes)}
+			changes = append(changes, fleet.Change{Host: h.Name, Now: &rec})
+			n.log.Info("machine joins", "host", h.Name, "type", h.MachineType, "zone", h.Zone, "spot", h.Spot, "role", string(rec.Role))
 		}
-		if n.ownerOf(h.Ref) == n.self.Label && h.Phase == wire.HostRunning {
-			if w := n.worker(h.Ref); w.Address == "" {
+		if n.ownerOf(h.Name) == n.self.Label && h.State == wire.HostRunning {
+			if w := n.worker(h.Name); w.Address == "" {
 				w.Address = h.Address
 			}
 		}
 	}
 	newest := ""
 	for _, h := range list {
-		newest = max(newest, h.Ref)
+		newest = max(newest, h.Name)
 	}
 	lag := config.Seconds(n.set.Params.Cloud.ListLagS)
 	for host, rec := range n.reg.Hosts {
@@ -228,9 +228,9 @@
 			l.absent[host]++
 		}
 	}
-	for host := range l.hired {
+	for host := range l.rented {
 		if seen[host] {
-			delete(l.hired, host)
+			delete(l.rented, host)
 		}
 	}
 	n.mu.Unlock()
@@ -240,15 +240,15 @@
 // firstRole is the role of a machine that is new to the store: what it was
 // rented for; else the role floors, then what waits, then services.
 func (n *Node) firstRole(l *leading, h wire.Host, joining []fleet.Change) place.Role {
-	if h.Windfall {
+	if h.Spot {
 		return place.Batch
 	}
-	if r, ok := l.hired[h.Ref]; ok {
+	if r, ok := l.rented[h.Name]; ok {
 		return r.role
 	}
 	count := map[place.Role]int{}
 	add := func(r fleet.Record) {
-		if r.Rig == h.Rig && !r.Spot && r.Phase == fleet.In {
+		if r.MachineType == h.MachineType && !r.Spot && r.Phase == fleet.In {
 			count[r.Role]++
 		}
 	}
@@ -327,7 +327,7 @@
 			}
 			if l.absent[host] >= tuning.GoneLists {
 				over[n.reg.Key(host)] = append(over[n.reg.Key(host)], fleet.Change{Host: host, Was: &rec})
-			} else if l.listed[host].Phase == wire.HostFailed && l.absent[host] == 0 {
+			} else if l.listed[host].State == wire.HostFailed && l.absent[host] == 0 {
 				returns = append(returns, host) // stays listed until deleted
 			}
 		}
@@ -408,9 +408,9 @@
 	n.storeHosts(ctx, changes, nil, tuning.GroupsPerBatch)
 }
 
-// hire rents machines. A request's name holds the token, which only one leader
+// rent rents machines. A request's name holds the token, which only one leader
 // ever has, and a counter: no name is used twice.
-func (n *Node) hire(ctx context.Context, h fleet.HirePlan) {
+func (n *Node) rent(ctx context.Context, h fleet.RentPlan) {
 	n.mu.Lock()
 	if !n.leads() || ctx.Err() != nil {
 		n.mu.Unlock()
@@ -420,18 +420,18 @@
 	l.counter++
 	name := fmt.Sprintf("%s-%d-%d", n.self.Label, l.token, l.counter)
 	n.mu.Unlock()
-	number := min(h.Number, tuning.HireMax)
-	names, err := n.cloud.Hire(wire.Hire{Hire: name, Rig: h.Kind.Rig, Plot: h.Kind.Zone, Windfall: h.Kind.Spot, Number: number})
+	count := min(h.Count, tuning.RentMax)
+	names, err := n.cloud.Rent(wire.RentRequest{Name: name, MachineType: h.Kind.MachineType, Zone: h.Kind.Zone, Spot: h.Kind.Spot, Count: count})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l = n.leadMemory()
 	now := n.now()
-	if errors.Is(err, fleet.ErrNoCapacity) || err == nil && len(names) < number {
+	if errors.Is(err, fleet.ErrNoCapacity) || err == nil && len(names) < count {
 		l.refused[h.Kind] = now
 	}
-	n.log.Info("machines rented", "request", name, "type", h.Kind.Rig, "zone", h.Kind.Zone, "spot", h.Kind.Spot,
-		"role", string(h.Role), "asked", number, "got", len(names), "why", h.Why, "err", err)
+	n.log.Info("machines rented", "request", name, "type", h.Kind.MachineType, "zone", h.Kind.Zone, "spot", h.Kind.Spot,
+		"role", string(h.Role), "asked", count, "got", len(names), "why", h.Why, "err", err)
 	for _, host := range names {
-		l.hired[host] = hired{h.Kind, h.Role, now}
+		l.rented[host] = rental{h.Kind, h.Role, now}
 	}
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -100,8 +100,8 @@
 	}
 	gauge(descUnmet, float64(unmet))
 	type group struct {
-		rig, kind, role string
-		phase           fleet.Phase
+		machineType, kind, role string
+		phase                   fleet.Phase
 	}
 	hosts := map[group]int{}
 	for _, h := range n.reg.Hosts {
@@ -109,16 +109,16 @@
 		if h.Spot {
 			kind = "spot"
 		}
-		hosts[group{h.Rig, kind, string(h.Role), h.Phase}]++
+		hosts[group{h.MachineType, kind, string(h.Role), h.Phase}]++
 	}
 	for g, k := range hosts {
-		gauge(descHosts, float64(k), g.rig, g.kind, g.role, string(g.phase))
+		gauge(descHosts, float64(k), g.machineType, g.kind, g.role, string(g.phase))
 	}
 	if leads {
-		for rig, d := range n.leading.decision {
-			gauge(descSplit, d.BatchLoad, rig, "batch")
-			gauge(descSplit, d.ServiceLoad, rig, "service")
-			gauge(descEvidence, flag(d.EvidenceOpen), rig)
+		for machineType, d := range n.leading.decision {
+			gauge(descSplit, d.BatchLoad, machineType, "batch")
+			gauge(descSplit, d.ServiceLoad, machineType, "service")
+			gauge(descEvidence, flag(d.EvidenceOpen), machineType)
 		}
 	}
 }
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -67,47 +67,47 @@
 
 	metrics *metrics
 
-	mu       sync.Mutex // guards all below
-	cache    *store.Cache
-	table    *jobs.Table
-	sync     *store.Syncer
-	session  member.SessionState
-	self     member.Node
-	sessions map[string]member.Node
-	versions map[string]member.Session // the same, with what they say of their programs
-	deaf     map[string]bool           // nodes that say that they hear no worker
-	probes   []string                  // workers' addresses to ask while we are deaf
-	probed   time.Time                 // when one of them last answered
-	deafAt   time.Time
-	lead     *member.Node
-	member   *member.Record
-	reg      *fleet.Register
-	owners   map[string]string // of machines under the present membership
-	fleet    *place.Fleet      // of the last pass; nil: its machines have changed
-	told     map[string]*told
-	view     uint64 // number of the last change in told
-	viewAt   time.Time
-	types    []wire.Rig
-	rigs     map[string]wire.Rig
-	imageGB  map[string]float64  // sizes of images
-	held     map[string][]string // images of machines, as their former owners knew them
-	workers  map[string]*fleet.Worker
-	siblings map[string]*sibling
-	busyJob  map[string]bool           // a write about the job is under way
-	busyTeam map[string]bool           // a write of the team's key is under way
-	flying   map[string]jobs.Resources // claims under way, by team
-	doubts   []doubt
-	want     float64              // changes that wait for the budget, a mean over the last passes
-	storing  int                  // changes of machine records that the leader has yet to write
-	shortAt  map[string]time.Time // teams whose work waits for a new share, since when
-	sharedAt map[string]time.Time // when a team's limit was last frozen
-	dueSince map[string]time.Time // chunks with ends to store, since when
-	notUntil map[string]time.Time // jobs that lost a race, by when to try again
-	served   map[string]time.Time // jobs that others were stopped for, by when
-	unmet    map[string]int       // tasks without a place, by job, of the last pass
-	why      map[string]string
-	unmetAt  map[string]time.Time
-	raisedAt time.Time // when our membership last changed
+	mu           sync.Mutex // guards all below
+	cache        *store.Cache
+	table        *jobs.Table
+	sync         *store.Syncer
+	session      member.SessionState
+	self         member.Node
+	sessions     map[string]member.Node
+	versions     map[string]member.Session // the same, with what they say of their programs
+	deaf         map[string]bool           // nodes that say that they hear no worker
+	probes       []string                  // workers' addresses to ask while we are deaf
+	probed       time.Time                 // when one of them last answered
+	deafAt       time.Time
+	lead         *member.Node
+	member       *member.Record
+	reg          *fleet.Register
+	owners       map[string]string // of machines under the present membership
+	fleet        *place.Fleet      // of the last pass; nil: its machines have changed
+	told         map[string]*told
+	view         uint64 // number of the last change in told
+	viewAt       time.Time
+	types        []wire.MachineType
+	machineTypes map[string]wire.MachineType
+	imageGB      map[string]float64  // sizes of images
+	held         map[string][]string // images of machines, as their former owners knew them
+	workers      map[string]*fleet.Worker
+	siblings     map[string]*sibling
+	busyJob      map[string]bool           // a write about the job is under way
+	busyTeam     map[string]bool           // a write of the team's key is under way
+	flying       map[string]jobs.Resources // claims under way, by team
+	doubts       []doubt
+	want         float64              // changes that wait for the budget, a mean over the last passes
+	storing      int                  // changes of machine records that the leader has yet to write
+	shortAt      map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt     map[string]time.Time // when a team's limit was last frozen
+	dueSince     map[string]time.Time // chunks with ends to store, since when
+	notUntil     map[string]time.Time // jobs that lost a race, by when to try again
+	served       map[string]time.Time // jobs that others were stopped for, by when
+	unmet        map[string]int       // tasks without a place, by job, of the last pass
+	why          map[string]string
+	unmetAt      map[string]time.Time
+	raisedAt     time.Time // when our membership last changed
 	// The stamp of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
@@ -134,7 +134,7 @@
 	listed    map[string]wire.Host
 	listAt    time.Time
 	absent    map[string]int // lists in a row that omitted a machine listed before
-	hired     map[string]hired
+	rented    map[string]rental
 	refused   map[fleet.Kind]time.Time
 	control   map[string]*roles.Controller
 	decision  map[string]roles.Decision
@@ -157,7 +157,7 @@
 	service   fleet.Load
 }
 
-type hired struct {
+type rental struct {
 	kind fleet.Kind
 	role place.Role
 	at   time.Time
@@ -178,7 +178,7 @@
 		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
 		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
 		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
-		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
+		machineTypes: map[string]wire.MachineType{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
 		served: map[string]time.Time{}, deaf: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
@@ -333,17 +333,17 @@
 	case key == member.Key:
 		return n.enterMember(v)
 	case key == typesKey:
-		var r wire.Rigs
+		var r wire.MachineTypes
 		if v == nil {
 			return nil
 		}
 		if err := wire.Unmarshal(v, &r); err != nil {
 			return err
 		}
-		n.types, n.fleet = r.Rigs, nil
-		clear(n.rigs)
-		for _, t := range r.Rigs {
-			n.rigs[t.Label] = t
+		n.types, n.fleet = r.Types, nil
+		clear(n.machineTypes)
+		for _, t := range r.Types {
+			n.machineTypes[t.Label] = t
 		}
 	}
 	return nil
--- a/internal/server/pipeline_test.go
+++ b/internal/server/pipeline_test.go
@@ -423,7 +423,7 @@
 				}
 			}
 			for ; len(big.Machines) < 32; machines++ {
-				big.Machines[fmt.Sprintf("host-9%05d", machines)] = fleet.Record{Rig: "a-large-type", Plot: "a-far-away-zone", Role: "batch", Phase: fleet.In, Why: "joins"}
+				big.Machines[fmt.Sprintf("host-9%05d", machines)] = fleet.Record{MachineType: "a-large-type", Zone: "a-far-away-zone", Role: "batch", Phase: fleet.In, Why: "joins"}
 			}
 			w.st.put(fleet.GroupKey(0), wire.MustMarshal(big))
 		}
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -30,20 +30,20 @@
 	l := w.leader()
 	for i := range fleetSize {
 		host := fmt.Sprintf("host-%06d", i)
-		w.cl.list = append(w.cl.list, wire.Host{Ref: host, Address: "10.9.9.9:1", Rig: "g", Plot: "z", Phase: wire.HostRunning, HeldS: 100})
+		w.cl.list = append(w.cl.list, wire.Host{Name: host, Address: "10.9.9.9:1", MachineType: "g", Zone: "z", State: wire.HostRunning, AgeS: 100})
 		role := place.Batch
 		if i%2 == 0 {
 			role = place.Service
 		}
 		l.mu.Lock()
-		l.leadMemory().hired[host] = hired{role: role}
+		l.leadMemory().rented[host] = rental{role: role}
 		l.mu.Unlock()
 	}
 	l.enterList(context.Background(), w.cl.list)
 	w.sync()
 	for _, h := range w.cl.list {
-		owner, _ := w.owner(h.Ref)
-		owner.take(w.report(h.Ref, 1, owner.membershipToken()))
+		owner, _ := w.owner(h.Name)
+		owner.take(w.report(h.Name, 1, owner.membershipToken()))
 	}
 	w.tell()
 }
@@ -188,8 +188,8 @@
 	}
 	epochs("3600 tasks end", 4*arrays, func() {
 		for _, h := range w.cl.list {
-			owner, _ := w.owner(h.Ref)
-			owner.take(w.report(h.Ref, 1, owner.membershipToken(), tasks[h.Ref]...))
+			owner, _ := w.owner(h.Name)
+			owner.take(w.report(h.Name, 1, owner.membershipToken(), tasks[h.Name]...))
 		}
 		for range 12 {
 			w.clk.add(tuning.ReleaseGather)
@@ -232,8 +232,8 @@
 	w.teamRoom()
 	w.raise()
 	for _, h := range w.cl.list {
-		owner, _ := w.owner(h.Ref)
-		owner.take(w.report(h.Ref, 1, owner.membershipToken()))
+		owner, _ := w.owner(h.Name)
+		owner.take(w.report(h.Name, 1, owner.membershipToken()))
 	}
 	w.tell()
 	w.fill(60, 20)
@@ -249,7 +249,7 @@
 	}
 	had, own := claimed(), 0
 	for _, h := range w.cl.list {
-		if o, _ := w.owner(h.Ref); o == l {
+		if o, _ := w.owner(h.Name); o == l {
 			own++
 		}
 	}
@@ -285,8 +285,8 @@
 		t.Errorf("%d of its own %d machines are still proven", proven, own)
 	}
 	for _, h := range w.cl.list {
-		if code, _ := l.take(w.report(h.Ref, 1, l.membershipToken())); code != 200 {
-			t.Fatalf("%s is answered %d", h.Ref, code)
+		if code, _ := l.take(w.report(h.Name, 1, l.membershipToken())); code != 200 {
+			t.Fatalf("%s is answered %d", h.Name, code)
 		}
 	}
 	epoch = w.st.epoch
@@ -309,7 +309,7 @@
 	ctx := context.Background()
 	var list []wire.Host
 	for i := range 100 {
-		list = append(list, wire.Host{Ref: fmt.Sprintf("host-%06d", i), Address: "10.9.9.9:1", Rig: "g", Plot: "z", Phase: wire.HostRunning})
+		list = append(list, wire.Host{Name: fmt.Sprintf("host-%06d", i), Address: "10.9.9.9:1", MachineType: "g", Zone: "z", State: wire.HostRunning})
 	}
 	known := func() int {
 		w.sync()
@@ -362,7 +362,7 @@
 func joins(list []wire.Host) []fleet.Change {
 	var out []fleet.Change
 	for _, h := range list {
-		out = append(out, fleet.Change{Host: h.Ref, Now: &fleet.Record{Rig: h.Rig, Plot: h.Plot, Role: place.Batch, Phase: fleet.In}})
+		out = append(out, fleet.Change{Host: h.Name, Now: &fleet.Record{MachineType: h.MachineType, Zone: h.Zone, Role: place.Batch, Phase: fleet.In}})
 	}
 	return out
 }
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -642,7 +642,7 @@
 	n.mu.Lock()
 	n.lead = nil
 	n.mu.Unlock()
-	n.writeHosts(context.Background(), []fleet.Change{{Host: "h9", Now: &fleet.Record{Rig: "g", Plot: "z", Role: "batch", Phase: fleet.In}}})
+	n.writeHosts(context.Background(), []fleet.Change{{Host: "h9", Now: &fleet.Record{MachineType: "g", Zone: "z", Role: "batch", Phase: fleet.In}}})
 	w.sync()
 	if n.reg.Key("h9") != "" {
 		t.Fatal("a node that does not lead stores machine records")
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -122,7 +122,7 @@
 				// Once a start. Guards against an order of use that changes with
 				// each report: siblings were told of every machine all the time.
 				n.imageGB[j.Record.Spec.Image] = j.Record.Spec.ImageGB
-				w.NoteImage(j.Record.Spec.Image, n.imageSize, n.rigs[w.MachineType].LocalGB)
+				w.NoteImage(j.Record.Spec.Image, n.imageSize, n.machineTypes[w.MachineType].LocalGB)
 			}
 		case wire.TaskExited:
 			switch s.ExitCause {
@@ -287,10 +287,10 @@
 	if n.fleet == nil {
 		list := make([]*place.Machine, 0, len(n.reg.Hosts))
 		for host, rec := range n.reg.Hosts {
-			t := n.rigs[rec.Rig]
-			list = append(list, &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
+			t := n.machineTypes[rec.MachineType]
+			list = append(list, &place.Machine{Name: host, Type: rec.MachineType, Zone: rec.Zone, Spot: rec.Spot, Role: rec.Role,
 				Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
-				Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
+				Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}})
 		}
 		n.fleet = place.NewFleet(list)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -263,8 +263,8 @@
 	MissingReports = 1.25
 	// ReturnMax is the most machines named in one return.
 	ReturnMax = 100
-	// HireMax is the most machines asked for in one call.
-	HireMax = 50
+	// RentMax is the most machines asked for in one call.
+	RentMax = 50
 	// MovableTries is how many half-empty service machines a plan looks at, at
 	// least; in a large fleet, as many as may be emptied at once.
 	MovableTries = 6
--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -16,10 +16,10 @@
 	zone, deadline, notice, grace := "zone-1", 901.5, 31.5, 12.5
 	task := wire.TaskReport{Task: "wk-000412/7", Attempt: 41, State: wire.TaskExited, ExitCause: wire.ExitCauseError, Saved: true}
 	order := wire.Command{Verb: wire.VerbKill, Task: "wk-000413/8", Attempt: 42, GracePeriodS: &grace}
-	machineType := wire.Rig{Label: "g8", CPUs: 64, Cards: 8, RAMGB: 512, LocalGB: 900, FetchGBPerS: 0.5,
-		Price: 12.25, SpotPrice: 4.75, StartupS: 95, Plots: []string{"zone-a", "zone-b"}}
-	host := wire.Host{Ref: "host-3", Address: "10.0.0.3:80", Rig: "g4", Plot: zone, Windfall: true,
-		Phase: wire.HostStarting, HeldS: 77.5}
+	machineType := wire.MachineType{Label: "g8", CPUs: 64, GPUs: 8, RAMGB: 512, LocalGB: 900, FetchGBPerS: 0.5,
+		Price: 12.25, SpotPrice: 4.75, StartupS: 95, Zones: []string{"zone-a", "zone-b"}}
+	host := wire.Host{Name: "host-3", Address: "10.0.0.3:80", MachineType: "g4", Zone: zone, Spot: true,
+		State: wire.HostStarting, AgeS: 77.5}
 	pair := wire.Pair{Key: "w/a", V: text("value a"), Stamp: 61}
 	guard := wire.Guard{Key: "w/b", Stamp: 62}
 	change := wire.Change{Set: "w/c", V: text("value c"), Tenure: 63, Drop: "w/d"}
@@ -43,8 +43,8 @@
 		golden.CBOR("command request", wire.CommandRequest{Token: 25, Session: 26, Commands: []wire.Command{order}}),
 		golden.CBOR("redirect", wire.Redirect{Node: "node-2"}),
 		golden.CBOR("machine type", machineType),
-		golden.CBOR("machine types", wire.Rigs{Rigs: []wire.Rig{machineType}}),
-		golden.CBOR("rent request", wire.Hire{Hire: "rent-9", Rig: "g2", Plot: zone, Windfall: true, Number: 5}),
+		golden.CBOR("machine types", wire.MachineTypes{Types: []wire.MachineType{machineType}}),
+		golden.CBOR("rent request", wire.RentRequest{Name: "rent-9", MachineType: "g2", Zone: zone, Spot: true, Count: 5}),
 		golden.CBOR("host names", wire.HostNames{Hosts: []string{"host-1", "host-2"}}),
 		golden.CBOR("host", host),
 		golden.CBOR("host page", wire.HostPage{Hosts: []wire.Host{host}, Truncated: true}),
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -297,32 +297,32 @@
 	Node string `cbor:"foreman,omitempty"`
 }
 
-// Rig is a machine type.
-type Rig struct {
+// MachineType is a machine type.
+type MachineType struct {
 	Label       string   `cbor:"label"`
 	CPUs        float64  `cbor:"cpus"`
-	Cards       float64  `cbor:"cards"`
+	GPUs        float64  `cbor:"cards"`
 	RAMGB       float64  `cbor:"ram_gb"`
 	LocalGB     float64  `cbor:"local_gb"`
 	FetchGBPerS float64  `cbor:"fetch_gb_per_s"`
 	Price       float64  `cbor:"price"`
 	SpotPrice   float64  `cbor:"spot_price"`
 	StartupS    float64  `cbor:"startup_s"`
-	Plots       []string `cbor:"plots"`
+	Zones       []string `cbor:"plots"`
 }
 
-// Rigs answers GET /machine_types.
-type Rigs struct {
-	Rigs []Rig `cbor:"rigs"`
+// MachineTypes answers GET /machine_types.
+type MachineTypes struct {
+	Types []MachineType `cbor:"rigs"`
 }
 
-// Hire is the body of POST /hosts.
-type Hire struct {
-	Hire     string `cbor:"hire"`
-	Rig      string `cbor:"rig"`
-	Plot     string `cbor:"plot"`
-	Windfall bool   `cbor:"windfall"`
-	Number   int    `cbor:"number"`
+// RentRequest is the body of POST /hosts.
+type RentRequest struct {
+	Name        string `cbor:"hire"`
+	MachineType string `cbor:"rig"`
+	Zone        string `cbor:"plot"`
+	Spot        bool   `cbor:"windfall"`
+	Count       int    `cbor:"number"`
 }
 
 // HostNames is a list of machines by name.
@@ -332,13 +332,13 @@
 
 // Host is one machine in the cloud's list.
 type Host struct {
-	Ref      string  `cbor:"ref"`
-	Address  string  `cbor:"address"`
-	Rig      string  `cbor:"rig"`
-	Plot     string  `cbor:"plot"`
-	Windfall bool    `cbor:"windfall"`
-	Phase    string  `cbor:"phase"`
-	HeldS    float64 `cbor:"held_s"`
+	Name        string  `cbor:"ref"`
+	Address     string  `cbor:"address"`
+	MachineType string  `cbor:"rig"`
+	Zone        string  `cbor:"plot"`
+	Spot        bool    `cbor:"windfall"`
+	State       string  `cbor:"phase"`
+	AgeS        float64 `cbor:"held_s"`
 }
 
 // HostPage answers GET /hosts.
