member: reachability and attestations

Ears is Reachability (Deaf Unreachable, SiblingsHear SiblingsReachable), Record.Deaf and View.Deaf Unreachable, DeafKey UnreachableKey, Witness Attestation, Witness.Heard Attestation.Update. In server: ears is reachability, startProbing chooseProbes, vouched applyAttestation. In tuning: DeafAtLeast is UnreachableMin, DeafProbes ReachabilityProbes.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -14,18 +14,18 @@
 
 // Keys of the state service.
 const (
-	Key        = jobs.Root + "member"
-	LeadKey    = jobs.Root + "lead"
-	NodePrefix = jobs.Root + "node/"
-	DeafPrefix = jobs.Root + "deaf/"
+	Key               = jobs.Root + "member"
+	LeadKey           = jobs.Root + "lead"
+	NodePrefix        = jobs.Root + "node/"
+	UnreachablePrefix = jobs.Root + "deaf/"
 )
 
 // NodeKey is the key of a node's session, attached to its lease.
 func NodeKey(label string) string { return NodePrefix + label }
 
-// DeafKey is the key by which a node tells that it hears no worker, attached
+// UnreachableKey is the key by which a node tells that it hears no worker, attached
 // to its lease.
-func DeafKey(label string) string { return DeafPrefix + label }
+func UnreachableKey(label string) string { return UnreachablePrefix + label }
 
 // Node is one incarnation of a controller; a restarted node is another.
 type Node struct {
@@ -58,8 +58,8 @@
 	Token  uint64 `cbor:"b"`
 	Leader Node   `cbor:"d"`
 	Nodes  []Node `cbor:"n"`
-	// Deaf members hear no worker and own no machines.
-	Deaf []string `cbor:"f,omitempty"`
+	// Unreachable members hear no worker and own no machines.
+	Unreachable []string `cbor:"f,omitempty"`
 	// Span is how many tokens from Baton on are this membership's, if all its
 	// members know of it: an owner raises the token of one of its machines within
 	// it, to make void what may still be on its way there. Absent: one.
@@ -72,8 +72,8 @@
 // Follows reports whether the membership is the one right after another.
 func (r *Record) Follows(last *Record) bool { return r.Token == last.Last()+1 }
 
-func (r *Record) deaf(label string) bool {
-	for _, l := range r.Deaf {
+func (r *Record) isUnreachable(label string) bool {
+	for _, l := range r.Unreachable {
 		if l == label {
 			return true
 		}
@@ -96,7 +96,7 @@
 func (r *Record) Owner(host string) string {
 	best, top := "", uint64(0)
 	for _, n := range r.Nodes {
-		if r.deaf(n.Label) {
+		if r.isUnreachable(n.Label) {
 			continue
 		}
 		if w := weight(host, n.Label); best == "" || w > top || w == top && n.Label < best {
@@ -172,12 +172,12 @@
 
 // View is what the decisions are made from.
 type View struct {
-	Self     Node
-	Sessions map[string]Node // stored sessions by label
-	Deaf     map[string]bool // nodes that hear no worker
-	Lead     *Node           // holder of the lead key, nil if none
-	Member   *Record         // nil before the first
-	Spans    bool            // every node with a session knows of spans of tokens
+	Self        Node
+	Sessions    map[string]Node // stored sessions by label
+	Unreachable map[string]bool // nodes that hear no worker
+	Lead        *Node           // holder of the lead key, nil if none
+	Member      *Record         // nil before the first
+	Spans       bool            // every node with a session knows of spans of tokens
 }
 
 // Action is what a node should do about membership.
@@ -204,12 +204,12 @@
 	}
 	sort.Slice(want.Nodes, func(a, b int) bool { return want.Nodes[a].Label < want.Nodes[b].Label })
 	for _, n := range want.Nodes {
-		if v.Deaf[n.Label] {
-			want.Deaf = append(want.Deaf, n.Label)
+		if v.Unreachable[n.Label] {
+			want.Unreachable = append(want.Unreachable, n.Label)
 		}
 	}
-	if len(want.Deaf) == len(want.Nodes) {
-		want.Deaf = nil // somebody must own the machines
+	if len(want.Unreachable) == len(want.Nodes) {
+		want.Unreachable = nil // somebody must own the machines
 	}
 	if v.Member != nil {
 		if same(*v.Member, want) {
@@ -224,11 +224,11 @@
 }
 
 func same(a, b Record) bool {
-	if a.Leader != b.Leader || len(a.Nodes) != len(b.Nodes) || len(a.Deaf) != len(b.Deaf) {
+	if a.Leader != b.Leader || len(a.Nodes) != len(b.Nodes) || len(a.Unreachable) != len(b.Unreachable) {
 		return false
 	}
-	for i := range a.Deaf {
-		if a.Deaf[i] != b.Deaf[i] {
+	for i := range a.Unreachable {
+		if a.Unreachable[i] != b.Unreachable[i] {
 			return false
 		}
 	}
@@ -240,22 +240,22 @@
 	return true
 }
 
-// Ears is what a node knows of its own hearing.
-type Ears struct {
-	Deaf         bool // it has said so
-	Heard        int  // machines of its own that were heard lately
-	Silent       int  // machines of its own with tasks that were not
-	SiblingsHear bool // a sibling hears its machines
-	Answered     bool // while deaf: a worker answers a probe, or there is none to ask
+// Reachability is what a node knows of whether its workers reach it.
+type Reachability struct {
+	Unreachable       bool // it has said so
+	Heard             int  // machines of its own that were heard lately
+	Silent            int  // machines of its own with tasks that were not
+	SiblingsReachable bool // a sibling hears its machines
+	Answered          bool // while unreachable: a worker answers a probe, or there is none to ask
 }
 
-// Next decides whether the node is deaf. One silent machine may be its own
+// Next decides whether the node is unreachable. One silent machine may be its own
 // trouble; all of several, while a sibling hears its own, are the node's.
-func (e Ears) Next() bool {
-	if e.Deaf {
+func (e Reachability) Next() bool {
+	if e.Unreachable {
 		return !e.Answered
 	}
-	return e.Heard == 0 && e.Silent >= 2 && e.SiblingsHear
+	return e.Heard == 0 && e.Silent >= 2 && e.SiblingsReachable
 }
 
 // DecodeNode reads a session or the lead key.
@@ -287,18 +287,18 @@
 	return true
 }
 
-// Witness is what a node has heard of a sibling about cancellations.
-type Witness struct {
+// Attestation is what a node has heard of a sibling about cancellations.
+type Attestation struct {
 	Incarnation uint64    // of the sibling; 0: nothing that counts
 	Since       time.Time // when this incarnation was first heard
 	Asked       time.Time // when the last asking that was answered was sent
 	Cancelled   uint64    // version of the last cancellation that the sibling knew then
 }
 
-// Heard is the witness after an answer that came now to an asking sent before.
-func (w Witness) Heard(incarnation, cancelled uint64, asked, now time.Time) Witness {
+// Update is the attestation after an answer that came now to an asking sent before.
+func (w Attestation) Update(incarnation, cancelled uint64, asked, now time.Time) Attestation {
 	if w.Incarnation != incarnation {
-		w = Witness{Incarnation: incarnation, Since: now}
+		w = Attestation{Incarnation: incarnation, Since: now}
 	}
 	if asked.After(w.Asked) {
 		w.Asked = asked
@@ -309,11 +309,11 @@
 
 // KnownUntil is the time up to which a node knows every cancellation that any
 // user was told of: the sending of its last answered read, or the least of the
-// times at which it asked its siblings, if each of them vouches. revision is the
+// times at which it asked its siblings, if each of them attests. revision is the
 // revision to which its cache is complete. The argument is in
 // docs/protocol-notes.md; a sibling that is new since the read may follow on a
 // process that confirmed what nobody here has read.
-func KnownUntil(read time.Time, revision uint64, siblings []Witness) time.Time {
+func KnownUntil(read time.Time, revision uint64, siblings []Attestation) time.Time {
 	if len(siblings) == 0 {
 		return read
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -90,16 +90,16 @@
 // A node that was cut from the workers alone kept its machines: their workers
 // were sent back to it by its siblings until their leases ran out.
 func TestADeafNodeOwnsNothingUntilItHearsAgain(t *testing.T) {
-	if (Ears{Silent: 1, SiblingsHear: true}).Next() || (Ears{Silent: 5}).Next() || (Ears{Silent: 5, Heard: 1, SiblingsHear: true}).Next() {
-		t.Fatal("deaf without evidence")
+	if (Reachability{Silent: 1, SiblingsReachable: true}).Next() || (Reachability{Silent: 5}).Next() || (Reachability{Silent: 5, Heard: 1, SiblingsReachable: true}).Next() {
+		t.Fatal("unreachable without evidence")
 	}
-	if !(Ears{Silent: 2, SiblingsHear: true}).Next() || !(Ears{Deaf: true}).Next() || (Ears{Deaf: true, Answered: true}).Next() {
-		t.Fatal("deafness is not noticed, or does not end")
+	if !(Reachability{Silent: 2, SiblingsReachable: true}).Next() || !(Reachability{Unreachable: true}).Next() || (Reachability{Unreachable: true, Answered: true}).Next() {
+		t.Fatal("an unreachable node is not noticed, or does not end")
 	}
 	a, b := n("a", 1), n("b", 2)
 	v := View{Self: a, Sessions: map[string]Node{"a": a, "b": b}, Lead: &a}
 	v.Member = Decide(v).Write
-	v.Deaf = map[string]bool{"b": true}
+	v.Unreachable = map[string]bool{"b": true}
 	rec := Decide(v).Write
 	if rec == nil || rec.Token != v.Member.Token+1 || !rec.Has(b) {
 		t.Fatalf("%+v", rec)
@@ -113,40 +113,42 @@
 	if act := Decide(v); act.Write != nil {
 		t.Fatalf("written again: %+v", act.Write)
 	}
-	v.Deaf["a"] = true
-	if rec = Decide(v).Write; rec == nil || len(rec.Deaf) != 0 {
-		t.Fatalf("all are deaf and %+v", rec)
+	v.Unreachable["a"] = true
+	if rec = Decide(v).Write; rec == nil || len(rec.Unreachable) != 0 {
+		t.Fatalf("all are unreachable and %+v", rec)
 	}
 }
 
-// Each sibling has to vouch, in the incarnation that it had before the last
+// Each sibling has to attest, in the incarnation that it had before the last
 // read, and for nothing that is not in the cache.
 func TestCancellationsAreKnownAsFarAsAllVouch(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
-	good := func(asked int) Witness { return Witness{Incarnation: 7, Since: at(0), Asked: at(asked), Cancelled: 40} }
-	with := func(w Witness, f func(*Witness)) Witness { f(&w); return w }
+	good := func(asked int) Attestation {
+		return Attestation{Incarnation: 7, Since: at(0), Asked: at(asked), Cancelled: 40}
+	}
+	with := func(w Attestation, f func(*Attestation)) Attestation { f(&w); return w }
 	for _, c := range []struct {
 		name     string
-		siblings []Witness
+		siblings []Attestation
 		want     int
 	}{
 		{"nobody else", nil, 10},
-		{"all vouch: the least of the askings", []Witness{good(50), good(30)}, 30},
-		{"one was never heard", []Witness{good(50), {}}, 10},
-		{"one is new since the read", []Witness{good(50), with(good(50), func(w *Witness) { w.Since = at(10) })}, 10},
-		{"one knows a cancellation that is not in the cache", []Witness{good(50), with(good(50), func(w *Witness) { w.Cancelled = 51 })}, 10},
-		{"the last that is", []Witness{good(50), with(good(50), func(w *Witness) { w.Cancelled = 50 })}, 50},
-		{"asked before the read", []Witness{good(50), good(5)}, 10},
+		{"all attest: the least of the askings", []Attestation{good(50), good(30)}, 30},
+		{"one was never heard", []Attestation{good(50), {}}, 10},
+		{"one is new since the read", []Attestation{good(50), with(good(50), func(w *Attestation) { w.Since = at(10) })}, 10},
+		{"one knows a cancellation that is not in the cache", []Attestation{good(50), with(good(50), func(w *Attestation) { w.Cancelled = 51 })}, 10},
+		{"the last that is", []Attestation{good(50), with(good(50), func(w *Attestation) { w.Cancelled = 50 })}, 50},
+		{"asked before the read", []Attestation{good(50), good(5)}, 10},
 	} {
 		if got := KnownUntil(at(10), 50, c.siblings); !got.Equal(at(c.want)) {
 			t.Errorf("%s: %v, want %v", c.name, got.Sub(at(0)), c.want)
 		}
 	}
-	w := Witness{}.Heard(7, 40, at(1), at(2)).Heard(7, 30, at(0), at(3))
-	if w != (Witness{7, at(2), at(1), 40}) {
+	w := Attestation{}.Update(7, 40, at(1), at(2)).Update(7, 30, at(0), at(3))
+	if w != (Attestation{7, at(2), at(1), 40}) {
 		t.Errorf("an older answer took something back: %+v", w)
 	}
-	if w = w.Heard(8, 0, at(4), at(5)); w != (Witness{8, at(5), at(4), 0}) {
+	if w = w.Update(8, 0, at(4), at(5)); w != (Attestation{8, at(5), at(4), 0}) {
 		t.Errorf("a new incarnation: %+v", w)
 	}
 }
--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -188,7 +188,7 @@
 		{"one was never heard", func(x *trial) { x.away(x.nodes["b"]); x.restart("b"); x.silent["b"] = true; x.run(8 * time.Second) }, nil, 2},
 		{"one is of an older version", nil, map[int]func(*trial){0: func(x *trial) {
 			for _, n := range x.others(x.nodes["b"]) {
-				n.siblings["b"].witness = member.Witness{} // it says nothing of cancellations
+				n.siblings["b"].attestation = member.Attestation{} // it says nothing of cancellations
 			}
 			x.silent["b"] = true
 		}}, 2},
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -44,8 +44,8 @@
 	seen   peer.Seen            // the view of its machines that hosts holds
 	seenAt time.Time            // when that was last confirmed
 	hosts  map[string]peer.Host // its machines
-	// what it vouches for about cancellations
-	witness member.Witness
+	// what it attests about cancellations
+	attestation member.Attestation
 }
 
 // told is what siblings are told of one of this node's machines.
@@ -67,47 +67,47 @@
 
 	metrics *metrics
 
-	mu           sync.Mutex // guards all below
-	cache        *store.Cache
-	table        *jobs.Table
-	sync         *store.Syncer
-	session      member.SessionState
-	self         member.Node
-	sessions     map[string]member.Node
-	versions     map[string]member.Session // the same, with what they say of their programs
-	deaf         map[string]bool           // nodes that say that they hear no worker
-	probes       []string                  // workers' addresses to ask while we are deaf
-	probed       time.Time                 // when one of them last answered
-	deafAt       time.Time
-	lead         *member.Node
-	member       *member.Record
-	reg          *fleet.Register
-	owners       map[string]string // of machines under the present membership
-	fleet        *place.Fleet      // of the last pass; nil: its machines have changed
-	told         map[string]*told
-	view         uint64 // number of the last change in told
-	viewAt       time.Time
-	types        []wire.MachineType
-	machineTypes map[string]wire.MachineType
-	imageGB      map[string]float64  // sizes of images
-	held         map[string][]string // images of machines, as their former owners knew them
-	workers      map[string]*fleet.Worker
-	siblings     map[string]*sibling
-	busyJob      map[string]bool           // a write about the job is under way
-	busyTeam     map[string]bool           // a write of the team's key is under way
-	flying       map[string]jobs.Resources // claims under way, by team
-	doubts       []doubt
-	want         float64              // changes that wait for the budget, a mean over the last passes
-	storing      int                  // changes of machine records that the leader has yet to write
-	shortAt      map[string]time.Time // teams whose work waits for a new share, since when
-	sharedAt     map[string]time.Time // when a team's limit was last frozen
-	dueSince     map[string]time.Time // chunks with ends to store, since when
-	notUntil     map[string]time.Time // jobs that lost a race, by when to try again
-	served       map[string]time.Time // jobs that others were stopped for, by when
-	unmet        map[string]int       // tasks without a place, by job, of the last pass
-	why          map[string]string
-	unmetAt      map[string]time.Time
-	raisedAt     time.Time // when our membership last changed
+	mu            sync.Mutex // guards all below
+	cache         *store.Cache
+	table         *jobs.Table
+	sync          *store.Syncer
+	session       member.SessionState
+	self          member.Node
+	sessions      map[string]member.Node
+	versions      map[string]member.Session // the same, with what they say of their programs
+	unreachable   map[string]bool           // nodes that say that they hear no worker
+	probes        []string                  // workers' addresses to ask while we are unreachable
+	probed        time.Time                 // when one of them last answered
+	unreachableAt time.Time
+	lead          *member.Node
+	member        *member.Record
+	reg           *fleet.Register
+	owners        map[string]string // of machines under the present membership
+	fleet         *place.Fleet      // of the last pass; nil: its machines have changed
+	told          map[string]*told
+	view          uint64 // number of the last change in told
+	viewAt        time.Time
+	types         []wire.MachineType
+	machineTypes  map[string]wire.MachineType
+	imageGB       map[string]float64  // sizes of images
+	held          map[string][]string // images of machines, as their former owners knew them
+	workers       map[string]*fleet.Worker
+	siblings      map[string]*sibling
+	busyJob       map[string]bool           // a write about the job is under way
+	busyTeam      map[string]bool           // a write of the team's key is under way
+	flying        map[string]jobs.Resources // claims under way, by team
+	doubts        []doubt
+	want          float64              // changes that wait for the budget, a mean over the last passes
+	storing       int                  // changes of machine records that the leader has yet to write
+	shortAt       map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt      map[string]time.Time // when a team's limit was last frozen
+	dueSince      map[string]time.Time // chunks with ends to store, since when
+	notUntil      map[string]time.Time // jobs that lost a race, by when to try again
+	served        map[string]time.Time // jobs that others were stopped for, by when
+	unmet         map[string]int       // tasks without a place, by job, of the last pass
+	why           map[string]string
+	unmetAt       map[string]time.Time
+	raisedAt      time.Time // when our membership last changed
 	// The version of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
@@ -180,7 +180,7 @@
 		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
 		machineTypes: map[string]wire.MachineType{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
-		served: map[string]time.Time{}, deaf: map[string]bool{},
+		served: map[string]time.Time{}, unreachable: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
 		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
@@ -315,12 +315,12 @@
 			n.sessions[label], n.versions[label] = s.Node, *s
 		}
 		return err
-	case strings.HasPrefix(key, member.DeafPrefix):
-		label := strings.TrimPrefix(key, member.DeafPrefix)
+	case strings.HasPrefix(key, member.UnreachablePrefix):
+		label := strings.TrimPrefix(key, member.UnreachablePrefix)
 		if v == nil {
-			delete(n.deaf, label)
+			delete(n.unreachable, label)
 		} else {
-			n.deaf[label] = true
+			n.unreachable[label] = true
 		}
 	case key == member.LeadKey:
 		n.lead = nil
@@ -569,7 +569,7 @@
 	key := member.NodeKey(n.self.Label)
 	var guards []wire.Guard
 	var change wire.Change
-	hearing := false // the change is about it
+	reachabilityChanged := false // the change is about it
 	stored := n.sessions[n.self.Label] == n.self
 	if n.session == member.Registered && !stored {
 		// Guards against a late write of a former process of this node.
@@ -584,17 +584,17 @@
 		change = wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation}
 	} else {
 		now := n.now()
-		deaf := n.ears(now).Next()
-		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Deaf: n.deaf, Lead: n.lead, Member: n.member, Spans: n.spans()})
+		unreachable := n.reachability(now).Next()
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Unreachable: n.unreachable, Lead: n.lead, Member: n.member, Spans: n.spans()})
 		switch {
-		case deaf != n.deaf[n.self.Label]:
+		case unreachable != n.unreachable[n.self.Label]:
 			guards = []wire.Guard{n.cache.Guard(key)}
-			change = wire.Change{Drop: member.DeafKey(n.self.Label)}
-			if deaf {
-				change = wire.Change{Set: member.DeafKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
-				n.startProbing(now)
+			change = wire.Change{Drop: member.UnreachableKey(n.self.Label)}
+			if unreachable {
+				change = wire.Change{Set: member.UnreachableKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
+				n.chooseProbes(now)
 			}
-			hearing = true
+			reachabilityChanged = true
 		case a.TakeLead:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
 			change = wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
@@ -612,9 +612,9 @@
 	if err != nil {
 		return err
 	}
-	if hearing {
+	if reachabilityChanged {
 		// Not before: a node that is cut off tries again and again.
-		n.log.Info("hearing of workers changes", "deaf", change.Set != "")
+		n.log.Info("reachability of workers changes", "unreachable", change.Set != "")
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -630,15 +630,15 @@
 	return nil
 }
 
-// ears sums up whether this node hears its workers; mu is held.
-func (n *Node) ears(now time.Time) member.Ears {
-	e := member.Ears{Deaf: n.deaf[n.self.Label]}
+// reachability sums up whether this node hears its workers; mu is held.
+func (n *Node) reachability(now time.Time) member.Reachability {
+	e := member.Reachability{Unreachable: n.unreachable[n.self.Label]}
 	if n.member == nil || !n.entitled() {
 		return e
 	}
-	if e.Deaf {
-		if now.Sub(n.deafAt) > tuning.DeafAtLeast {
-			e.Answered = len(n.probes) == 0 || n.probed.After(n.deafAt)
+	if e.Unreachable {
+		if now.Sub(n.unreachableAt) > tuning.UnreachableMin {
+			e.Answered = len(n.probes) == 0 || n.probed.After(n.unreachableAt)
 		}
 		return e
 	}
@@ -659,7 +659,7 @@
 		}
 		for _, h := range s.hosts {
 			if !h.Silent {
-				e.SiblingsHear = true
+				e.SiblingsReachable = true
 				break
 			}
 		}
@@ -667,23 +667,23 @@
 	return e
 }
 
-// startProbing remembers workers to ask until one answers; mu is held.
-func (n *Node) startProbing(now time.Time) {
-	n.probes, n.deafAt, n.probed = nil, now, time.Time{}
+// chooseProbes remembers workers to ask until one answers; mu is held.
+func (n *Node) chooseProbes(now time.Time) {
+	n.probes, n.unreachableAt, n.probed = nil, now, time.Time{}
 	for _, w := range n.workers {
-		if w.Address != "" && len(n.probes) < tuning.DeafProbes {
+		if w.Address != "" && len(n.probes) < tuning.ReachabilityProbes {
 			n.probes = append(n.probes, w.Address)
 		}
 	}
 }
 
-// runProbes asks workers, while this node is deaf, whether it hears again.
+// runProbes asks workers, while this node is unreachable, whether they reach it again.
 func (n *Node) runProbes(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, n.set.Report())
 		n.mu.Lock()
 		var ask []string
-		if n.deaf[n.self.Label] {
+		if n.unreachable[n.self.Label] {
 			ask = n.probes
 		}
 		n.mu.Unlock()
@@ -747,7 +747,7 @@
 	seen := peer.Seen{View: st.View, Token: st.Token, Incarnation: st.Incarnation}
 	answer := !asked.IsZero()
 	if answer {
-		n.vouched(s, st, asked, now)
+		n.applyAttestation(s, st, asked, now)
 	}
 	if answer && (st.Whole || seen.Token == s.seen.Token && seen.Incarnation == s.seen.Incarnation) {
 		if st.Whole {
@@ -768,17 +768,17 @@
 	}
 }
 
-// vouched enters what a sibling says of cancellations, and how far all of them
+// applyAttestation enters what a sibling says of cancellations, and how far all of them
 // are known by it; mu is held.
-func (n *Node) vouched(s *sibling, st peer.Status, asked, now time.Time) {
+func (n *Node) applyAttestation(s *sibling, st peer.Status, asked, now time.Time) {
 	if !st.Counts || st.Incarnation == 0 {
-		s.witness = member.Witness{}
+		s.attestation = member.Attestation{}
 		return
 	}
-	s.witness = s.witness.Heard(st.Incarnation, st.Cancelled, asked, now)
-	all := make([]member.Witness, 0, len(n.siblings))
+	s.attestation = s.attestation.Update(st.Incarnation, st.Cancelled, asked, now)
+	all := make([]member.Attestation, 0, len(n.siblings))
 	for _, o := range n.siblings {
-		all = append(all, o.witness)
+		all = append(all, o.attestation)
 	}
 	if at := member.KnownUntil(n.sync.Fresh(), n.cache.Revision(), all); at.After(n.certain) {
 		n.certain = at
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -32,7 +32,7 @@
 	}
 	fmt.Fprintf(&b, "node %s version %s session %s state_service %v\n", n.self.Label, tuning.Version, n.session, n.hasState())
 	if at := n.knownUntil(); !at.IsZero() {
-		// What an outage is survived by: it stays short while all siblings vouch.
+		// What an outage is survived by: it stays short while all siblings attest.
 		fmt.Fprintf(&b, "cancellations known until %.1f s ago, leases renewed up to %.1f s\n", n.now().Sub(at).Seconds(), n.set.AnswerBound().Seconds())
 	}
 	if n.member != nil {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,11 +120,11 @@
 	// SilentReports is how many report intervals without any message make a
 	// machine unfit for new tasks.
 	SilentReports = 2.2
-	// DeafAtLeast is how long a node that has said that it hears no worker owns
+	// UnreachableMin is how long a node that has said that it hears no worker owns
 	// no machines, so that a shaky network does not move them to and fro.
-	DeafAtLeast = 10 * time.Second
-	// DeafProbes is the number of workers that it asks whether it hears again.
-	DeafProbes = 4
+	UnreachableMin = 10 * time.Second
+	// ReachabilityProbes is the number of workers that it asks whether it hears again.
+	ReachabilityProbes = 4
 	// HostErrorsMax is the number of failed tasks of different jobs, without
 	// a success between, after which a machine is taken for faulty.
 	HostErrorsMax = 2
