fleet, server: the session of a worker and writes in flight

Worker.Mute is Unresponsive, told unconfirmed, Quiet NoPendingCommands, Void InvalidateStarts; PlanInput.Spared SurplusSince. In server: the type told is publishedHost, its map published, lookOver refreshPublished, flying inFlightClaims, doubt inDoubtWrite, doubts inDoubt, void invalidateHeldStarts, spared surplusSince, quiet discardLogger. In tuning: VoidStep is InvalidateStep, MutePause UnresponsivePause.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -79,12 +79,12 @@
 	Plain   Load
 	Refused map[Kind]time.Time // when the cloud had none
 
-	// Spared says since when the plan could do without a busy machine; the
+	// SurplusSince says since when the plan could do without a busy machine; the
 	// plan keeps it up to date.
-	Spared map[string]time.Time
-	Moving int // machines that are being drained of service tasks
-	Movers int // how many may be at once
-	Groups int // groups of records that may be changed to give idle machines back
+	SurplusSince map[string]time.Time
+	Moving       int // machines that are being drained of service tasks
+	Movers       int // how many may be at once
+	Groups       int // groups of records that may be changed to give idle machines back
 
 	// Active says which roles have had work lately; the others need neither
 	// floor nor headroom.
@@ -415,7 +415,7 @@
 		}
 		return x.Name < y.Name
 	})
-	spared := map[string]bool{}
+	surplus := map[string]bool{}
 	rooms := map[place.Role]*rooms{place.Batch: p.rooms(p.in.Batch, p.in.Op.BatchHeadroom), place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom)}
 	plain := p.rooms(p.in.Plain, p.in.Op.BatchHeadroom)
 	busy := map[place.Role]bool{}
@@ -433,12 +433,12 @@
 		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
 			continue
 		}
-		// A busy machine is spared for as long as an idle one must be idle.
-		spared[u.Name] = true
-		since, ok := p.in.Spared[u.Name]
+		// A busy machine is surplus for as long as an idle one must be idle.
+		surplus[u.Name] = true
+		since, ok := p.in.SurplusSince[u.Name]
 		if !ok {
 			since = p.in.Now
-			p.in.Spared[u.Name] = since
+			p.in.SurplusSince[u.Name] = since
 		}
 		limit, rest := p.in.Op.IdleOrdinary, u.Idle
 		if u.Kind.Spot {
@@ -477,9 +477,9 @@
 			out = append(out, DrainPlan{u.Name, WhyIdle})
 		}
 	}
-	for name := range p.in.Spared {
-		if !spared[name] {
-			delete(p.in.Spared, name)
+	for name := range p.in.SurplusSince {
+		if !surplus[name] {
+			delete(p.in.SurplusSince, name)
 		}
 	}
 	return out
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -24,7 +24,7 @@
 func input() PlanInput {
 	op := config.DefaultOperator()
 	op.ServiceHeadroom, op.BatchHeadroom = 0, 0
-	return PlanInput{Now: t0, Op: op, Types: types, Refused: map[Kind]time.Time{}, Spared: map[string]time.Time{},
+	return PlanInput{Now: t0, Op: op, Types: types, Refused: map[Kind]time.Time{}, SurplusSince: map[string]time.Time{},
 		Active: map[place.Role]bool{place.Batch: true, place.Service: true}}
 }
 
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -90,7 +90,7 @@
 	Stopping    map[jobs.TaskID]bool // tasks that we want off this machine
 
 	// Token of our commands to this worker; the membership's, or above it once
-	// starts had to be made void (Void).
+	// starts had to be made void (InvalidateStarts).
 	Token uint64
 	// Direct starts of this session that were sent and not answered, by the
 	// token that they carry. They may yet be carried out.
@@ -101,16 +101,16 @@
 
 	// Commands in answers to reports that no report has shown as carried out,
 	// by when the first of those answers went.
-	told map[CommandKey]time.Time
-
-	Images  []string                 // seen here, newest last
-	Errors  map[string]bool          // jobs whose tasks failed here since the last success
-	Refused time.Time                // last refusal for want of room
-	Sent    map[CommandKey]time.Time // direct starts and kills, by when
-	Called  time.Time                // last direct call
-	Calling bool                     // a direct call is under way
-	Mute    bool                     // it reports, but nothing that it is told shows
-	Quiet   bool                     // nothing has changed since it last had no commands to send
+	unconfirmed map[CommandKey]time.Time
+
+	Images            []string                 // seen here, newest last
+	Errors            map[string]bool          // jobs whose tasks failed here since the last success
+	Refused           time.Time                // last refusal for want of room
+	Sent              map[CommandKey]time.Time // direct starts and kills, by when
+	Called            time.Time                // last direct call
+	Calling           bool                     // a direct call is under way
+	Unresponsive      bool                     // it reports, but nothing that it is told shows
+	NoPendingCommands bool                     // nothing has changed since it last had no commands to send
 }
 
 // CommandKey is one command about one attempt. A report must show its effect to
@@ -142,30 +142,30 @@
 	for _, a := range Starts(commands) {
 		w.started[a] = max(w.started[a], r.Sequence)
 	}
-	told := make(map[CommandKey]time.Time, len(commands))
+	unconfirmed := make(map[CommandKey]time.Time, len(commands))
 	late := false
 	for _, o := range commands {
 		c := KeyOf(o)
-		at, before := w.told[c]
+		at, before := w.unconfirmed[c]
 		if !before {
 			at = now
 		}
-		told[c] = at
+		unconfirmed[c] = at
 		late = late || now.Sub(at) > tuning.ConfirmAfter
 	}
 	switch {
 	case late:
-		w.Mute = true
-	case len(told) < len(w.told):
-		w.Mute = false // something was carried out
+		w.Unresponsive = true
+	case len(unconfirmed) < len(w.unconfirmed):
+		w.Unresponsive = false // something was carried out
 	}
-	w.told = told
+	w.unconfirmed = unconfirmed
 }
 
 // Reached notes that the worker answered a direct call.
 func (w *Worker) Reached() {
-	w.Mute = false
-	clear(w.told)
+	w.Unresponsive = false
+	clear(w.unconfirmed)
 }
 
 // NewWorker returns the view of a machine that has not been heard.
@@ -176,14 +176,14 @@
 
 // RaiseToken notes that our membership has changed, and that another node may
 // have owned the machine meanwhile.
-func (w *Worker) RaiseToken() { w.State, w.Quiet = w.State.Next(TokenRaised), false }
+func (w *Worker) RaiseToken() { w.State, w.NoPendingCommands = w.State.Next(TokenRaised), false }
 
 // Stop notes that a task is wanted off the machine.
-func (w *Worker) Stop(id jobs.TaskID) { w.Stopping[id], w.Quiet = true, false }
+func (w *Worker) Stop(id jobs.TaskID) { w.Stopping[id], w.NoPendingCommands = true, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
 // token is the one of our membership; a worker that has shown it or one that
-// stands above it for this worker alone (Void) has heard us.
+// stands above it for this worker alone (InvalidateStarts) has heard us.
 func (w *Worker) Observe(r *wire.Report, token uint64, now time.Time) bool {
 	if w.First.IsZero() {
 		w.First = now
@@ -199,11 +199,11 @@
 		clear(w.started)
 		clear(w.Sent)
 		clear(w.Stopping)
-		clear(w.told)
+		clear(w.unconfirmed)
 		w.Reported = 0
 	}
 	w.Host, w.Address, w.MachineType, w.Zone, w.Spot = r.Host, r.Address, r.MachineType, r.Zone, r.Spot
-	w.Session, w.Sequence, w.Heard, w.Quiet = r.Session, r.Sequence, now, false
+	w.Session, w.Sequence, w.Heard, w.NoPendingCommands = r.Session, r.Sequence, now, false
 	w.ShownToken = max(w.ShownToken, r.Token)
 	w.Token = max(w.Token, token)
 	if token > 0 && r.Token >= token {
@@ -305,20 +305,20 @@
 	return out
 }
 
-// Void makes the starts that are under way void, once the worker shows the
-// token that it returns or answers a call with it. most bounds the tokens of
+// InvalidateStarts makes the starts that are under way void, once the worker
+// shows the token that it returns or answers a call with it. most bounds the tokens of
 // the present membership; false if they are used up. A token that is raised
 // already and not shown yet serves.
-func (w *Worker) Void(most uint64) bool {
+func (w *Worker) InvalidateStarts(most uint64) bool {
 	top := uint64(0)
 	for k := range w.unanswered {
 		top = max(top, k.token)
 	}
 	if w.Token <= top {
-		if w.Token+tuning.VoidStep > most {
+		if w.Token+tuning.InvalidateStep > most {
 			return false
 		}
-		w.Token, w.Quiet = w.Token+tuning.VoidStep, false
+		w.Token, w.NoPendingCommands = w.Token+tuning.InvalidateStep, false
 	}
 	return true
 }
--- a/internal/fleet/worker_test.go
+++ b/internal/fleet/worker_test.go
@@ -232,30 +232,30 @@
 	report(start)
 	now = now.Add(tuning.ConfirmAfter / 2)
 	report(start) // the first answer may still be under way
-	if w.Mute {
-		t.Fatal("mute before an answer could show")
+	if w.Unresponsive {
+		t.Fatal("unresponsive before an answer could show")
 	}
 	now = now.Add(tuning.ConfirmAfter)
 	report(start)
-	if !w.Mute {
+	if !w.Unresponsive {
 		t.Fatal("a start that never shows is not noticed")
 	}
 	report() // it shows now: nothing is left to order
-	if w.Mute {
-		t.Fatal("mute though the start was carried out")
+	if w.Unresponsive {
+		t.Fatal("unresponsive though the start was carried out")
 	}
 	report(start)
 	now = now.Add(2 * tuning.ConfirmAfter)
 	report(start)
-	if w.Reached(); w.Mute {
-		t.Fatal("mute though it answered a direct call")
+	if w.Reached(); w.Unresponsive {
+		t.Fatal("unresponsive though it answered a direct call")
 	}
 	report(start)
 	now = now.Add(2 * tuning.ConfirmAfter)
 	w.Observe(&wire.Report{Host: "h1", Session: 2, Sequence: sequence + 1, Token: 7}, 7, now)
 	r := &wire.Report{Host: "h1", Session: 2, Sequence: sequence + 2, Token: 7}
 	w.Observe(r, 7, now)
-	if w.Answer(r, []wire.Command{start}, now); w.Mute {
+	if w.Answer(r, []wire.Command{start}, now); w.Unresponsive {
 		t.Fatal("orders of an earlier session count against the new one")
 	}
 }
@@ -327,19 +327,19 @@
 		}, false},
 		{"it is made void, and the token not shown", jobs.Cancelled, func(w *Worker) {
 			w.StartSent([]Attempt{a}, 5)
-			w.Void(5 + tuning.TokenSpan)
+			w.InvalidateStarts(5 + tuning.TokenSpan)
 			w.Observe(report(1, 9, 5), 5, t0)
 			w.Answer(report(1, 9, 5), nil, t0)
 		}, false},
 		{"it is made void, and the token shown", jobs.Cancelled, func(w *Worker) {
 			w.StartSent([]Attempt{a}, 5)
-			w.Void(5 + tuning.TokenSpan)
-			w.Observe(report(1, 9, 5+tuning.VoidStep), 5, t0)
-			w.Answer(report(1, 9, 5+tuning.VoidStep), nil, t0)
+			w.InvalidateStarts(5 + tuning.TokenSpan)
+			w.Observe(report(1, 9, 5+tuning.InvalidateStep), 5, t0)
+			w.Answer(report(1, 9, 5+tuning.InvalidateStep), nil, t0)
 		}, true},
 		{"it was sent under the raised token", jobs.Cancelled, func(w *Worker) {
 			w.StartSent([]Attempt{a}, 5)
-			w.Void(5 + tuning.TokenSpan)
+			w.InvalidateStarts(5 + tuning.TokenSpan)
 			w.StartSent([]Attempt{a}, w.Token)
 			w.Observe(report(1, 9, w.Token), 5, t0)
 			w.Answer(report(1, 9, w.Token), nil, t0)
@@ -359,11 +359,11 @@
 	w.Observe(report(1, 3, 5), 5, t0)
 	for i := range 20 {
 		w.StartSent([]Attempt{a}, w.Token)
-		if w.Void(5 + tuning.TokenSpan - 1); w.Token > 5+tuning.TokenSpan-1 {
+		if w.InvalidateStarts(5 + tuning.TokenSpan - 1); w.Token > 5+tuning.TokenSpan-1 {
 			t.Fatalf("token %d after %d raises", w.Token, i+1)
 		}
 	}
-	if w.Void(5 + tuning.TokenSpan - 1) {
+	if w.InvalidateStarts(5 + tuning.TokenSpan - 1) {
 		t.Fatal("raised beyond the membership")
 	}
 }
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -16,9 +16,9 @@
 // writing it, so claims of different nodes do not race. The safety argument is
 // in docs/protocol-notes.md.
 
-// doubt is a write of claims whose answer was lost: it may yet be applied, so
+// inDoubtWrite is a write of claims whose answer was lost: it may yet be applied, so
 // it counts until one of its guards has changed.
-type doubt struct {
+type inDoubtWrite struct {
 	guards map[string]uint64
 	team   string
 	need   jobs.Resources
@@ -29,13 +29,13 @@
 
 // teams sums up limits, use and what each node may still claim; mu is held.
 func (n *Node) teams() map[string]*place.Team {
-	for i := 0; i < len(n.doubts); {
+	for i := 0; i < len(n.inDoubt); {
 		dead := false
-		for key, version := range n.doubts[i].guards {
+		for key, version := range n.inDoubt[i].guards {
 			dead = dead || n.cache.Version(key) != version
 		}
 		if dead {
-			n.doubts = append(n.doubts[:i], n.doubts[i+1:]...)
+			n.inDoubt = append(n.inDoubt[:i], n.inDoubt[i+1:]...)
 		} else {
 			i++
 		}
@@ -57,8 +57,8 @@
 		for label, g := range rec.Grants {
 			team.Left[label] = g.Resources().Sub(held[label][t.Name])
 		}
-		mine := team.Left[n.self.Label].Sub(n.flying[t.Name])
-		for _, d := range n.doubts {
+		mine := team.Left[n.self.Label].Sub(n.inFlightClaims[t.Name])
+		for _, d := range n.inDoubt {
 			if d.team == t.Name {
 				mine = mine.Sub(d.need)
 			}
@@ -114,19 +114,19 @@
 		t.team = team
 		n.busyTeam[team] = true
 	}
-	n.flying[team] = n.flying[team].Add(t.need)
+	n.inFlightClaims[team] = n.inFlightClaims[team].Add(t.need)
 	return true
 }
 
-// settled takes the claims of a write out of those that fly; mu is held.
+// settled takes the claims of a write out of those in flight; mu is held.
 func (n *Node) settled(t *txn, err error) {
 	if t.claims == "" {
 		return
 	}
-	n.flying[t.claims] = n.flying[t.claims].Sub(t.need)
+	n.inFlightClaims[t.claims] = n.inFlightClaims[t.claims].Sub(t.need)
 	if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrBad) {
 		// Guards against a late application beside claims that took its place.
-		n.doubts = append(n.doubts, doubt{t.guards, t.claims, t.need})
+		n.inDoubt = append(n.inDoubt, inDoubtWrite{t.guards, t.claims, t.need})
 	}
 }
 
--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -177,8 +177,8 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.teams(); len(n.doubts) != 0 {
-		t.Fatal("the doubt stands after its claim was applied")
+	if n.teams(); len(n.inDoubt) != 0 {
+		t.Fatal("it stays in doubt after its claim was applied")
 	}
 }
 
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -27,7 +27,7 @@
 		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
 			active: map[place.Role]time.Time{}, rented: map[string]rental{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
+			heard: map[string]time.Time{}, surplusSince: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
 		if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
@@ -35,7 +35,7 @@
 			n.leading.rented, n.leading.refused = old.rented, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.unfit, n.leading.gone = old.unfit, old.gone
-			n.leading.spared, n.leading.active = old.spared, old.active
+			n.leading.surplusSince, n.leading.active = old.surplusSince, old.active
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
@@ -343,7 +343,7 @@
 
 // planInput builds the capacity plan's input; mu is held.
 func (n *Node) planInput(l *leading, machines *place.Fleet, now time.Time) fleet.PlanInput {
-	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
+	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, SurplusSince: l.surplusSince}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up, movable := n.lastHeard(now), n.movable(machines)
 	l.lost = nil
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -48,8 +48,8 @@
 	attestation member.Attestation
 }
 
-// told is what siblings are told of one of this node's machines.
-type told struct {
+// publishedHost is what siblings are told of one of this node's machines.
+type publishedHost struct {
 	host peer.Host
 	view uint64 // of its last change
 }
@@ -67,47 +67,47 @@
 
 	metrics *metrics
 
-	mu            sync.Mutex // guards all below
-	cache         *store.Cache
-	table         *jobs.Table
-	sync          *store.Syncer
-	session       member.SessionState
-	self          member.Node
-	sessions      map[string]member.Node
-	versions      map[string]member.Session // the same, with what they say of their programs
-	unreachable   map[string]bool           // nodes that say that they hear no worker
-	probes        []string                  // workers' addresses to ask while we are unreachable
-	probed        time.Time                 // when one of them last answered
-	unreachableAt time.Time
-	lead          *member.Node
-	member        *member.Record
-	reg           *fleet.Register
-	owners        map[string]string // of machines under the present membership
-	fleet         *place.Fleet      // of the last pass; nil: its machines have changed
-	told          map[string]*told
-	view          uint64 // number of the last change in told
-	viewAt        time.Time
-	types         []wire.MachineType
-	machineTypes  map[string]wire.MachineType
-	imageGB       map[string]float64  // sizes of images
-	held          map[string][]string // images of machines, as their former owners knew them
-	workers       map[string]*fleet.Worker
-	siblings      map[string]*sibling
-	busyJob       map[string]bool           // a write about the job is under way
-	busyTeam      map[string]bool           // a write of the team's key is under way
-	flying        map[string]jobs.Resources // claims under way, by team
-	doubts        []doubt
-	want          float64              // changes that wait for the budget, a mean over the last passes
-	storing       int                  // changes of machine records that the leader has yet to write
-	shortAt       map[string]time.Time // teams whose work waits for a new share, since when
-	sharedAt      map[string]time.Time // when a team's limit was last frozen
-	dueSince      map[string]time.Time // chunks with ends to store, since when
-	notUntil      map[string]time.Time // jobs that lost a race, by when to try again
-	served        map[string]time.Time // jobs that others were stopped for, by when
-	unmet         map[string]int       // tasks without a place, by job, of the last pass
-	why           map[string]string
-	unmetAt       map[string]time.Time
-	raisedAt      time.Time // when our membership last changed
+	mu             sync.Mutex // guards all below
+	cache          *store.Cache
+	table          *jobs.Table
+	sync           *store.Syncer
+	session        member.SessionState
+	self           member.Node
+	sessions       map[string]member.Node
+	versions       map[string]member.Session // the same, with what they say of their programs
+	unreachable    map[string]bool           // nodes that say that they hear no worker
+	probes         []string                  // workers' addresses to ask while we are unreachable
+	probed         time.Time                 // when one of them last answered
+	unreachableAt  time.Time
+	lead           *member.Node
+	member         *member.Record
+	reg            *fleet.Register
+	owners         map[string]string // of machines under the present membership
+	fleet          *place.Fleet      // of the last pass; nil: its machines have changed
+	published      map[string]*publishedHost
+	view           uint64 // number of the last change in published
+	viewAt         time.Time
+	types          []wire.MachineType
+	machineTypes   map[string]wire.MachineType
+	imageGB        map[string]float64  // sizes of images
+	held           map[string][]string // images of machines, as their former owners knew them
+	workers        map[string]*fleet.Worker
+	siblings       map[string]*sibling
+	busyJob        map[string]bool           // a write about the job is under way
+	busyTeam       map[string]bool           // a write of the team's key is under way
+	inFlightClaims map[string]jobs.Resources // claims under way, by team
+	inDoubt        []inDoubtWrite
+	want           float64              // changes that wait for the budget, a mean over the last passes
+	storing        int                  // changes of machine records that the leader has yet to write
+	shortAt        map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt       map[string]time.Time // when a team's limit was last frozen
+	dueSince       map[string]time.Time // chunks with ends to store, since when
+	notUntil       map[string]time.Time // jobs that lost a race, by when to try again
+	served         map[string]time.Time // jobs that others were stopped for, by when
+	unmet          map[string]int       // tasks without a place, by job, of the last pass
+	why            map[string]string
+	unmetAt        map[string]time.Time
+	raisedAt       time.Time // when our membership last changed
 	// The version of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
@@ -128,33 +128,33 @@
 
 // leading is the leader's memory; it starts empty with each leadership.
 type leading struct {
-	token     uint64
-	nextToken uint64 // the token of the membership after it
-	counter   int
-	listed    map[string]wire.Host
-	listAt    time.Time
-	absent    map[string]int // lists in a row that omitted a machine listed before
-	rented    map[string]rental
-	refused   map[fleet.Kind]time.Time
-	control   map[string]*roles.Controller
-	decision  map[string]roles.Decision
-	seenJobs  map[string]bool
-	idle      map[string]time.Time     // since when a machine has no claims
-	spared    map[string]time.Time     // see fleet.PlanInput
-	gone      map[string]time.Time     // machines given back, which late lists still show
-	lost      []string                 // machines that went away while they were drained, with claims on them
-	unfit     map[string]time.Time     // since when a machine reports but takes no tasks
-	heard     map[string]time.Time     // when a machine was last heard by anybody
-	since     map[string]time.Time     // when a machine was first listed
-	active    map[place.Role]time.Time // when a role last had an open job
-	batchAvg  float64
-	batchSize float64   // mean number of tasks of arriving arrays
-	batchSeen time.Time // when the last one arrived
-	avgAt     time.Time
-	plain     fleet.Load // batch work that may not use spot machines
-	plainSeen time.Time  // when there last was any
-	batch     fleet.Load // last typical loads
-	service   fleet.Load
+	token        uint64
+	nextToken    uint64 // the token of the membership after it
+	counter      int
+	listed       map[string]wire.Host
+	listAt       time.Time
+	absent       map[string]int // lists in a row that omitted a machine listed before
+	rented       map[string]rental
+	refused      map[fleet.Kind]time.Time
+	control      map[string]*roles.Controller
+	decision     map[string]roles.Decision
+	seenJobs     map[string]bool
+	idle         map[string]time.Time     // since when a machine has no claims
+	surplusSince map[string]time.Time     // see fleet.PlanInput
+	gone         map[string]time.Time     // machines given back, which late lists still show
+	lost         []string                 // machines that went away while they were drained, with claims on them
+	unfit        map[string]time.Time     // since when a machine reports but takes no tasks
+	heard        map[string]time.Time     // when a machine was last heard by anybody
+	since        map[string]time.Time     // when a machine was first listed
+	active       map[place.Role]time.Time // when a role last had an open job
+	batchAvg     float64
+	batchSize    float64   // mean number of tasks of arriving arrays
+	batchSeen    time.Time // when the last one arrived
+	avgAt        time.Time
+	plain        fleet.Load // batch work that may not use spot machines
+	plainSeen    time.Time  // when there last was any
+	batch        fleet.Load // last typical loads
+	service      fleet.Load
 }
 
 type rental struct {
@@ -176,8 +176,8 @@
 func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
 	n := &Node{
 		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
-		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
-		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
+		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, published: map[string]*publishedHost{},
+		inFlightClaims: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
 		machineTypes: map[string]wire.MachineType{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
 		served: map[string]time.Time{}, unreachable: map[string]bool{},
@@ -192,7 +192,7 @@
 	n.table = jobs.NewTable(now)
 	n.table.Moved = func(host string) {
 		if w := n.workers[host]; w != nil {
-			w.Quiet = false
+			w.NoPendingCommands = false
 		}
 	}
 	n.cache = store.NewCache(n.sink)
@@ -255,14 +255,14 @@
 		ReadTimeout: tuning.ReadTimeout, WriteTimeout: tuning.WriteTimeout, IdleTimeout: tuning.IdleTimeout,
 		MaxRequestBodySize: wire.MaxBody, ReadBufferSize: 4096, WriteBufferSize: 4096,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true, CloseOnShutdown: true,
-		ErrorHandler: badRequest, Logger: quiet{},
+		ErrorHandler: badRequest, Logger: discardLogger{},
 	}
 }
 
-// quiet drops fasthttp's own lines; what matters is logged by the handlers.
-type quiet struct{}
+// discardLogger drops fasthttp's own lines; what matters is logged by the handlers.
+type discardLogger struct{}
 
-func (quiet) Printf(string, ...any) {}
+func (discardLogger) Printf(string, ...any) {}
 
 // wake signals without waiting.
 func wake(c chan struct{}) {
@@ -363,7 +363,7 @@
 	n.raisedAt = n.now()
 	n.fleet = nil
 	clear(n.owners)
-	clear(n.told)
+	clear(n.published)
 	// Who takes a machine over knows its images from what its former owner
 	// told. Guards against fetches beside machines that hold the image.
 	clear(n.held)
@@ -414,18 +414,18 @@
 	if n.member.Leader == n.self {
 		parts *= 2
 	}
-	told, sum := true, n.want
+	allKnown, sum := true, n.want
 	for _, m := range n.member.Nodes {
 		if m == n.self {
 			continue
 		}
 		s := n.siblings[m.Label]
-		if told = told && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !told {
+		if allKnown = allKnown && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !allKnown {
 			break
 		}
 		sum += float64(s.status.Want)
 	}
-	if told && sum >= 1 {
+	if allKnown && sum >= 1 {
 		parts = (parts + n.want/sum) / 2
 	}
 	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
@@ -804,14 +804,14 @@
 	}
 	if n.entitled() && now.Sub(n.viewAt) >= tuning.ViewEvery {
 		n.viewAt = now
-		n.lookOver(now)
+		n.refreshPublished(now)
 	}
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
 	st.Want = uint32(math.Ceil(n.want))
 	st.View = n.view
 	st.Whole = seen.Token != st.Token || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
-		for _, t := range n.told {
+		for _, t := range n.published {
 			if st.Whole || t.view > seen.View {
 				st.Hosts = append(st.Hosts, t.host)
 			}
@@ -820,8 +820,8 @@
 	return st
 }
 
-// lookOver notes what has changed of this node's machines; mu is held.
-func (n *Node) lookOver(now time.Time) {
+// refreshPublished notes what has changed of this node's machines; mu is held.
+func (n *Node) refreshPublished(now time.Time) {
 	silent := n.silentAfter()
 	for host, w := range n.workers {
 		if w.Heard.IsZero() {
@@ -832,10 +832,10 @@
 		if !w.TakenAt.IsZero() {
 			h.Notice = 0
 		}
-		t := n.told[host]
+		t := n.published[host]
 		if t == nil {
-			t = &told{}
-			n.told[host] = t
+			t = &publishedHost{}
+			n.published[host] = t
 		} else if o := t.host; o.Session == h.Session && o.Silent == h.Silent && o.Proven == h.Proven && o.Notice == h.Notice &&
 			o.Suspect == h.Suspect && slices.Equal(o.Images, w.Images) {
 			continue
@@ -854,5 +854,5 @@
 
 // unfit reports whether a machine should get no tasks for now.
 func (n *Node) unfit(w *fleet.Worker) bool {
-	return w.Mute || len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
+	return w.Unresponsive || len(w.Errors) >= tuning.HostErrorsMax || n.now().Sub(w.Refused) < tuning.NoRoomPause
 }
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -143,7 +143,7 @@
 	n.shareBudget()
 	for host, w := range n.workers {
 		if n.ownerOf(host) == n.self.Label {
-			n.void(w)
+			n.invalidateHeldStarts(w)
 			n.direct(w, now)
 		} else if n.reg.Key(host) == "" && now.Sub(w.Heard) > 2*n.set.Lease() {
 			delete(n.workers, host)
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -44,7 +44,7 @@
 		w.clk.add(tuning.ConfirmAfter)
 		w.sync()
 	}
-	if !n.workers["h1"].Mute {
+	if !n.workers["h1"].Unresponsive {
 		t.Fatal("nobody notices that it does nothing it is told")
 	}
 	w.submit(n, service("wk-3", 1))
@@ -85,14 +85,14 @@
 	n := w.nodes["a"]
 	w.addHost("h1", "service")
 	w.prove("h1", 1)
-	n.workers["h1"].Mute = true
+	n.workers["h1"].Unresponsive = true
 	var out fleet.PlanOutput
 	for range 4 {
 		w.clk.add(lease)
 		w.sync()
 		w.prove("h1", n.workers["h1"].Session+1)
 		n.mu.Lock()
-		n.workers["h1"].Mute = true
+		n.workers["h1"].Unresponsive = true
 		n.leadMemory().listAt = w.clk.now()
 		out = fleet.Plan(n.planInput(n.leadMemory(), n.machines(w.clk.now()), w.clk.now()))
 		n.mu.Unlock()
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -66,10 +66,10 @@
 	if commands == nil {
 		commands = []wire.Command{}
 	}
-	mute := w.Mute
+	before := w.Unresponsive
 	w.Answer(r, commands, now)
-	if w.Mute != mute {
-		n.log.Info("machine's hearing changes", "host", w.Host, "mute", w.Mute)
+	if w.Unresponsive != before {
+		n.log.Info("machine's responsiveness changes", "host", w.Host, "unresponsive", w.Unresponsive)
 	}
 	return 200, wire.ReportResponse{Token: w.Token, Commands: commands}
 }
@@ -192,8 +192,8 @@
 	}
 	var commands []wire.Command
 	silent := now.Sub(w.Heard) >= n.silentAfter()
-	if !w.Quiet && w.Session > 0 {
-		w.Quiet = true
+	if !w.NoPendingCommands && w.Session > 0 {
+		w.NoPendingCommands = true
 		for _, o := range w.Commands(n.table.Hosts[w.Host], n.startable(w.Host)) {
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Commands
@@ -201,14 +201,14 @@
 			if silent && o.Verb != wire.VerbKill {
 				continue // it may only be unable to reach us, and run what was cancelled
 			}
-			w.Quiet = false
+			w.NoPendingCommands = false
 			if now.Sub(w.Sent[fleet.KeyOf(o)]) > n.set.Report() {
 				commands = append(commands, o)
 			}
 		}
 	}
 	greet := w.State == fleet.Unproven && now.Sub(w.Heard) > n.set.Report()*5/4 && now.Sub(n.raisedAt) > time.Second/2
-	greet = greet || w.Mute && now.Sub(w.Called) > tuning.MutePause
+	greet = greet || w.Unresponsive && now.Sub(w.Called) > tuning.UnresponsivePause
 	// A raised token that the worker has not seen: the sooner it shows it, the
 	// sooner the starts below it are void.
 	greet = greet || w.State == fleet.Proven && w.Token > max(w.ShownToken, n.member.Token)
@@ -265,17 +265,17 @@
 	wake(n.kick)
 }
 
-// void makes void what may yet start tasks of cancelled jobs on a machine: a
-// start whose call was not answered may be held in the network or by a machine
-// that hangs. The machine's token is raised, which costs nobody else anything;
-// once the machine shows it, the start is dead and its claim is released. mu is
-// held.
-func (n *Node) void(w *fleet.Worker) {
+// invalidateHeldStarts makes void what may yet start tasks of cancelled jobs on
+// a machine: a start whose call was not answered may be held in the network or
+// by a machine that hangs. The machine's token is raised, which costs nobody
+// else anything; once the machine shows it, the start is dead and its claim is
+// released. mu is held.
+func (n *Node) invalidateHeldStarts(w *fleet.Worker) {
 	if w.Calling {
 		return // its answer may come yet
 	}
 	for _, a := range w.Held(n.table.Hosts[w.Host]) {
-		if w.Void(n.member.Last()) {
+		if w.InvalidateStarts(n.member.Last()) {
 			n.log.Debug("start made void", "task", a.ID, "try", a.Number, "host", w.Host, "token", w.Token)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -93,13 +93,13 @@
 	// off from the state service may renew and the cancellation limit. It
 	// covers report travel time, clock drift and late timers.
 	CancelMargin = 4 * time.Second
-	// VoidStep is by how much an owner raises the token of one of its machines
+	// InvalidateStep is by how much an owner raises the token of one of its machines
 	// to make void what may still be under way there. Versions that know nothing
 	// of it take the next token after a membership's first: they must not come
 	// upon a raised one and hold it for their own.
-	VoidStep = 1 << 10
+	InvalidateStep = 1 << 10
 	// TokenSpan is how many tokens a membership has: room for fifteen steps.
-	TokenSpan = 16 * VoidStep
+	TokenSpan = 16 * InvalidateStep
 	// WorkerCallTimeout bounds a direct command.
 	WorkerCallTimeout = 2 * time.Second
 	// GreetPause separates direct calls to one worker that does not answer.
@@ -108,9 +108,9 @@
 	// show its effect: workers drop answers after 4 s and report changes
 	// within half a second.
 	ConfirmAfter = 6 * time.Second
-	// MutePause separates direct calls that ask whether a machine whose reports
+	// UnresponsivePause separates direct calls that ask whether a machine whose reports
 	// show nothing of what it is told hears again.
-	MutePause = 5 * time.Second
+	UnresponsivePause = 5 * time.Second
 	// UnfitLeases is after how many leases a machine that reports but takes no
 	// tasks is given back.
 	UnfitLeases = 2
