server: passes, records and wake-ups

haste is releasePriority (endsJob releaseJobEnd, wanted releaseRestart, freesRoom releaseRoutine), ends pendingRelease, served preemptedFor, want queuedChanges, kick passWake, mkick memberWake, enter applyRecord, enterMember applyMembership, enterList applyList, noteShort noteGrantShortages, shortAt shortSince, endangered tasksAtRisk. place.Demand.Served is PreemptedFor, place.Output.Short GrantShort, peer.Status.Want QueuedChanges, jobs.Table.Unsaid Unrecorded.

--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -114,7 +114,7 @@
 func (t *Table) file(j *Job) {
 	delete(t.Open, j.ID)
 	delete(t.Waiting, j.ID)
-	delete(t.Unsaid, j.ID)
+	delete(t.Unrecorded, j.ID)
 	j.Ready = j.Record.At
 	switch {
 	case j.Phase == Open:
@@ -128,7 +128,7 @@
 	case j.Phase == Waiting:
 		t.Waiting[j.ID] = j
 	case !j.Record.Phase.Final():
-		t.Unsaid[j.ID] = j
+		t.Unrecorded[j.ID] = j
 	}
 	for _, task := range j.Live {
 		t.Moved(task.Host)
--- a/internal/jobs/pipeline_test.go
+++ b/internal/jobs/pipeline_test.go
@@ -79,8 +79,8 @@
 		if p.tab.Jobs["wk-8"].Status().State != wire.StateCancelled || p.tab.Jobs["wk-4"].Status().State != wire.StateQueued {
 			t.Fatal("users are told otherwise")
 		}
-		if len(p.tab.Unsaid) != 2 || p.tab.Jobs["wk-7"].Via != "wk-6" || p.tab.Jobs["wk-8"].Via != "wk-7" {
-			t.Fatalf("order %d: unsaid %v", seed, p.tab.Unsaid)
+		if len(p.tab.Unrecorded) != 2 || p.tab.Jobs["wk-7"].Via != "wk-6" || p.tab.Jobs["wk-8"].Via != "wk-7" {
+			t.Fatalf("order %d: unsaid %v", seed, p.tab.Unrecorded)
 		}
 	}
 }
@@ -103,8 +103,8 @@
 		t.Fatal(err)
 	}
 	p.put("wk-0", r)
-	if len(p.tab.Waiting) != 0 || len(p.tab.Open) != 0 || len(p.tab.Unsaid) != 2*n {
-		t.Fatalf("%d wait, %d open, %d cancelled", len(p.tab.Waiting), len(p.tab.Open), len(p.tab.Unsaid))
+	if len(p.tab.Waiting) != 0 || len(p.tab.Open) != 0 || len(p.tab.Unrecorded) != 2*n {
+		t.Fatalf("%d wait, %d open, %d cancelled", len(p.tab.Waiting), len(p.tab.Open), len(p.tab.Unrecorded))
 	}
 	// One that comes late, at a node that has not heard.
 	p.put("wk-99999", record("wk-99999", nil, "wk-3000"))
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -135,18 +135,18 @@
 // Table is the set of all jobs as stored, with indexes. It is fed by the
 // cache and changed by nothing else.
 type Table struct {
-	Jobs    map[string]*Job
-	Open    map[string]*Job            // jobs whose tasks may run
-	Waiting map[string]*Job            // jobs that wait for others
-	Unsaid  map[string]*Job            // jobs that are cancelled with others, without a final record
-	Used    map[string]Resources       // claims per team
-	Hosts   map[string]map[TaskID]*Job // claims per machine
-	Needs   map[string]Resources       // what they take
-	Team    map[string]TeamRecord      // team records
-	Intakes map[string][]string        // jobs of each intake record
-	early   map[string]map[int][]Task  // chunks whose job is not known yet
-	after   map[string]map[string]bool // jobs that depend on each job
-	now     func() time.Time
+	Jobs       map[string]*Job
+	Open       map[string]*Job            // jobs whose tasks may run
+	Waiting    map[string]*Job            // jobs that wait for others
+	Unrecorded map[string]*Job            // jobs that are cancelled with others, without a final record
+	Used       map[string]Resources       // claims per team
+	Hosts      map[string]map[TaskID]*Job // claims per machine
+	Needs      map[string]Resources       // what they take
+	Team       map[string]TeamRecord      // team records
+	Intakes    map[string][]string        // jobs of each intake record
+	early      map[string]map[int][]Task  // chunks whose job is not known yet
+	after      map[string]map[string]bool // jobs that depend on each job
+	now        func() time.Time
 
 	FailedAt map[TaskID]time.Time // when a task's count of failures last rose
 
@@ -156,7 +156,7 @@
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unsaid: map[string]*Job{},
+	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unrecorded: map[string]*Job{},
 		after: map[string]map[string]bool{}, Used: map[string]Resources{},
 		Hosts: map[string]map[TaskID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
 		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[TaskID]time.Time{}, Moved: func(string) {}}
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -12,7 +12,7 @@
 
 // Nodes of two versions work side by side.
 func TestGoldenMessages(t *testing.T) {
-	status := Status{Label: "node-1", Incarnation: 91, Token: 92, Revision: 93, HasState: true, Want: 94, View: 95, Whole: true,
+	status := Status{Label: "node-1", Incarnation: 91, Token: 92, Revision: 93, HasState: true, QueuedChanges: 94, View: 95, Whole: true,
 		Seen: Seen{View: 96, Token: 97, Incarnation: 98}, Counts: true, Cancelled: 99,
 		Hosts: []Host{{Name: "host-1", Session: 101, Age: 1500 * time.Millisecond, Silent: true, Proven: true,
 			Notice: 8 * time.Second, Suspect: true, Images: []string{"img-07", "img-08"}}}}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,16 +41,16 @@
 
 // Status is what a node tells about itself.
 type Status struct {
-	Label       string
-	Incarnation uint64
-	Token       uint64
-	Revision    uint64
-	HasState    bool
-	Want        uint32 // changes of the state service that wait for its budget
-	View        uint64 // number of the sender's view of its machines
-	Whole       bool   // Hosts are all machines, not those that changed
-	Seen        Seen   // what the sender has of the receiver
-	Hosts       []Host
+	Label         string
+	Incarnation   uint64
+	Token         uint64
+	Revision      uint64
+	HasState      bool
+	QueuedChanges uint32 // changes of the state service that wait for its budget
+	View          uint64 // number of the sender's view of its machines
+	Whole         bool   // Hosts are all machines, not those that changed
+	Seen          Seen   // what the sender has of the receiver
+	Hosts         []Host
 	// Cancelled is the version of the last cancellation that the sender knows, if
 	// it Counts them: earlier versions don't.
 	Counts    bool
@@ -90,7 +90,7 @@
 	fb.StatusAddBaton(b, s.Token)
 	fb.StatusAddEpoch(b, s.Revision)
 	fb.StatusAddHasState(b, s.HasState)
-	fb.StatusAddWant(b, s.Want)
+	fb.StatusAddWant(b, s.QueuedChanges)
 	fb.StatusAddView(b, s.View)
 	fb.StatusAddWhole(b, s.Whole)
 	fb.StatusAddSeen(b, s.Seen.View)
@@ -136,7 +136,7 @@
 	}
 	f := fb.GetRootAsStatus(b, 0)
 	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Revision: f.Epoch(), HasState: f.HasState(),
-		Counts: f.Counts(), Cancelled: f.Cancelled(), Want: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
+		Counts: f.Counts(), Cancelled: f.Cancelled(), QueuedChanges: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,7 +7,7 @@
 )
 
 func sample() Status {
-	return Status{Label: "n1", Incarnation: 7, Token: 9, Revision: 100, HasState: true, Want: 5, View: 12, Whole: true, Seen: Seen{3, 9, 6}, Hosts: []Host{
+	return Status{Label: "n1", Incarnation: 7, Token: 9, Revision: 100, HasState: true, QueuedChanges: 5, View: 12, Whole: true, Seen: Seen{3, 9, 6}, Hosts: []Host{
 		{Name: "host-1", Session: 2, Age: 1500 * time.Millisecond, Proven: true, Notice: -1, Images: []string{"a", "b"}},
 		{Name: "host-2", Session: 1, Age: -1, Silent: true, Notice: 8 * time.Second, Suspect: true},
 	}}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -158,13 +158,13 @@
 
 // Demand is a job with pending tasks.
 type Demand struct {
-	Job     *jobs.Job
-	Tasks   []int
-	Avoid   map[string]bool // machines that lately refused or failed it
-	Pressed bool            // has waited long enough to displace borrowed work
-	Served  bool            // tasks were stopped for it lately; their room comes
-	Blocked bool            // a write of this node about it is under way
-	Aged    bool            // has waited so long that nothing of its priority goes before it
+	Job          *jobs.Job
+	Tasks        []int
+	Avoid        map[string]bool // machines that lately refused or failed it
+	Pressed      bool            // has waited long enough to displace borrowed work
+	PreemptedFor bool            // tasks were stopped for it lately; their room comes
+	Blocked      bool            // a write of this node about it is under way
+	Aged         bool            // has waited so long that nothing of its priority goes before it
 
 	priority   int
 	guaranteed bool
@@ -204,11 +204,11 @@
 
 // Output of a pass.
 type Output struct {
-	Claims []Claim
-	Evict  []Eviction
-	Unmet  map[string]int // tasks without a place, by job
-	Why    map[string]string
-	Short  map[string]bool // teams whose limit is not used up, but shared out so that work waits
+	Claims     []Claim
+	Evict      []Eviction
+	Unmet      map[string]int // tasks without a place, by job
+	Why        map[string]string
+	GrantShort map[string]bool // teams whose limit is not used up, but shared out so that work waits
 }
 
 // less orders demands: priority, then what has waited too long, by age; then work
@@ -280,7 +280,7 @@
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
-	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, Short: map[string]bool{}}
+	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, GrantShort: map[string]bool{}}
 	in.held, in.scans, in.track = noPriority, scansPerPass, true
 	for _, d := range in.Demands {
 		d.priority, d.guaranteed, d.latest = d.Job.Priority, in.guaranteed(d.Job), in.latest(d.Job)
@@ -371,7 +371,7 @@
 		return
 	}
 	if short {
-		out.Short[w.Team] = true
+		out.GrantShort[w.Team] = true
 		wait(len(d.Tasks)-len(picks), NoShare)
 		return
 	}
@@ -595,7 +595,7 @@
 	}
 	scanned := false
 	for _, p := range in.Fleet.pools {
-		if !p.suits(d.Job) || !p.freeing && (d.Served || p.worst <= d.priority && !(d.Pressed && d.guaranteed)) {
+		if !p.suits(d.Job) || !p.freeing && (d.PreemptedFor || p.worst <= d.priority && !(d.Pressed && d.guaranteed)) {
 			continue // nothing there is being stopped, or may be
 		}
 		if w.SpreadZones && zones[p.Zone] >= ApartCap(d.Job.Record.Tasks) || w.SameZone && len(zones) > 0 && zones[p.Zone] == 0 {
@@ -618,7 +618,7 @@
 				m.Freeing = m.Freeing.Sub(d.Job.Need)
 				return true
 			}
-			if d.Served {
+			if d.PreemptedFor {
 				continue
 			}
 			if list := in.victims(d, m, room); list != nil && (best == nil || len(list) < len(victims)) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -279,7 +279,7 @@
 	m := machine("m", "a", "z", Batch, 1)
 	m.Free, m.Tasks = jobs.Resources{}, []Resident{{ID: jobs.TaskID{Job: "wk-9"}, Job: low}}
 	in = input("a", []*Machine{m}, job("wk-1", wire.KindArray, wire.PriorityUrgent, 1, nil))
-	in.Demands[0].Served = true
+	in.Demands[0].PreemptedFor = true
 	if out := Pass(in); len(out.Evict) != 0 {
 		t.Fatal("more was stopped for a job before the first stop could help it")
 	}
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -450,7 +450,7 @@
 	l.mu.Lock()
 	l.leadMemory().rented[host] = rental{role: placeRole(role)}
 	l.mu.Unlock()
-	l.enterList(context.Background(), w.cl.list)
+	l.applyList(context.Background(), w.cl.list)
 	w.sync()
 }
 
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -156,8 +156,8 @@
 				held = n.heldByNode()
 			}
 			next.Grants = n.grants(cfg, held)
-			delete(n.shortAt, cfg.Name)
-		case !rec.Frozen && !n.shortAt[cfg.Name].IsZero() && now.Sub(n.sharedAt[cfg.Name]) > tuning.ShareOutPause:
+			delete(n.shortSince, cfg.Name)
+		case !rec.Frozen && !n.shortSince[cfg.Name].IsZero() && now.Sub(n.sharedAt[cfg.Name]) > tuning.ShareOutPause:
 			next.Frozen = true
 			n.sharedAt[cfg.Name] = now
 			n.log.Info("team's limit is shared out anew", "team", cfg.Name)
@@ -210,21 +210,21 @@
 	return out
 }
 
-// noteShort remembers since when work waits for a new share of its team's
+// noteGrantShortages remembers since when work waits for a new share of its team's
 // limit; mu is held.
-func (n *Node) noteShort(short map[string]bool, now time.Time) {
-	for team := range n.shortAt {
+func (n *Node) noteGrantShortages(short map[string]bool, now time.Time) {
+	for team := range n.shortSince {
 		if !short[team] {
-			delete(n.shortAt, team)
+			delete(n.shortSince, team)
 		}
 	}
 	for team := range short {
 		rec := n.table.Team[team]
 		if rec.Token != n.member.Token || rec.Frozen {
 			// Guards against sharing out again what has just been shared out.
-			delete(n.shortAt, team)
-		} else if n.shortAt[team].IsZero() {
-			n.shortAt[team] = now
+			delete(n.shortSince, team)
+		} else if n.shortSince[team].IsZero() {
+			n.shortSince[team] = now
 		}
 	}
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -65,7 +65,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cache.Own(then, revision)
-	wake(n.kick)
+	wake(n.passWake)
 }
 
 // runLead plans capacity and moves roles while leading. What it gives back and
@@ -472,7 +472,7 @@
 	}
 	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.ID < in.Wants[b].Job.ID })
 	in.Groups = n.groupsNow()
-	in.Wants = append(in.Wants, n.endangered(machines, up, now)...)
+	in.Wants = append(in.Wants, n.tasksAtRisk(machines, up, now)...)
 	jobIDs := make([]string, 0, len(n.unmet))
 	for jobID := range n.unmet {
 		jobIDs = append(jobIDs, jobID)
@@ -556,13 +556,13 @@
 	return all * most.tasks / most.share
 }
 
-// endangered lists the service tasks on machines that have fallen silent beside
+// tasksAtRisk lists the service tasks on machines that have fallen silent beside
 // others of their owner that are heard. Their room is rented before there is
 // proof that they are gone, since a boot takes longer than that: after a hundred
 // machines had died, services waited for their replacements for 45 s. A node
 // that hears hardly any of its machines has trouble of its own. up is how long
 // ago each machine was heard; mu is held.
-func (n *Node) endangered(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
+func (n *Node) tasksAtRisk(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
 	heard, quiet := map[string]int{}, map[string]int{}
 	var list []*place.Machine
 	for _, m := range machines.Machines {
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -43,7 +43,7 @@
 		if list, err := n.cloud.List(); err != nil {
 			n.log.Info("machine list not read", "err", err)
 		} else {
-			n.enterList(ctx, list)
+			n.applyList(ctx, list)
 		}
 		// A list of many pages takes as many calls of the cloud's budget.
 		n.mu.Lock()
@@ -157,8 +157,8 @@
 // groupLimit is how much JSON a group of machine records may hold.
 func (n *Node) groupLimit() int { return int(n.limits.ValueKB * 1024 * tuning.GroupShare) }
 
-// enterList compares the cloud's list with the stored machines.
-func (n *Node) enterList(ctx context.Context, list []wire.Host) {
+// applyList compares the cloud's list with the stored machines.
+func (n *Node) applyList(ctx context.Context, list []wire.Host) {
 	n.mu.Lock()
 	if !n.leads() {
 		n.mu.Unlock()
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -97,13 +97,13 @@
 	busyTeam       map[string]bool           // a write of the team's key is under way
 	inFlightClaims map[string]jobs.Resources // claims under way, by team
 	inDoubt        []inDoubtWrite
-	want           float64              // changes that wait for the budget, a mean over the last passes
+	queuedChanges  float64              // changes that wait for the budget, a mean over the last passes
 	storing        int                  // changes of machine records that the leader has yet to write
-	shortAt        map[string]time.Time // teams whose work waits for a new share, since when
+	shortSince     map[string]time.Time // teams whose work waits for a new share, since when
 	sharedAt       map[string]time.Time // when a team's limit was last frozen
 	dueSince       map[string]time.Time // chunks with ends to store, since when
 	notUntil       map[string]time.Time // jobs that lost a race, by when to try again
-	served         map[string]time.Time // jobs that others were stopped for, by when
+	preemptedFor   map[string]time.Time // jobs that others were stopped for, by when
 	unmet          map[string]int       // tasks without a place, by job, of the last pass
 	why            map[string]string
 	unmetAt        map[string]time.Time
@@ -117,10 +117,10 @@
 	open       func() int // connections of users and workers
 	hostWrites sync.Mutex // held while the leader stores machine records
 
-	kick  chan struct{} // wakes the pass
-	mkick chan struct{} // wakes the membership
-	calls chan struct{} // bounds direct calls
-	takes chan struct{} // bounds submissions under way
+	passWake   chan struct{} // wakes the pass
+	memberWake chan struct{} // wakes the membership
+	calls      chan struct{} // bounds direct calls
+	takes      chan struct{} // bounds submissions under way
 
 	intake   chan *submission // submissions that wait for their durable write
 	intakeNo atomic.Uint64    // counts intake records
@@ -177,12 +177,12 @@
 	n := &Node{
 		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
 		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, published: map[string]*publishedHost{},
-		inFlightClaims: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
+		inFlightClaims: map[string]jobs.Resources{}, shortSince: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
 		machineTypes: map[string]wire.MachineType{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
-		served: map[string]time.Time{}, unreachable: map[string]bool{},
+		preemptedFor: map[string]time.Time{}, unreachable: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
-		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
+		passWake: make(chan struct{}, 1), memberWake: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 		intake: make(chan *submission, set.Operator.IntakeQueue),
 	}
@@ -274,18 +274,18 @@
 
 // changed runs with mu held after each watch response.
 func (n *Node) changed() {
-	wake(n.kick)
-	wake(n.mkick)
+	wake(n.passWake)
+	wake(n.memberWake)
 }
 
 // sink takes changed values from the cache; mu is held.
 func (n *Node) sink(key string, v wire.Raw, version uint64) {
-	if err := n.enter(key, v, version); err != nil {
+	if err := n.applyRecord(key, v, version); err != nil {
 		n.log.Error("stored record can't be read", "key", key, "stamp", version, "err", err)
 	}
 }
 
-func (n *Node) enter(key string, v wire.Raw, version uint64) error {
+func (n *Node) applyRecord(key string, v wire.Raw, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
 		jobID := strings.TrimPrefix(key, jobs.JobPrefix)
@@ -331,7 +331,7 @@
 		n.lead = m
 		return err
 	case key == member.Key:
-		return n.enterMember(v)
+		return n.applyMembership(v)
 	case key == typesKey:
 		var r wire.MachineTypes
 		if v == nil {
@@ -349,7 +349,7 @@
 	return nil
 }
 
-func (n *Node) enterMember(v wire.Raw) error {
+func (n *Node) applyMembership(v wire.Raw) error {
 	if v == nil {
 		n.member = nil
 		return nil
@@ -414,7 +414,7 @@
 	if n.member.Leader == n.self {
 		parts *= 2
 	}
-	allKnown, sum := true, n.want
+	allKnown, sum := true, n.queuedChanges
 	for _, m := range n.member.Nodes {
 		if m == n.self {
 			continue
@@ -423,10 +423,10 @@
 		if allKnown = allKnown && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !allKnown {
 			break
 		}
-		sum += float64(s.status.Want)
+		sum += float64(s.status.QueuedChanges)
 	}
 	if allKnown && sum >= 1 {
-		parts = (parts + n.want/sum) / 2
+		parts = (parts + n.queuedChanges/sum) / 2
 	}
 	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
 }
@@ -548,7 +548,7 @@
 		left := tuning.SessionTouch - n.now().Sub(touched)
 		select {
 		case <-ctx.Done():
-		case <-n.mkick:
+		case <-n.memberWake:
 			sleep(ctx, 10*time.Millisecond)
 		case <-time.After(max(left, 10*time.Millisecond)):
 		}
@@ -626,7 +626,7 @@
 	if change.Set == key {
 		n.session = n.session.Next(member.Stored)
 	}
-	wake(n.mkick)
+	wake(n.memberWake)
 	return nil
 }
 
@@ -694,7 +694,7 @@
 			n.mu.Lock()
 			n.probed = n.now()
 			n.mu.Unlock()
-			wake(n.mkick)
+			wake(n.memberWake)
 			break
 		}
 	}
@@ -764,7 +764,7 @@
 	st.Hosts = nil
 	s.status, s.at = st, now
 	if n.member != nil && st.Token > n.member.Token {
-		wake(n.mkick)
+		wake(n.memberWake)
 	}
 }
 
@@ -807,7 +807,7 @@
 		n.refreshPublished(now)
 	}
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
-	st.Want = uint32(math.Ceil(n.want))
+	st.QueuedChanges = uint32(math.Ceil(n.queuedChanges))
 	st.View = n.view
 	st.Whole = seen.Token != st.Token || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -57,7 +57,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-n.kick:
+		case <-n.passWake:
 		case <-time.After(tuning.TickEvery):
 		}
 		start := time.Now()
@@ -84,9 +84,9 @@
 	for host, w := range n.workers {
 		w.KeepStopping(n.table.Hosts[host])
 	}
-	for jobID, at := range n.served {
+	for jobID, at := range n.preemptedFor {
 		if now.Sub(at) > tuning.PreemptPause {
-			delete(n.served, jobID)
+			delete(n.preemptedFor, jobID)
 		}
 	}
 	for jobID, at := range n.notUntil {
@@ -105,7 +105,7 @@
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
 			w.Stop(r.ID)
-			n.served[r.For] = now
+			n.preemptedFor[r.For] = now
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
@@ -120,9 +120,9 @@
 		early = (most + 1) / 2
 	}
 	most -= early
-	rest := make([]ends, 0, len(due))
+	rest := make([]pendingRelease, 0, len(due))
 	for _, r := range due {
-		if r.haste < freesRoom {
+		if r.priority < releaseRoutine {
 			txns = n.release(txns, r, &early)
 		} else {
 			rest = append(rest, r)
@@ -139,7 +139,7 @@
 		jobsToClaim[c.Job.ID] = true
 	}
 	waits := n.lim.Waiting() + float64(n.storing+max(0, len(due)+len(jobsToClaim)-len(txns)))
-	n.want += (waits - n.want) / 2
+	n.queuedChanges += (waits - n.queuedChanges) / 2
 	n.shareBudget()
 	for host, w := range n.workers {
 		if n.ownerOf(host) == n.self.Label {
@@ -156,7 +156,7 @@
 
 func (n *Node) noteUnmet(out place.Output, now time.Time) {
 	n.unmet, n.why = out.Unmet, out.Why
-	n.noteShort(out.Short, now)
+	n.noteGrantShortages(out.GrantShort, now)
 	for jobID := range n.unmetAt {
 		if out.Unmet[jobID] == 0 {
 			delete(n.unmetAt, jobID)
@@ -195,7 +195,7 @@
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
 		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Ready > tuning.AgedAfter.Milliseconds()
-		d.Served = now.Sub(n.served[jobID]) < tuning.PreemptPause
+		d.PreemptedFor = now.Sub(n.preemptedFor[jobID]) < tuning.PreemptPause
 		d.Blocked = n.busyJob[jobID] || now.Before(n.notUntil[jobID])
 		if len(d.Tasks) > 0 {
 			in.Demands = append(in.Demands, d)
@@ -266,26 +266,26 @@
 	return tasks, true
 }
 
-// ends is what may be stored of the ends of one chunk's tasks.
-type ends struct {
+// pendingRelease is what may be stored of the ends of one chunk's tasks.
+type pendingRelease struct {
 	*chunkChange
-	key   string
-	since time.Time
-	haste haste
+	key      string
+	since    time.Time
+	priority releasePriority
 }
 
-// haste orders the ends of tasks.
-type haste int
+// releasePriority orders the ends of tasks.
+type releasePriority int
 
 const (
-	endsJob   haste = iota // the job is over: its user and what depends on it wait for that
-	wanted                 // a task waits for a new start, or this node's part of the job is over
-	freesRoom              // the rest
+	releaseJobEnd  releasePriority = iota // the job is over: its user and what depends on it wait for that
+	releaseRestart                        // a task waits for a new start, or this node's part of the job is over
+	releaseRoutine                        // the rest
 )
 
 // releases collects the claims whose end is proven on this node's machines,
 // by chunk; what matters most comes first.
-func (n *Node) releases(now time.Time) []ends {
+func (n *Node) releases(now time.Time) []pendingRelease {
 	changes := map[string]*chunkChange{}
 	add := func(id jobs.TaskID, kind jobs.TaskEventKind) {
 		j := n.table.Jobs[id.Job]
@@ -327,7 +327,7 @@
 			delete(n.dueSince, key)
 		}
 	}
-	var out []ends
+	var out []pendingRelease
 	for key, c := range changes {
 		since, ok := n.dueSince[key]
 		if !ok {
@@ -348,21 +348,21 @@
 		if n.busyJob[j.ID] || now.Before(n.notUntil[j.ID]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
 			continue
 		}
-		e := ends{c, key, since, freesRoom}
+		e := pendingRelease{c, key, since, releaseRoutine}
 		switch {
 		case last:
-			e.haste = endsJob
+			e.priority = releaseJobEnd
 		case j.Service() || again || wait > tuning.ReleaseLate || n.partOver(j, changes):
-			e.haste = wanted
+			e.priority = releaseRestart
 		}
 		out = append(out, e)
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
-		if x.haste != y.haste {
-			return x.haste < y.haste
+		if x.priority != y.priority {
+			return x.priority < y.priority
 		}
-		if len(x.events) != len(y.events) && x.haste == freesRoom {
+		if len(x.events) != len(y.events) && x.priority == releaseRoutine {
 			return len(x.events) > len(y.events)
 		}
 		if !x.since.Equal(y.since) {
@@ -397,7 +397,7 @@
 }
 
 // release adds the write of one chunk's ends, if the budget has room for it.
-func (n *Node) release(txns []*txn, d ends, most *float64) []*txn {
+func (n *Node) release(txns []*txn, d pendingRelease, most *float64) []*txn {
 	if *most < 1 || n.busyJob[d.job.ID] {
 		return txns
 	}
@@ -477,7 +477,7 @@
 		t.set(jobs.JobKey(jobID), finalRecord(j, jobs.JobCompleted, n.now()))
 		txns = n.under(txns, t, jobID, most)
 	}
-	for jobID, j := range n.table.Unsaid {
+	for jobID, j := range n.table.Unrecorded {
 		// It says nothing new: it lets intake records go, and tells old versions.
 		if *most < 2 || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
 			continue
@@ -510,12 +510,12 @@
 		claims []place.Claim
 	}
 	var groups []*group
-	byRef := map[string]*group{}
+	byJob := map[string]*group{}
 	for _, c := range list {
-		g := byRef[c.Job.ID]
+		g := byJob[c.Job.ID]
 		if g == nil {
 			g = &group{job: c.Job}
-			byRef[c.Job.ID] = g
+			byJob[c.Job.ID] = g
 			groups = append(groups, g)
 		}
 		g.claims = append(g.claims, c)
@@ -630,7 +630,7 @@
 	if t.team != "" {
 		delete(n.busyTeam, t.team)
 	}
-	wake(n.kick)
+	wake(n.passWake)
 }
 
 // displace moves service tasks off machines that are to lose them, one at a
--- a/internal/server/pipeline_test.go
+++ b/internal/server/pipeline_test.go
@@ -300,7 +300,7 @@
 	w.st.value, w.st.ops = 2048, 4
 	for key, v := range data {
 		if key == member.Key || key == member.LeadKey || key == jobs.TeamKey("x") || strings.HasPrefix(key, member.NodePrefix) {
-			if err := n.enter(key, v, 0); err != nil {
+			if err := n.applyRecord(key, v, 0); err != nil {
 				t.Errorf("%s: %v", key, err)
 			}
 			continue
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -39,7 +39,7 @@
 		l.leadMemory().rented[host] = rental{role: role}
 		l.mu.Unlock()
 	}
-	l.enterList(context.Background(), w.cl.list)
+	l.applyList(context.Background(), w.cl.list)
 	w.sync()
 	for _, h := range w.cl.list {
 		owner, _ := w.owner(h.Name)
@@ -318,12 +318,12 @@
 		return len(n.reg.Hosts)
 	}
 	w.st.lose = 1
-	n.enterList(ctx, list[:10])
+	n.applyList(ctx, list[:10])
 	if known() != 10 {
 		t.Fatalf("%d machines after a lost answer", known())
 	}
 	revision := w.st.revision
-	n.enterList(ctx, list[:10])
+	n.applyList(ctx, list[:10])
 	if known() != 10 || w.st.revision != revision {
 		t.Fatal("a group whose answer was lost is written again")
 	}
@@ -332,11 +332,11 @@
 	if _, err := w.st.Multi(ctx, 0, nil, []wire.Change{{Set: key, Value: w.st.keys[key].v}}); err != nil {
 		t.Fatal(err)
 	}
-	n.enterList(ctx, list[:12])
+	n.applyList(ctx, list[:12])
 	if known() != 10 {
 		t.Fatalf("%d machines: a write computed from an older group was stored", known())
 	}
-	n.enterList(ctx, list[:12])
+	n.applyList(ctx, list[:12])
 	if known() != 12 {
 		t.Fatalf("%d machines after a conflict", known())
 	}
@@ -353,7 +353,7 @@
 	if k := known(); k <= 12 || k >= 100 {
 		t.Fatalf("%d machines half way", k)
 	}
-	n.enterList(ctx, list)
+	n.applyList(ctx, list)
 	if known() != 100 {
 		t.Fatalf("%d machines after the next list", known())
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -304,7 +304,7 @@
 	n.mu.Unlock()
 	n.giveBack(ctx, returns)
 	// A list that is late still shows it; it must not join again.
-	n.enterList(ctx, w.cl.list)
+	n.applyList(ctx, w.cl.list)
 	if rec, known := n.reg.Hosts["h1"]; len(w.cl.returned) != 1 || known {
 		t.Fatalf("returned %v, still known: %+v", w.cl.returned, rec)
 	}
@@ -325,7 +325,7 @@
 	w.cl.list = nil
 	for range tuning.GoneLists + 1 {
 		w.clk.add(10 * time.Second)
-		n.enterList(ctx, nil)
+		n.applyList(ctx, nil)
 	}
 	w.passAll()
 	if n.claimsOn("h1") != 1 {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -74,8 +74,8 @@
 	rows(&b, "awaits", n.table.Waiting, func(jobID string) string {
 		return fmt.Sprintf("awaits %s: %s", jobID, strings.Join(n.table.Unfinished(n.table.Waiting[jobID]), " "))
 	})
-	rows(&b, "cancelled with others", n.table.Unsaid, func(jobID string) string {
-		return fmt.Sprintf("cancelled %s with %s", jobID, n.table.Unsaid[jobID].Via)
+	rows(&b, "cancelled with others", n.table.Unrecorded, func(jobID string) string {
+		return fmt.Sprintf("cancelled %s with %s", jobID, n.table.Unrecorded[jobID].Via)
 	})
 	c.SetBodyString(b.String())
 }
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -428,11 +428,11 @@
 	n.mu.Lock()
 	n.leadMemory().since = map[string]time.Time{} // as after a change of leader
 	n.mu.Unlock()
-	n.enterList(context.Background(), []wire.Host{w.cl.list[0], w.cl.list[2]})
+	n.applyList(context.Background(), []wire.Host{w.cl.list[0], w.cl.list[2]})
 	if l := n.leadMemory(); l.absent["h2"] != 1 {
 		t.Fatalf("absences %v beside a later machine", l.absent)
 	}
-	n.enterList(context.Background(), w.cl.list[:2])
+	n.applyList(context.Background(), w.cl.list[:2])
 	if l := n.leadMemory(); l.absent["h3"] != 0 || l.absent["h2"] != 0 {
 		t.Fatalf("absences %v in a list that may be older", l.absent)
 	}
@@ -517,7 +517,7 @@
 		r := *n.member
 		n.workers["h1"].State = fleet.Proven
 		r.Token, r.Span = c.next(n.member), tuning.TokenSpan
-		err := n.enterMember(wire.MustMarshal(r))
+		err := n.applyMembership(wire.MustMarshal(r))
 		got := n.workers["h1"].State
 		n.mu.Unlock()
 		if err != nil || got != c.want {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -42,7 +42,7 @@
 	if r.Token > n.token(r.Host) {
 		// Somebody newer is entitled; a 200 of ours would hold the worker here
 		// while its lease runs out.
-		wake(n.mkick)
+		wake(n.memberWake)
 		return 503, wire.Failure{Error: "superseded"}
 	}
 	stale := now.Sub(n.sync.Fresh())
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	wake(n.kick)
+	wake(n.passWake)
 }
 
 // imageSize is the size of an image in GB, as the last job that uses it says;
@@ -262,7 +262,7 @@
 	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Token <= n.token(w.Host) {
 		n.observe(w, r, n.now())
 	}
-	wake(n.kick)
+	wake(n.passWake)
 }
 
 // invalidateHeldStarts makes void what may yet start tasks of cancelled jobs on
