--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -166,7 +166,7 @@
 	for k, s := range late.guards {
 		guards = append(guards, wire.Guard{Key: k, Version: s})
 	}
-	_, _ = w.st.Multi(context.Background(), late.class, guards, late.then)
+	_, _ = w.st.Multi(context.Background(), late.class, guards, late.changes)
 	for range 6 {
 		w.clk.add(tuning.ShareOutPause)
 		w.keepAlive()
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -153,11 +153,11 @@
 }
 
 func (n *Node) storeNew(ctx context.Context, guards []wire.Guard, change wire.Change) error {
-	then := []wire.Change{change}
-	revision, err := n.svc.Multi(ctx, store.ClassIntake, guards, then)
+	changes := []wire.Change{change}
+	revision, err := n.svc.Multi(ctx, store.ClassIntake, guards, changes)
 	if err != nil {
 		return err
 	}
-	n.answered(then, revision)
+	n.answered(changes, revision)
 	return nil
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -46,25 +46,25 @@
 }
 
 // write runs a guarded write of the leader and enters it.
-func (n *Node) write(ctx context.Context, guards []wire.Guard, then []wire.Change) error {
+func (n *Node) write(ctx context.Context, guards []wire.Guard, changes []wire.Change) error {
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
 	defer stop()
-	revision, err := n.svc.Multi(cctx, store.ClassRecords, guards, then)
+	revision, err := n.svc.Multi(cctx, store.ClassRecords, guards, changes)
 	if err != nil {
 		if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLost) {
 			_ = n.sync.Barrier(tuning.BarrierWait)
 		}
 		return err
 	}
-	n.answered(then, revision)
+	n.answered(changes, revision)
 	return nil
 }
 
 // answered enters a write of this node.
-func (n *Node) answered(then []wire.Change, revision uint64) {
+func (n *Node) answered(changes []wire.Change, revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cache.Own(then, revision)
+	n.cache.Own(changes, revision)
 	wake(n.passWake)
 }
 
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -607,8 +607,8 @@
 		}
 	}
 	n.mu.Unlock()
-	then := []wire.Change{change}
-	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, then)
+	changes := []wire.Change{change}
+	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, changes)
 	if err != nil {
 		return err
 	}
@@ -621,7 +621,7 @@
 	if change.Set != member.Key {
 		// The membership comes by watch only: everything stored before it must
 		// be in the cache before it counts.
-		n.cache.Own(then, revision)
+		n.cache.Own(changes, revision)
 	}
 	if change.Set == key {
 		n.session = n.session.Next(member.Stored)
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -17,16 +17,16 @@
 
 // txn collects the changes of one guarded write.
 type txn struct {
-	class  store.Class
-	guards map[string]uint64
-	then   []wire.Change
-	bytes  int
-	jobs   []string
-	team   string         // whose limit is shared out otherwise by the write
-	claims string         // team whose claims it stores
-	need   jobs.Resources // what they take
-	what   string
-	notes  [][]any // log lines for when it is stored
+	class   store.Class
+	guards  map[string]uint64
+	changes []wire.Change
+	bytes   int
+	jobs    []string
+	team    string         // whose limit is shared out otherwise by the write
+	claims  string         // team whose claims it stores
+	need    jobs.Resources // what they take
+	what    string
+	notes   [][]any // log lines for when it is stored
 }
 
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
@@ -38,17 +38,17 @@
 // room reports whether n more changes of the given size fit.
 func (n *Node) room(t *txn, changes, bytes, guards int) bool {
 	ops := n.limits.TxnOps
-	return len(t.then)+changes <= ops && t.bytes+bytes <= tuning.TxnBytes && len(t.guards)+guards <= 4*ops
+	return len(t.changes)+changes <= ops && t.bytes+bytes <= tuning.TxnBytes && len(t.guards)+guards <= 4*ops
 }
 
 func (t *txn) set(key string, v any) {
 	raw := wire.MustMarshal(v)
-	t.then = append(t.then, wire.Change{Set: key, Value: raw})
+	t.changes = append(t.changes, wire.Change{Set: key, Value: raw})
 	t.bytes += 2*len(raw) + len(key) // JSON is at most about twice the CBOR
 }
 
 func (t *txn) drop(key string) {
-	t.then = append(t.then, wire.Change{Drop: key})
+	t.changes = append(t.changes, wire.Change{Drop: key})
 	t.bytes += len(key) + 16
 }
 
@@ -419,7 +419,7 @@
 func (n *Node) under(txns []*txn, t *txn, jobID string, most *float64) []*txn {
 	t.jobs = append(t.jobs, jobID)
 	n.busyJob[jobID] = true
-	*most -= float64(len(t.then))
+	*most -= float64(len(t.changes))
 	return append(txns, t)
 }
 
@@ -596,7 +596,7 @@
 	}
 	sort.Slice(guards, func(a, b int) bool { return guards[a].Key < guards[b].Key })
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
-	revision, err := n.svc.Multi(cctx, t.class, guards, t.then)
+	revision, err := n.svc.Multi(cctx, t.class, guards, t.changes)
 	stop()
 	if err != nil {
 		n.log.Debug("write failed", "what", t.what, "jobs", t.jobs, "err", err)
@@ -609,7 +609,7 @@
 	defer n.mu.Unlock()
 	n.metrics.wrote(t.what, err)
 	if err == nil {
-		n.cache.Own(t.then, revision)
+		n.cache.Own(t.changes, revision)
 		for _, l := range t.notes {
 			n.log.Debug(l[0].(string), l[1:]...)
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -88,7 +88,7 @@
 	StateCancelled = "cancelled"
 )
 
-// States of tasks in reports (StateRunning is shared with jobs).
+// States of tasks in reports.
 const (
 	TaskPulling  = "pulling"
 	TaskRunning  = "running"
@@ -113,7 +113,7 @@
 	VerbReap  = "reap"
 )
 
-// Machine phases in the cloud's list.
+// States of machines in the cloud's list.
 const (
 	HostStarting = "starting"
 	HostRunning  = "running"
@@ -248,7 +248,7 @@
 	Error string `cbor:"error"`
 }
 
-// TaskReport is one task in a worker's report.
+// TaskReport is one attempt of a task in a worker's report.
 type TaskReport struct {
 	Task      string `cbor:"shard"`
 	Attempt   uint64 `cbor:"try"`
@@ -257,7 +257,9 @@
 	Saved     bool   `cbor:"saved,omitempty"`
 }
 
-// Report is a worker's report.
+// Report is the body of POST /checkin: what a worker runs. Session numbers the
+// worker's sessions, Sequence the reports of a session, and Token is the highest
+// that the worker has seen.
 type Report struct {
 	Host        string       `cbor:"host"`
 	Address     string       `cbor:"address"`
@@ -271,7 +273,7 @@
 	Tasks       []TaskReport `cbor:"shards"`
 }
 
-// Command is one command to a worker.
+// Command is one command about one attempt of a task.
 type Command struct {
 	Verb         string   `cbor:"verb"`
 	Task         string   `cbor:"shard"`
@@ -279,7 +281,7 @@
 	GracePeriodS *float64 `cbor:"leeway_s,omitempty"`
 }
 
-// ReportResponse answers a report.
+// ReportResponse answers a report; it renews the worker's lease.
 type ReportResponse struct {
 	Token    uint64    `cbor:"baton"`
 	Commands []Command `cbor:"orders"`
@@ -292,12 +294,13 @@
 	Commands []Command `cbor:"orders"`
 }
 
-// Redirect answers a report that another node should handle.
+// Redirect answers a report that another node should handle; it names that
+// node, if it is known.
 type Redirect struct {
 	Node string `cbor:"foreman,omitempty"`
 }
 
-// MachineType is a machine type.
+// MachineType is a type of machine that the cloud rents out.
 type MachineType struct {
 	Label       string   `cbor:"label"`
 	CPUs        float64  `cbor:"cpus"`
@@ -316,7 +319,7 @@
 	Types []MachineType `cbor:"rigs"`
 }
 
-// RentRequest is the body of POST /hosts.
+// RentRequest is the body of POST /hosts. A name is used once.
 type RentRequest struct {
 	Name        string `cbor:"hire"`
 	MachineType string `cbor:"rig"`
@@ -347,7 +350,7 @@
 	Truncated bool   `cbor:"truncated"`
 }
 
-// Pair is one key of the state service.
+// Pair is one key of the state service, with its value and its version.
 type Pair struct {
 	Key     string `cbor:"key"`
 	Value   Raw    `cbor:"v"`
@@ -361,7 +364,7 @@
 	Revision  uint64 `cbor:"epoch"`
 }
 
-// Guard is one condition of a transaction.
+// Guard is one condition of a transaction: the key has this version.
 type Guard struct {
 	Key     string `cbor:"key"`
 	Version uint64 `cbor:"stamp"`
@@ -375,7 +378,8 @@
 	Drop    string `cbor:"drop,omitempty"`
 }
 
-// Transaction is a transaction.
+// Transaction is the body of POST /multi: changes that are made if all guards
+// hold.
 type Transaction struct {
 	Guards  []Guard  `cbor:"guards"`
 	Changes []Change `cbor:"then"`
@@ -393,7 +397,7 @@
 	TTLMs uint64 `cbor:"ttl_ms"`
 }
 
-// Lease answers it.
+// Lease answers a request for a lease.
 type Lease struct {
 	ID uint64 `cbor:"tenure"`
 }
