--- /dev/null
+++ b/internal/server/leading.go
@@ -0,0 +1,81 @@
+// This file holds the leader's memory.
+
+package server
+
+import (
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/place"
+	"wheatspur/internal/roles"
+	"wheatspur/wire"
+)
+
+// leading is the leader's memory; it starts empty with each leadership.
+type leading struct {
+	token        uint64
+	nextToken    uint64 // the token of the membership after it
+	counter      int
+	listed       map[string]wire.Host
+	listAt       time.Time
+	absent       map[string]int // lists in a row that omitted a machine listed before
+	rented       map[string]rental
+	refused      map[fleet.Kind]time.Time
+	control      map[string]*roles.Controller
+	decision     map[string]roles.Decision
+	seenJobs     map[string]bool
+	idle         map[string]time.Time     // since when a machine has no claims
+	surplusSince map[string]time.Time     // see fleet.PlanInput
+	gone         map[string]time.Time     // machines given back, which late lists still show
+	lost         []string                 // machines that went away while they were drained, with claims on them
+	unfit        map[string]time.Time     // since when a machine reports but takes no tasks
+	heard        map[string]time.Time     // when a machine was last heard by anybody
+	since        map[string]time.Time     // when a machine was first listed
+	active       map[place.Role]time.Time // when a role last had an open job
+	batchAvg     float64
+	batchSize    float64   // mean number of tasks of arriving arrays
+	batchSeen    time.Time // when the last one arrived
+	avgAt        time.Time
+	plain        fleet.Load // batch work that may not use spot machines
+	plainSeen    time.Time  // when there last was any
+	batch        fleet.Load // last typical loads
+	service      fleet.Load
+}
+
+type rental struct {
+	kind fleet.Kind
+	role place.Role
+	at   time.Time
+}
+
+// leadMemory returns the leader's memory for the present token; mu is held.
+func (n *Node) leadMemory() *leading {
+	if n.leading.token != n.member.Token {
+		old := n.leading
+		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
+			active: map[place.Role]time.Time{}, rented: map[string]rental{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
+			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
+			heard: map[string]time.Time{}, surplusSince: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
+		if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
+			// The same leader under a new membership keeps what it knows of the
+			// cloud; role counters restart empty.
+			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
+			n.leading.rented, n.leading.refused = old.rented, old.refused
+			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
+			n.leading.unfit, n.leading.gone = old.unfit, old.gone
+			n.leading.surplusSince, n.leading.active = old.surplusSince, old.active
+			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
+			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
+			n.leading.batch, n.leading.service = old.batch, old.service
+			n.leading.plain, n.leading.plainSeen = old.plain, old.plainSeen
+		}
+	}
+	return &n.leading
+}
+
+// hear notes that a machine was up at a time.
+func (l *leading) hear(host string, at time.Time) {
+	if at.After(l.heard[host]) {
+		l.heard[host] = at
+	}
+}
--- /dev/null
+++ b/internal/server/membership.go
@@ -0,0 +1,309 @@
+// This file holds the session, the leadership and the membership of a node, and
+// what follows from them: what it owns and whether it reaches its workers.
+
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wheatspur/internal/member"
+	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+func (n *Node) applyMembership(v wire.Raw) error {
+	if v == nil {
+		n.member = nil
+		return nil
+	}
+	var r member.Record
+	if err := wire.Unmarshal(v, &r); err != nil {
+		return err
+	}
+	last := n.member
+	n.member = &r
+	n.raisedAt = n.now()
+	clear(n.owners)
+	clear(n.published)
+	// Who takes a machine over knows its images from what its former owner
+	// told. Guards against fetches beside machines that hold the image.
+	clear(n.held)
+	for _, s := range n.siblings {
+		for host, h := range s.hosts {
+			n.held[host] = h.Images
+		}
+	}
+	// A machine that was ours under the last membership and is under this one
+	// has had no other owner: what it has proven stands. Guards against a
+	// fleet that takes nothing until each machine has reported, with every node
+	// that comes or goes, and against tasks behind a cut that nobody may release.
+	next := last != nil && r.Follows(last) && last.Has(n.self) && r.Has(n.self)
+	for host, w := range n.workers {
+		n.held[host] = w.Images
+		if n.ownerOf(host) != n.self.Label {
+			// What another owner does meanwhile makes this view worthless.
+			delete(n.workers, host)
+		} else if !next || last.Owner(host) != n.self.Label {
+			w.RaiseToken()
+		}
+	}
+	n.resetView()
+	n.shareBudget()
+	n.log.Info("membership", "baton", r.Token, "leader", r.Leader.Label, "nodes", len(r.Nodes))
+	return nil
+}
+
+// ownerOf is the member that a machine is hashed to; mu is held.
+func (n *Node) ownerOf(host string) string {
+	o, ok := n.owners[host]
+	if !ok {
+		o = n.member.Owner(host)
+		if n.reg.Key(host) != "" {
+			n.owners[host] = o // bounded by what is stored
+		}
+	}
+	return o
+}
+
+// entitled reports whether this node is a member of the newest membership it
+// knows; mu is held.
+func (n *Node) entitled() bool {
+	return n.member != nil && n.session == member.Registered && n.member.Has(n.self) && n.cache.Settled()
+}
+
+// leads reports whether this node is the leader; mu is held.
+func (n *Node) leads() bool {
+	return n.entitled() && n.member.Leader == n.self && n.lead != nil && *n.lead == n.self
+}
+
+// pipelines reports whether every member reads jobs that are stored waiting; mu
+// is held. A node that does not would run such a job at once if it took it in,
+// and would stop its tasks on its machines.
+func (n *Node) pipelines() bool {
+	return n.member != nil && n.member.Knows(member.FormPipelines, n.versions)
+}
+
+// spans reports whether every node with a session knows of memberships that
+// span several tokens; mu is held.
+func (n *Node) spans() bool {
+	for label, s := range n.sessions {
+		if v := n.versions[label]; v.Node != s || v.Form < member.FormSpans {
+			return false
+		}
+	}
+	return true
+}
+
+// superseded reports whether a sibling that reads the state service knows a
+// newer membership, so that this node should hand its workers over; mu is held.
+func (n *Node) superseded() bool {
+	if n.member == nil {
+		return false
+	}
+	for _, s := range n.siblings {
+		if n.freshSibling(s) && s.status.HasState && s.status.Token > n.member.Token {
+			return true
+		}
+	}
+	return false
+}
+
+// runMember keeps the session, the leadership and the membership.
+func (n *Node) runMember(ctx context.Context) error {
+	var touched time.Time
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		state, leaseID, settled := n.session, n.self.Incarnation, n.cache.Settled()
+		n.mu.Unlock()
+		switch {
+		case state == member.NoLease:
+			id, err := n.svc.Lease(ctx, tuning.SessionTTL)
+			if err != nil {
+				n.log.Info("no lease yet", "err", err)
+				sleep(ctx, tuning.RetryPause)
+				continue
+			}
+			touched = n.now()
+			n.mu.Lock()
+			n.self.Incarnation = id
+			n.session = n.session.Next(member.GotLease)
+			n.mu.Unlock()
+			continue
+		case n.now().Sub(touched) >= tuning.SessionTouch:
+			touched = n.now()
+			if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
+				n.endSession()
+				continue
+			} else if err != nil {
+				n.log.Debug("session not renewed", "err", err)
+				touched = n.now().Add(tuning.RetryPause - tuning.SessionTouch)
+			}
+		}
+		if settled {
+			if err := n.memberStep(ctx); err != nil {
+				n.log.Debug("membership step failed", "err", err)
+				if errors.Is(err, store.ErrNoLease) {
+					n.endSession()
+				} else {
+					_ = n.sync.Barrier(tuning.BarrierWait)
+				}
+			}
+		}
+		left := tuning.SessionTouch - n.now().Sub(touched)
+		select {
+		case <-ctx.Done():
+		case <-n.memberWake:
+			sleep(ctx, 10*time.Millisecond)
+		case <-time.After(max(left, 10*time.Millisecond)):
+		}
+	}
+	return nil
+}
+
+func (n *Node) endSession() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.session = n.session.Next(member.LeaseEnded)
+	n.log.Info("session ended")
+}
+
+// memberStep stores the session key, takes the lead or writes the membership.
+func (n *Node) memberStep(ctx context.Context) error {
+	n.mu.Lock()
+	key := member.NodeKey(n.self.Label)
+	var guards []wire.Guard
+	var change wire.Change
+	reachabilityChanged := false // the change is about it
+	stored := n.sessions[n.self.Label] == n.self
+	if n.session == member.Registered && !stored {
+		// Guards against a late write of a former process of this node.
+		n.session = member.Leased
+	}
+	if n.session == member.Leased && stored {
+		n.session = n.session.Next(member.Stored)
+	}
+	if n.session == member.Leased {
+		guards = []wire.Guard{n.cache.Guard(key)}
+		session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
+		change = wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation}
+	} else {
+		now := n.now()
+		unreachable := n.reachability(now).Next()
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Unreachable: n.unreachable, Lead: n.lead, Member: n.member, Spans: n.spans()})
+		switch {
+		case unreachable != n.unreachable[n.self.Label]:
+			guards = []wire.Guard{n.cache.Guard(key)}
+			change = wire.Change{Drop: member.UnreachableKey(n.self.Label)}
+			if unreachable {
+				change = wire.Change{Set: member.UnreachableKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
+				n.chooseProbes(now)
+			}
+			reachabilityChanged = true
+		case a.TakeLead:
+			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
+			change = wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
+		case a.Write != nil:
+			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)}
+			change = wire.Change{Set: member.Key, Value: wire.MustMarshal(a.Write)}
+		default:
+			n.mu.Unlock()
+			return nil
+		}
+	}
+	n.mu.Unlock()
+	changes := []wire.Change{change}
+	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, changes)
+	if err != nil {
+		return err
+	}
+	if reachabilityChanged {
+		// Not before: a node that is cut off tries again and again.
+		n.log.Info("reachability of workers changes", "unreachable", change.Set != "")
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if change.Set != member.Key {
+		// The membership comes by watch only: everything stored before it must
+		// be in the cache before it counts.
+		n.cache.Own(changes, revision)
+	}
+	if change.Set == key {
+		n.session = n.session.Next(member.Stored)
+	}
+	wake(n.memberWake)
+	return nil
+}
+
+// reachability sums up whether this node hears its workers; mu is held.
+func (n *Node) reachability(now time.Time) member.Reachability {
+	e := member.Reachability{Unreachable: n.unreachable[n.self.Label]}
+	if n.member == nil || !n.entitled() {
+		return e
+	}
+	if e.Unreachable {
+		if now.Sub(n.unreachableAt) > tuning.UnreachableMin {
+			e.Answered = len(n.probes) == 0 || n.probed.After(n.unreachableAt)
+		}
+		return e
+	}
+	silent := n.silentAfter()
+	for host, w := range n.workers {
+		if n.ownerOf(host) != n.self.Label || w.Heard.IsZero() {
+			continue
+		}
+		if now.Sub(w.Heard) < silent {
+			e.Heard++
+		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silent {
+			e.Silent++
+		}
+	}
+	for _, s := range n.siblings {
+		if !n.freshSibling(s) {
+			continue
+		}
+		for _, h := range s.hosts {
+			if !h.Silent {
+				e.SiblingsReachable = true
+				break
+			}
+		}
+	}
+	return e
+}
+
+// chooseProbes remembers workers to ask until one answers; mu is held.
+func (n *Node) chooseProbes(now time.Time) {
+	n.probes, n.unreachableAt, n.probed = nil, now, time.Time{}
+	for _, w := range n.workers {
+		if w.Address != "" && len(n.probes) < tuning.ReachabilityProbes {
+			n.probes = append(n.probes, w.Address)
+		}
+	}
+}
+
+// runProbes asks workers, while this node is unreachable, whether they reach it again.
+func (n *Node) runProbes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, n.set.Report())
+		n.mu.Lock()
+		var ask []string
+		if n.unreachable[n.self.Label] {
+			ask = n.probes
+		}
+		n.mu.Unlock()
+		for _, address := range ask {
+			if n.call.show(address) != nil {
+				continue
+			}
+			n.mu.Lock()
+			n.probed = n.now()
+			n.mu.Unlock()
+			wake(n.memberWake)
+			break
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/rolemoves.go
@@ -0,0 +1,207 @@
+// This file holds the leader's moves of machines between the roles.
+
+package server
+
+import (
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/member"
+	"wheatspur/internal/place"
+	"wheatspur/internal/roles"
+	"wheatspur/internal/tuning"
+	"wheatspur/wire"
+)
+
+// noteArrivals feeds the role controllers with service jobs that are new.
+func (n *Node) noteArrivals(l *leading, now time.Time) {
+	for _, t := range n.types {
+		if l.control[t.Label] == nil {
+			l.control[t.Label] = roles.New(n.set.Operator, now)
+		}
+	}
+	for jobID, j := range n.table.Open {
+		if l.seenJobs[jobID] {
+			continue
+		}
+		l.seenJobs[jobID] = true
+		if !j.Service() {
+			if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
+				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
+				if l.batchSize == 0 {
+					l.batchSize = size
+				}
+				l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
+			}
+			l.batchSeen = now
+		}
+		if !j.Service() || now.Sub(j.Seen) > tuning.RoleStep {
+			continue
+		}
+		for _, t := range n.types {
+			if jobs.Allowed(j.Record.Spec, t.Label) {
+				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
+				l.control[t.Label].Arrive(now, j.Need.Share(tot)*float64(j.Record.Tasks))
+			}
+		}
+	}
+	for jobID := range l.seenJobs {
+		if n.table.Open[jobID] == nil {
+			delete(l.seenJobs, jobID)
+		}
+	}
+}
+
+// split describes one type's ordinary machines and demand; mu is held.
+func (n *Node) split(t wire.MachineType, machines *place.Fleet) roles.Split {
+	s := roles.Split{Type: t.Label, Complete: true}
+	for _, sib := range n.siblings {
+		if n.member.Has(member.Node{Label: sib.cfg.Label, Incarnation: sib.status.Incarnation}) && !n.freshSibling(sib) {
+			s.Complete = false
+		}
+	}
+	count := map[string]int{}    // machines that take tasks, by type
+	coming := []jobs.Resources{} // room on batch machines of the type that still boot
+	for _, m := range machines.Machines {
+		if n.reg.Hosts[m.Name].Phase != fleet.In {
+			continue
+		}
+		if !m.Open && len(m.Tasks) == 0 {
+			// Only machines that are up count, and only they move. Counting
+			// those that boot made queued work that waits for them look like a
+			// lack of batch machines.
+			if m.Type == t.Label && m.Role == place.Batch {
+				coming = append(coming, m.Free)
+			}
+			if m.Type == t.Label && !m.Spot {
+				if m.Role == place.Batch {
+					s.BatchComing++
+				} else {
+					s.ServiceComing++
+				}
+			}
+			continue
+		}
+		count[m.Type]++
+		if m.Type != t.Label {
+			continue
+		}
+		switch {
+		case m.Spot:
+			s.Spot++
+		case m.Role == place.Service:
+			s.Service++
+		default:
+			s.Batch++
+		}
+		for _, r := range m.Tasks {
+			if r.Job.Service() && r.Job.Phase == jobs.Open {
+				s.ServiceBooked += r.Job.Need.Share(m.Total)
+			}
+		}
+	}
+	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
+	for jobID, k := range n.unmet {
+		j := n.table.Jobs[jobID]
+		if j == nil || j.Record.Spec == nil || !jobs.Allowed(j.Record.Spec, t.Label) {
+			continue
+		}
+		for i := 0; !j.Service() && k > 0 && i < len(coming); {
+			if !j.Need.Fits(coming[i]) {
+				i++
+				continue
+			}
+			coming[i] = coming[i].Sub(j.Need)
+			k--
+		}
+		all := 0
+		for label, c := range count {
+			if jobs.Allowed(j.Record.Spec, label) {
+				all += c
+			}
+		}
+		if all == 0 {
+			continue
+		}
+		part := float64(k) * j.Need.Share(tot) * float64(count[t.Label]) / float64(all)
+		if j.Service() {
+			s.ServiceBooked += part
+		} else {
+			s.BatchWork += part * j.Record.Spec.EstimateS
+		}
+	}
+	return s
+}
+
+// stepRoles evaluates every type's split and returns the moves; mu is held.
+func (n *Node) stepRoles(l *leading, machines *place.Fleet, now time.Time) []fleet.Change {
+	var out []fleet.Change
+	for _, t := range n.types {
+		c := l.control[t.Label]
+		if c == nil {
+			continue
+		}
+		var service, batch []*place.Machine
+		for _, m := range machines.Machines {
+			if m.Type == t.Label && !m.Spot && n.reg.Hosts[m.Name].Phase == fleet.In && (m.Open || len(m.Tasks) > 0) {
+				if m.Role == place.Service {
+					service = append(service, m)
+				} else {
+					batch = append(batch, m)
+				}
+			}
+		}
+		victim := roles.Victim(service)
+		d := c.Evaluate(now, n.split(t, machines), func() bool { return victim != nil && fitElsewhere(machines, victim, false) })
+		l.decision[t.Label] = d
+		var m *place.Machine
+		role := place.Batch
+		switch d.Move {
+		case roles.ToBatch:
+			m = victim
+		case roles.ToService:
+			m, role = roles.Emptiest(batch), place.Service
+		}
+		n.log.Debug("roles evaluated", "type", t.Label, "batch", d.Batch, "service", d.Service, "batch_load", d.BatchLoad,
+			"service_load", d.ServiceLoad, "proposal", string(d.Proposal.Direction), "rule", string(d.Proposal.Rule),
+			"confirmations", d.Confirmations, "gate", string(d.Gate), "evidence_open", d.EvidenceOpen)
+		if m == nil {
+			continue
+		}
+		rec := n.reg.Hosts[m.Name]
+		moved := rec
+		moved.Role, moved.Why = role, string(d.Proposal.Rule)
+		out = append(out, fleet.Change{Host: m.Name, Was: &rec, Now: &moved})
+		n.log.Info("role move", "host", m.Name, "type", t.Label, "to", string(role), "rule", string(d.Proposal.Rule),
+			"batch_load", d.BatchLoad, "service_load", d.ServiceLoad)
+	}
+	return out
+}
+
+// fitElsewhere reports whether all service tasks of a machine have room on the
+// others at once; held: on machines that hold their images.
+func fitElsewhere(f *place.Fleet, victim *place.Machine, held bool) bool {
+	type booked struct {
+		m    *place.Machine
+		need jobs.Resources
+	}
+	var taken []booked
+	defer func() {
+		for _, b := range taken {
+			b.m.Free = b.m.Free.Add(b.need)
+		}
+	}()
+	for _, r := range victim.Tasks {
+		if !r.Job.Service() || r.Job.Phase != jobs.Open {
+			continue
+		}
+		to := place.Elsewhere(f, r.Job, r.ID.Task, victim.Name)
+		if to == nil || held && !to.Holds(r.Job.Record.Spec.Image) {
+			return false
+		}
+		to.Free = to.Free.Sub(r.Job.Need)
+		taken = append(taken, booked{to, r.Job.Need})
+	}
+	return true
+}
