server: the capacity plan's input is built in named steps

planInput was one function of 150 lines. A planBuilder now has one method for each of its parts: machines with a record, machines that were hired and have none yet, headroom, active roles, and the tasks that need room. The order of the parts is as before.

--- a/internal/server/planinput.go
+++ b/internal/server/planinput.go
@@ -35,155 +35,295 @@
 
 // planInput builds the capacity plan's input; mu is held.
 func (n *Node) planInput(l *leading, machines *place.Fleet, now time.Time) fleet.PlanInput {
-	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, SurplusSince: l.surplusSince}
-	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
-	up, movable := n.lastHeard(now), n.movable(machines)
+	b := n.newPlanBuilder(l, machines, now)
 	l.lost = nil
-	serving := 0
-	var service fleet.Load
-	held := map[string]*heldBatch{} // by class
 	for _, m := range machines.Machines {
-		rec := n.reg.Hosts[m.Name]
-		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{MachineType: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
-			Open: m.Open, Claims: len(m.Tasks), Free: m.Free, Group: n.reg.Key(m.Name)}
-		listed, isListed := l.listed[m.Name]
-		if age, ok := up[m.Name]; ok {
-			l.hear(m.Name, now.Add(-age))
-		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.State == wire.HostRunning) {
-			// Up, but not heard under this leader yet: its time begins now.
-			l.hear(m.Name, now)
-		}
-		at, wasUp := l.heard[m.Name]
-		quiet := now.Sub(at)
-		u.Booting = !wasUp && rec.Phase == fleet.In
-		if isListed {
-			u.Age = time.Duration(listed.AgeS*float64(time.Second)) + now.Sub(l.listAt)
-		}
-		u.Silent = wasUp && quiet > 2*lease
-		u.Quiet = wasUp && quiet > n.silentAfter()
-		u.Missing = l.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > time.Duration(tuning.MissingReports*float64(n.set.Report()))
-		if len(m.Tasks) > 0 || rec.Phase != fleet.In {
-			delete(l.idle, m.Name)
-		} else if _, ok := l.idle[m.Name]; !ok {
-			l.idle[m.Name] = now
-		}
-		if at, ok := l.idle[m.Name]; ok {
-			u.Idle = now.Sub(at)
-		}
-		for _, r := range m.Tasks {
-			wk := r.Job.Record.Spec
-			if wk == nil || r.Job.Phase != jobs.Open {
-				continue
-			}
-			if r.Job.Service() {
-				service.Tasks++
-				service.Need, service.Spec = r.Job.Need, wk
-			} else {
-				h := held[wk.Class]
-				if h == nil {
-					h = &heldBatch{}
-					held[wk.Class] = h
-				}
-				h.add(r.Job, m.Total)
-			}
-		}
-		if m.Open && m.Role == place.Service {
-			serving++
-		}
-		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && m.Role == place.Service {
-			in.Moving++
-		}
-		u.Movable = movable[m.Name]
-		if m.Open || u.Booting || rec.Phase != fleet.In || quiet > n.silentAfter() {
-			delete(l.unfit, m.Name)
-		} else if since, ok := l.unfit[m.Name]; !ok {
-			l.unfit[m.Name] = now
-		} else {
-			// It reports and takes no tasks, for instance because it does not
-			// hear: another takes its place.
-			u.Suspect = now.Sub(since) > tuning.UnfitLeases*lease
+		b.addMachine(m)
+	}
+	b.input.Movers = int(float64(b.serving) * tuning.MoversShare)
+	b.addRented()
+	b.addHeadroom()
+	b.addActiveRoles()
+	b.addUntried()
+	b.input.Groups = n.groupsNow()
+	b.input.Wants = append(b.input.Wants, n.tasksAtRisk(machines, b.heard, now)...)
+	b.addUnmet()
+	return b.input
+}
+
+// planBuilder puts the input of one capacity plan together. It lives while mu
+// is held, and so do all of its methods run.
+type planBuilder struct {
+	node    *Node
+	leader  *leading
+	now     time.Time
+	lease   time.Duration            // after which a machine's lease has ended for certain
+	heard   map[string]time.Duration // how long ago each machine was heard by its owner
+	movable map[string]bool          // service machines whose tasks have room elsewhere
+	batch   map[string]*heldBatch    // what batch tasks hold, by class
+	serving int                      // service machines that take tasks
+	input   fleet.PlanInput
+}
+
+func (n *Node) newPlanBuilder(l *leading, machines *place.Fleet, now time.Time) *planBuilder {
+	return &planBuilder{
+		node:    n,
+		leader:  l,
+		now:     now,
+		lease:   time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin,
+		heard:   n.lastHeard(now),
+		movable: n.movable(machines),
+		batch:   map[string]*heldBatch{},
+		input: fleet.PlanInput{
+			Now:          now,
+			Op:           n.set.Operator,
+			Types:        n.types,
+			Refused:      l.refused,
+			SurplusSince: l.surplusSince,
+		},
+	}
+}
+
+// addMachine enters a machine that has a record: what its tasks hold, and itself
+// if it is neither drained nor given back.
+func (b *planBuilder) addMachine(m *place.Machine) {
+	phase := b.node.reg.Hosts[m.Name].Phase
+	b.noteHeard(m)
+	unit := b.unit(m, phase)
+	b.addHeld(m)
+	if m.Open && m.Role == place.Service {
+		b.serving++
+	}
+	draining := phase == fleet.Draining && len(m.Tasks) > 0
+	if draining && m.Role == place.Service {
+		b.input.Moving++
+	}
+	if draining && (unit.Missing || unit.Silent) {
+		b.leader.lost = append(b.leader.lost, m.Name)
+	}
+	if phase == fleet.In {
+		b.input.Units = append(b.input.Units, unit)
+	}
+}
+
+// noteHeard notes when a machine was last heard.
+func (b *planBuilder) noteHeard(m *place.Machine) {
+	if age, ok := b.heard[m.Name]; ok {
+		b.leader.hear(m.Name, b.now.Add(-age))
+		return
+	}
+	listed, isListed := b.leader.listed[m.Name]
+	running := len(m.Tasks) > 0 || isListed && listed.State == wire.HostRunning
+	if _, ok := b.leader.heard[m.Name]; !ok && running {
+		// Up, but not heard under this leader yet: its time begins now.
+		b.leader.hear(m.Name, b.now)
+	}
+}
+
+// unit describes a machine to the plan, and notes since when it is idle or unfit.
+func (b *planBuilder) unit(m *place.Machine, phase fleet.Phase) fleet.Unit {
+	_, wasUp := b.leader.heard[m.Name]
+	quiet := b.quietFor(m.Name)
+	missing := time.Duration(tuning.MissingReports * float64(b.node.set.Report()))
+	unit := fleet.Unit{
+		Name:    m.Name,
+		Kind:    fleet.Kind{MachineType: m.Type, Zone: m.Zone, Spot: m.Spot},
+		Role:    m.Role,
+		Open:    m.Open,
+		Booting: !wasUp && phase == fleet.In,
+		Age:     b.age(m.Name),
+		Idle:    b.idleFor(m, phase),
+		Movable: b.movable[m.Name],
+		Claims:  len(m.Tasks),
+		Free:    m.Free,
+		Silent:  wasUp && quiet > 2*b.lease,
+		Missing: b.leader.absent[m.Name] >= tuning.GoneLists && wasUp && quiet > missing,
+		Quiet:   wasUp && quiet > b.node.silentAfter(),
+		Group:   b.node.reg.Key(m.Name),
+	}
+	unit.Suspect = b.unfitTooLong(m, phase, unit.Booting) || b.failing(m)
+	return unit
+}
+
+// quietFor is how long ago a machine was last heard by anybody.
+func (b *planBuilder) quietFor(host string) time.Duration {
+	return b.now.Sub(b.leader.heard[host])
+}
+
+// age is how old a machine is by the cloud's last list, 0 if it is not on it.
+func (b *planBuilder) age(host string) time.Duration {
+	listed, ok := b.leader.listed[host]
+	if !ok {
+		return 0
+	}
+	return time.Duration(listed.AgeS*float64(time.Second)) + b.now.Sub(b.leader.listAt)
+}
+
+// idleFor is how long a machine has had no claims, and notes when that began.
+func (b *planBuilder) idleFor(m *place.Machine, phase fleet.Phase) time.Duration {
+	if len(m.Tasks) > 0 || phase != fleet.In {
+		delete(b.leader.idle, m.Name)
+		return 0
+	}
+	since, ok := b.leader.idle[m.Name]
+	if !ok {
+		since = b.now
+		b.leader.idle[m.Name] = since
+	}
+	return b.now.Sub(since)
+}
+
+// unfitTooLong reports whether a machine has long reported and taken no tasks,
+// for instance because it does not hear: another takes its place. It notes when
+// that began.
+func (b *planBuilder) unfitTooLong(m *place.Machine, phase fleet.Phase, booting bool) bool {
+	if m.Open || booting || phase != fleet.In || b.quietFor(m.Name) > b.node.silentAfter() {
+		delete(b.leader.unfit, m.Name)
+		return false
+	}
+	since, ok := b.leader.unfit[m.Name]
+	if !ok {
+		b.leader.unfit[m.Name] = b.now
+		return false
+	}
+	return b.now.Sub(since) > tuning.UnfitLeases*b.lease
+}
+
+// failing reports whether too many tasks failed lately on a machine of this node.
+func (b *planBuilder) failing(m *place.Machine) bool {
+	w := b.node.workers[m.Name]
+	return m.Owner == b.node.self.Label && w != nil && len(w.Errors) >= tuning.HostErrorsMax
+}
+
+// addHeld enters what the tasks on a machine hold, for the headroom.
+func (b *planBuilder) addHeld(m *place.Machine) {
+	for _, r := range m.Tasks {
+		spec := r.Job.Record.Spec
+		if spec == nil || r.Job.Phase != jobs.Open {
+			continue
 		}
-		if rec.Phase == fleet.Draining && len(m.Tasks) > 0 && (u.Missing || u.Silent) {
-			l.lost = append(l.lost, m.Name)
+		if r.Job.Service() {
+			b.input.Service.Tasks++
+			b.input.Service.Need, b.input.Service.Spec = r.Job.Need, spec
+			continue
 		}
-		if rec.Phase == fleet.In {
-			if w := n.workers[m.Name]; m.Owner == n.self.Label && w != nil && len(w.Errors) >= tuning.HostErrorsMax {
-				u.Suspect = true
-			}
-			in.Units = append(in.Units, u)
+		held := b.batch[spec.Class]
+		if held == nil {
+			held = &heldBatch{}
+			b.batch[spec.Class] = held
 		}
+		held.add(r.Job, m.Total)
 	}
-	in.Movers = int(float64(serving) * tuning.MoversShare)
-	for host, h := range l.rented {
-		if _, known := n.reg.Hosts[host]; known || now.Sub(h.at) > time.Minute {
-			delete(l.rented, host)
+}
+
+// addRented enters the machines that were hired and have no record yet.
+func (b *planBuilder) addRented() {
+	for host, rented := range b.leader.rented {
+		if _, known := b.node.reg.Hosts[host]; known || b.now.Sub(rented.at) > time.Minute {
+			delete(b.leader.rented, host)
 			continue
 		}
-		t := n.machineTypes[h.kind.MachineType]
-		in.Units = append(in.Units, fleet.Unit{Name: host, Kind: h.kind, Role: h.role, Booting: true, Age: now.Sub(h.at),
-			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}})
+		t := b.node.machineTypes[rented.kind.MachineType]
+		b.input.Units = append(b.input.Units, fleet.Unit{
+			Name:    host,
+			Kind:    rented.kind,
+			Role:    rented.role,
+			Booting: true,
+			Age:     b.now.Sub(rented.at),
+			Free:    jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB},
+		})
+	}
+}
+
+// addHeadroom enters what each role holds, for its headroom.
+func (b *planBuilder) addHeadroom() {
+	l := b.leader
+	l.averageBatch(l.typicalBatch(b.batch), b.now)
+	l.batch.Tasks, l.batch.Least = l.batchAvg, 0
+	if b.now.Sub(l.batchSeen) < tuning.BatchHeadroomHold {
+		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
 	}
-	batch := l.typicalBatch(held)
+	b.input.Batch = l.batch
+	b.input.Plain = b.node.plain(l, b.now)
+}
+
+// averageBatch moves the mean of the batch tasks held towards their present number.
+func (l *leading) averageBatch(tasks float64, now time.Time) {
 	if l.avgAt.IsZero() {
-		l.batchAvg = batch
+		l.batchAvg = tasks
 	} else {
-		a := min(1, now.Sub(l.avgAt).Seconds()/tuning.BatchWindow.Seconds())
-		l.batchAvg += (batch - l.batchAvg) * a
+		alpha := min(1, now.Sub(l.avgAt).Seconds()/tuning.BatchWindow.Seconds())
+		l.batchAvg += (tasks - l.batchAvg) * alpha
 	}
 	l.avgAt = now
-	l.batch.Tasks, l.batch.Least = l.batchAvg, 0
-	if now.Sub(l.batchSeen) < tuning.BatchHeadroomHold {
-		l.batch.Least = int(math.Ceil(l.batchSize * tuning.BatchHeadroomJobs))
-	}
-	in.Batch, in.Service, in.Plain = l.batch, service, n.plain(l, now)
-	for _, j := range n.table.Open {
+}
+
+// addActiveRoles enters which roles have had work lately.
+func (b *planBuilder) addActiveRoles() {
+	active := b.leader.active
+	for _, j := range b.node.table.Open {
 		if j.Service() {
-			l.active[place.Service] = now
+			active[place.Service] = b.now
 		} else {
-			l.active[place.Batch] = now
+			active[place.Batch] = b.now
 		}
 	}
-	in.Active = map[place.Role]bool{}
+	b.input.Active = map[place.Role]bool{}
 	for _, role := range []place.Role{place.Batch, place.Service} {
-		if _, ok := l.active[role]; !ok {
-			l.active[role] = now // a new leader does not know
+		if _, ok := active[role]; !ok {
+			active[role] = b.now // a new leader does not know
 		}
-		in.Active[role] = now.Sub(l.active[role]) < tuning.RoleLapse
-	}
-	// What has a place that is not stored yet, and what had no turn in the
-	// pass, takes its room first. Guards against renting only when the last
-	// free machine is taken: with hundreds of jobs that took half a minute.
-	for jobID, j := range n.table.Open {
-		rest := j.Counts[jobs.Pending]
-		if n.why[jobID] != place.NoTurn {
-			rest -= n.unmet[jobID]
+		b.input.Active[role] = b.now.Sub(active[role]) < tuning.RoleLapse
+	}
+}
+
+// addUntried enters the tasks that have a place that is not stored yet, and those
+// that had no turn in the pass: they take their room first. Guards against renting
+// only when the last free machine is taken: with hundreds of jobs that took half
+// a minute.
+func (b *planBuilder) addUntried() {
+	for jobID, j := range b.node.table.Open {
+		why := b.node.why[jobID]
+		count := j.Counts[jobs.Pending]
+		if why != place.NoTurn {
+			count -= b.node.unmet[jobID]
 		}
-		if rest > 0 && (n.why[jobID] == "" || n.why[jobID] == place.NoTurn || n.why[jobID] == place.NoRoom) {
-			in.Wants = append(in.Wants, fleet.Want{Job: j, Count: rest, Untried: true})
+		if count > 0 && (why == "" || why == place.NoTurn || why == place.NoRoom) {
+			b.input.Wants = append(b.input.Wants, fleet.Want{Job: j, Count: count, Untried: true})
 		}
 	}
-	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.ID < in.Wants[b].Job.ID })
-	in.Groups = n.groupsNow()
-	in.Wants = append(in.Wants, n.tasksAtRisk(machines, up, now)...)
-	jobIDs := make([]string, 0, len(n.unmet))
-	for jobID := range n.unmet {
-		jobIDs = append(jobIDs, jobID)
-	}
-	sort.Slice(jobIDs, func(a, b int) bool { return n.unmetAt[jobIDs[a]].Before(n.unmetAt[jobIDs[b]]) })
-	for _, jobID := range jobIDs {
-		j := n.table.Open[jobID]
-		if j == nil || n.why[jobID] != place.NoRoom {
+	wants := b.input.Wants
+	sort.Slice(wants, func(i, k int) bool { return wants[i].Job.ID < wants[k].Job.ID })
+}
+
+// addUnmet enters the tasks that the pass found no room for, those that have
+// waited longest first.
+func (b *planBuilder) addUnmet() {
+	for _, jobID := range b.node.unmetByAge() {
+		j := b.node.table.Open[jobID]
+		if j == nil || b.node.why[jobID] != place.NoRoom {
 			continue
 		}
+		count := b.node.unmet[jobID]
 		if j.Service() {
 			// The headroom is for what will run too.
-			in.Service.Tasks += float64(n.unmet[jobID])
-			in.Service.Wait += float64(n.unmet[jobID])
-			in.Service.Need, in.Service.Spec = j.Need, j.Record.Spec
+			b.input.Service.Tasks += float64(count)
+			b.input.Service.Wait += float64(count)
+			b.input.Service.Need, b.input.Service.Spec = j.Need, j.Record.Spec
 		}
-		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[jobID], Waiting: now.Sub(n.unmetAt[jobID])})
+		b.input.Wants = append(b.input.Wants, fleet.Want{Job: j, Count: count, Waiting: b.now.Sub(b.node.unmetAt[jobID])})
+	}
+}
+
+// unmetByAge lists the jobs with tasks without a place, the oldest wait first; mu
+// is held.
+func (n *Node) unmetByAge() []string {
+	jobIDs := make([]string, 0, len(n.unmet))
+	for jobID := range n.unmet {
+		jobIDs = append(jobIDs, jobID)
 	}
-	return in
+	sort.Slice(jobIDs, func(i, k int) bool { return n.unmetAt[jobIDs[i]].Before(n.unmetAt[jobIDs[k]]) })
+	return jobIDs
 }
 
 // plain is the batch work that may not use spot machines: room for one and a
