--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -22,15 +22,12 @@
 	}
 }
 
+// applyRecord enters one stored value; nil says that there is none any more. mu is
+// held, also by the methods for each kind of record.
 func (n *Node) applyRecord(key string, v wire.Raw, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		jobID := strings.TrimPrefix(key, jobs.JobPrefix)
-		err := n.table.ApplyJob(jobID, v)
-		if j := n.table.Jobs[jobID]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
-			n.cancelled = max(n.cancelled, version)
-		}
-		return err
+		return n.applyJob(strings.TrimPrefix(key, jobs.JobPrefix), v, version)
 	case strings.HasPrefix(key, jobs.IntakePrefix):
 		return n.table.ApplyIntake(key, v, version)
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
@@ -40,47 +37,78 @@
 	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
 		return n.reg.Apply(key, v)
 	case strings.HasPrefix(key, member.NodePrefix):
-		label := strings.TrimPrefix(key, member.NodePrefix)
-		if v == nil {
-			delete(n.sessions, label)
-			delete(n.versions, label)
-			return nil
-		}
-		s, err := member.DecodeSession(v)
-		if err == nil {
-			n.sessions[label], n.versions[label] = s.Node, *s
-		}
-		return err
+		return n.applySession(strings.TrimPrefix(key, member.NodePrefix), v)
 	case strings.HasPrefix(key, member.UnreachablePrefix):
-		label := strings.TrimPrefix(key, member.UnreachablePrefix)
-		if v == nil {
-			delete(n.unreachable, label)
-		} else {
-			n.unreachable[label] = true
-		}
+		n.applyUnreachable(strings.TrimPrefix(key, member.UnreachablePrefix), v)
 	case key == member.LeadKey:
-		n.lead = nil
-		if v == nil {
-			return nil
-		}
-		m, err := member.DecodeNode(v)
-		n.lead = m
-		return err
+		return n.applyLead(v)
 	case key == member.Key:
 		return n.applyMembership(v)
 	case key == typesKey:
-		var r wire.MachineTypes
-		if v == nil {
-			return nil
-		}
-		if err := wire.Unmarshal(v, &r); err != nil {
-			return err
-		}
-		n.types, n.view.stale = r.Types, true
-		clear(n.machineTypes)
-		for _, t := range r.Types {
-			n.machineTypes[t.Label] = t
-		}
+		return n.applyTypes(v)
+	}
+	return nil
+}
+
+// applyJob enters a job, and the version of the last cancellation.
+func (n *Node) applyJob(jobID string, v wire.Raw, version uint64) error {
+	err := n.table.ApplyJob(jobID, v)
+	if j := n.table.Jobs[jobID]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
+		n.cancelled = max(n.cancelled, version)
+	}
+	return err
+}
+
+// applySession enters a node's session and what it says of its program.
+func (n *Node) applySession(label string, v wire.Raw) error {
+	if v == nil {
+		delete(n.sessions, label)
+		delete(n.versions, label)
+		return nil
+	}
+	s, err := member.DecodeSession(v)
+	if err != nil {
+		return err
+	}
+	n.sessions[label] = s.Node
+	n.versions[label] = *s
+	return nil
+}
+
+// applyUnreachable enters whether a node says that it hears no worker.
+func (n *Node) applyUnreachable(label string, v wire.Raw) {
+	if v == nil {
+		delete(n.unreachable, label)
+	} else {
+		n.unreachable[label] = true
+	}
+}
+
+// applyLead enters which node holds the lead; a record that can't be read leaves none.
+func (n *Node) applyLead(v wire.Raw) error {
+	n.lead = nil
+	if v == nil {
+		return nil
+	}
+	m, err := member.DecodeNode(v)
+	n.lead = m
+	return err
+}
+
+// applyTypes enters the machine types; without a record the known ones stay.
+func (n *Node) applyTypes(v wire.Raw) error {
+	if v == nil {
+		return nil
+	}
+	var r wire.MachineTypes
+	if err := wire.Unmarshal(v, &r); err != nil {
+		return err
+	}
+	n.types = r.Types
+	n.view.stale = true
+	clear(n.machineTypes)
+	for _, t := range r.Types {
+		n.machineTypes[t.Label] = t
 	}
 	return nil
 }
