server: the choice of a membership write apart from the write

memberStep locks, lets nextMemberWrite choose and writes; each kind of write (session, reachability, lead, membership) is built by a method of its own.

--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -170,73 +170,127 @@
 	n.log.Info("session ended")
 }
 
+// memberWrite is a guarded write of one of the keys that make up the membership.
+type memberWrite struct {
+	guards       []wire.Guard
+	change       wire.Change
+	reachability bool // it is about whether this node reaches its workers
+}
+
 // memberStep stores the session key, takes the lead or writes the membership.
 func (n *Node) memberStep(ctx context.Context) error {
 	n.mu.Lock()
-	key := member.NodeKey(n.self.Label)
-	var guards []wire.Guard
-	var change wire.Change
-	reachabilityChanged := false // the change is about it
-	stored := n.sessions[n.self.Label] == n.self
-	if n.session == member.Registered && !stored {
-		// Guards against a late write of a former process of this node.
-		n.session = member.Leased
-	}
-	if n.session == member.Leased && stored {
-		n.session = n.session.Next(member.Stored)
-	}
-	if n.session == member.Leased {
-		guards = []wire.Guard{n.cache.Guard(key)}
-		session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
-		change = wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation}
-	} else {
-		now := n.now()
-		unreachable := n.reachability(now).Next()
-		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Unreachable: n.unreachable, Lead: n.lead, Member: n.member, Spans: n.spans()})
-		switch {
-		case unreachable != n.unreachable[n.self.Label]:
-			guards = []wire.Guard{n.cache.Guard(key)}
-			change = wire.Change{Drop: member.UnreachableKey(n.self.Label)}
-			if unreachable {
-				change = wire.Change{Set: member.UnreachableKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
-				n.chooseProbes(now)
-			}
-			reachabilityChanged = true
-		case a.TakeLead:
-			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
-			change = wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
-		case a.Write != nil:
-			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)}
-			change = wire.Change{Set: member.Key, Value: wire.MustMarshal(a.Write)}
-		default:
-			n.mu.Unlock()
-			return nil
-		}
-	}
+	write := n.nextMemberWrite()
 	n.mu.Unlock()
-	changes := []wire.Change{change}
-	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, changes)
+	if write == nil {
+		return nil
+	}
+	changes := []wire.Change{write.change}
+	revision, err := n.svc.Multi(ctx, store.ClassLease, write.guards, changes)
 	if err != nil {
 		return err
 	}
-	if reachabilityChanged {
+	if write.reachability {
 		// Not before: a node that is cut off tries again and again.
-		n.log.Info("reachability of workers changes", "unreachable", change.Set != "")
+		n.log.Info("reachability of workers changes", "unreachable", write.change.Set != "")
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if change.Set != member.Key {
+	if write.change.Set != member.Key {
 		// The membership comes by watch only: everything stored before it must
 		// be in the cache before it counts.
 		n.cache.Own(changes, revision)
 	}
-	if change.Set == key {
+	if write.change.Set == member.NodeKey(n.self.Label) {
 		n.session = n.session.Next(member.Stored)
 	}
 	wake(n.memberWake)
 	return nil
 }
 
+// nextMemberWrite chooses what this node should write about the membership now,
+// nil for nothing; mu is held.
+func (n *Node) nextMemberWrite() *memberWrite {
+	n.noteStoredSession()
+	if n.session == member.Leased {
+		return n.sessionWrite()
+	}
+	now := n.now()
+	unreachable := n.reachability(now).Next()
+	action := member.Decide(member.View{
+		Self:        n.self,
+		Sessions:    n.sessions,
+		Unreachable: n.unreachable,
+		Lead:        n.lead,
+		Member:      n.member,
+		Spans:       n.spans(),
+	})
+	switch {
+	case unreachable != n.unreachable[n.self.Label]:
+		return n.reachabilityWrite(unreachable, now)
+	case action.TakeLead:
+		return n.leadWrite()
+	case action.Write != nil:
+		return n.membershipWrite(action.Write)
+	}
+	return nil
+}
+
+// noteStoredSession brings the session's state in line with the key that is
+// stored; mu is held.
+func (n *Node) noteStoredSession() {
+	stored := n.sessions[n.self.Label] == n.self
+	if n.session == member.Registered && !stored {
+		// Guards against a late write of a former process of this node.
+		n.session = member.Leased
+	}
+	if n.session == member.Leased && stored {
+		n.session = n.session.Next(member.Stored)
+	}
+}
+
+// sessionWrite stores this node's session key; mu is held.
+func (n *Node) sessionWrite() *memberWrite {
+	key := member.NodeKey(n.self.Label)
+	session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
+	return &memberWrite{
+		guards: []wire.Guard{n.cache.Guard(key)},
+		change: wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation},
+	}
+}
+
+// reachabilityWrite stores whether this node reaches its workers, and chooses
+// those to ask when it does not; mu is held.
+func (n *Node) reachabilityWrite(unreachable bool, now time.Time) *memberWrite {
+	key := member.UnreachableKey(n.self.Label)
+	change := wire.Change{Drop: key}
+	if unreachable {
+		change = wire.Change{Set: key, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
+		n.chooseProbes(now)
+	}
+	return &memberWrite{
+		guards:       []wire.Guard{n.cache.Guard(member.NodeKey(n.self.Label))},
+		change:       change,
+		reachability: true,
+	}
+}
+
+// leadWrite takes the lead; mu is held.
+func (n *Node) leadWrite() *memberWrite {
+	return &memberWrite{
+		guards: []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.NodeKey(n.self.Label))},
+		change: wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation},
+	}
+}
+
+// membershipWrite stores the next membership; mu is held.
+func (n *Node) membershipWrite(next *member.Record) *memberWrite {
+	return &memberWrite{
+		guards: []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)},
+		change: wire.Change{Set: member.Key, Value: wire.MustMarshal(next)},
+	}
+}
+
 // reachability sums up whether this node hears its workers; mu is held.
 func (n *Node) reachability(now time.Time) member.Reachability {
 	e := member.Reachability{Unreachable: n.unreachable[n.self.Label]}
