--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -48,6 +48,11 @@
 	Group   string // key of its record: machines of one key go back in one change
 }
 
+// sound reports whether the machine can be counted on, once it is up.
+func (u Unit) sound() bool {
+	return !u.Suspect && !u.Silent && !u.Missing
+}
+
 // Want is a number of like tasks without a place.
 type Want struct {
 	Job     *jobs.Job
@@ -149,7 +154,7 @@
 		// A machine beyond the usual boot time may yet come, or never: what
 		// counts on it waits for the time in which another would boot.
 		late := u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
-		if !u.Suspect && !u.Silent && !u.Missing && !late && (u.Open || u.Booting) {
+		if u.sound() && !late && (u.Open || u.Booting) {
 			p.add(&bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
@@ -366,122 +371,241 @@
 // drains chooses machines to give back: those that are of no use, and idle
 // ones whose loss leaves the headroom and the role floors.
 func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
-	var out []DrainPlan
-	type roleOfType struct {
-		name string
-		role place.Role
-	}
-	holds := map[roleOfType]int{} // machines that keep a role's floor
-	floor := func(u Unit) roleOfType { return roleOfType{u.Kind.MachineType, u.Role} }
-	for _, u := range p.in.Units {
-		if u.Open && !u.Suspect && !u.Silent && !u.Missing {
-			holds[floor(u)]++
-		}
+	useless, spare := p.drainCandidates()
+	p.sortSpare(spare)
+	choice := p.newDrainChoice(unmet)
+	for _, u := range spare {
+		choice.consider(u)
 	}
-	spare := []Unit{}
+	p.forgetSurplus(choice.surplus)
+	out := append(useless, choice.busy...)
+	return append(out, choice.idleDrains()...)
+}
+
+// drainCandidates lists the machines that are of no use, with the reason, and
+// those that might be spared.
+func (p *planner) drainCandidates() (useless []DrainPlan, spare []Unit) {
 	for _, u := range p.in.Units {
-		switch {
-		case u.Booting && u.Age > max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin):
-			out = append(out, DrainPlan{u.Name, WhySlowBoot})
-		case u.Missing:
-			out = append(out, DrainPlan{u.Name, WhyGone})
-		case u.Silent:
-			out = append(out, DrainPlan{u.Name, WhySilent})
-		case u.Suspect:
-			out = append(out, DrainPlan{u.Name, WhyUnfit})
-		case !u.Open:
-		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1):
+		if why := p.uselessWhy(u); why != "" {
+			useless = append(useless, DrainPlan{u.Name, why})
+		} else if u.Open && p.mayBeSpared(u) {
 			spare = append(spare, u)
 		}
 	}
-	price := func(u Unit) float64 {
-		t := p.types[u.Kind.MachineType]
-		if u.Kind.Spot {
-			return t.SpotPrice
-		}
-		return t.Price
+	return useless, spare
+}
+
+// uselessWhy is the reason for giving back a machine whatever the demand is,
+// "" if there is none.
+func (p *planner) uselessWhy(u Unit) string {
+	slowBoot := max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin)
+	switch {
+	case u.Booting && u.Age > slowBoot:
+		return WhySlowBoot
+	case u.Missing:
+		return WhyGone
+	case u.Silent:
+		return WhySilent
+	case u.Suspect:
+		return WhyUnfit
+	}
+	return ""
+}
+
+// mayBeSpared reports whether an open machine is idle, or could be emptied:
+// an ordinary one of batch work, whose tasks end by themselves, or one whose
+// service tasks can move.
+func (p *planner) mayBeSpared(u Unit) bool {
+	if u.Claims == 0 {
+		return true
+	}
+	if u.Role == place.Batch {
+		return !u.Kind.Spot
 	}
-	// Idle ones first, then the emptiest of the dearest.
+	return u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1)
+}
+
+// sortSpare puts idle machines first, then the emptiest of the dearest.
+func (p *planner) sortSpare(spare []Unit) {
 	sort.Slice(spare, func(a, b int) bool {
 		x, y := spare[a], spare[b]
 		if (x.Claims == 0) != (y.Claims == 0) {
 			return x.Claims == 0
 		}
-		if price(x) != price(y) {
-			return price(x) > price(y)
+		if p.price(x.Kind) != p.price(y.Kind) {
+			return p.price(x.Kind) > p.price(y.Kind)
 		}
 		if x.Claims != y.Claims {
 			return x.Claims < y.Claims
 		}
 		return x.Name < y.Name
 	})
-	surplus := map[string]bool{}
-	rooms := map[place.Role]*rooms{place.Batch: p.rooms(p.in.Batch, p.in.Op.BatchHeadroom), place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom)}
-	plain := p.rooms(p.in.Plain, p.in.Op.BatchHeadroom)
-	busy := map[place.Role]bool{}
-	idle := map[string][]Unit{} // ready to go, by group
-	for _, u := range spare {
-		// What is not rented for headroom is not kept for it. Guards against idle
-		// ordinary machines, several times as dear, that stand in for the spot
-		// machines of which the cloud has no more.
-		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Spec != nil && p.in.Batch.Spec.Spot
-		// Guards against short work that may not use spot machines waiting for a
-		// boot each time, since spot machines hold the role's floor.
-		if u.Role == place.Batch && !u.Kind.Spot && !plain.spares(u) {
-			continue
-		}
-		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
-			continue
-		}
-		// A busy machine is surplus for as long as an idle one must be idle.
-		surplus[u.Name] = true
-		since, ok := p.in.SurplusSince[u.Name]
-		if !ok {
-			since = p.in.Now
-			p.in.SurplusSince[u.Name] = since
-		}
-		limit, rest := p.in.Op.IdleOrdinary, u.Idle
-		if u.Kind.Spot {
-			limit = p.in.Op.IdleSpot
-		}
-		if u.Claims > 0 {
-			rest = p.in.Now.Sub(since)
-		}
-		if rest < limit || unmet[u.Role] || len(p.rentals) > 0 || u.Claims > 0 && busy[u.Role] {
-			continue
+}
+
+// price is what a machine of the kind costs.
+func (p *planner) price(k Kind) float64 {
+	return priceOf(p.types[k.MachineType], k.Spot)
+}
+
+func priceOf(t wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// forgetSurplus ends the surplus of the machines that are not in it any more.
+func (p *planner) forgetSurplus(surplus map[string]bool) {
+	for name := range p.in.SurplusSince {
+		if !surplus[name] {
+			delete(p.in.SurplusSince, name)
 		}
-		holds[floor(u)]--
-		rooms[u.Role].leave(u)
-		plain.leave(u)
-		if u.Claims > 0 {
-			busy[u.Role] = true // one that has to be emptied of each role a plan
-			out = append(out, DrainPlan{u.Name, WhySpare})
-			continue
+	}
+}
+
+// roleOfType is what a role's floor is kept of: machines of one type.
+type roleOfType struct {
+	machineType string
+	role        place.Role
+}
+
+func (u Unit) roleOfType() roleOfType {
+	return roleOfType{u.Kind.MachineType, u.Role}
+}
+
+// drainChoice is the choice among the machines that might be spared, given
+// those that were chosen before.
+type drainChoice struct {
+	planner *planner
+	unmet   map[place.Role]bool   // roles with tasks without a place
+	holds   map[roleOfType]int    // machines that keep a role's floor
+	rooms   map[place.Role]*rooms // room for the headroom of each role
+	plain   *rooms                // room for batch work that may not use spot machines
+	surplus map[string]bool       // machines that the plan could do without
+	emptied map[place.Role]bool   // roles of which a busy machine was chosen
+	busy    []DrainPlan           // chosen, to be emptied
+	idle    map[string][]Unit     // chosen, empty, by group
+}
+
+func (p *planner) newDrainChoice(unmet map[place.Role]bool) *drainChoice {
+	c := &drainChoice{
+		planner: p,
+		unmet:   unmet,
+		holds:   map[roleOfType]int{},
+		rooms: map[place.Role]*rooms{
+			place.Batch:   p.rooms(p.in.Batch, p.in.Op.BatchHeadroom),
+			place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom),
+		},
+		plain:   p.rooms(p.in.Plain, p.in.Op.BatchHeadroom),
+		surplus: map[string]bool{},
+		emptied: map[place.Role]bool{},
+		idle:    map[string][]Unit{},
+	}
+	for _, u := range p.in.Units {
+		if u.Open && u.sound() {
+			c.holds[u.roleOfType()]++
 		}
-		idle[u.Group] = append(idle[u.Group], u)
 	}
-	// The groups with the most idle machines go first, a few a plan: each
-	// group costs a change, however many of its machines go.
-	groups := make([]string, 0, len(idle))
-	for g := range idle {
-		groups = append(groups, g)
+	return c
+}
+
+// consider chooses the machine if it can be spared now, and notes it as
+// surplus if it could be.
+func (c *drainChoice) consider(u Unit) {
+	if c.needed(u) {
+		return
+	}
+	c.surplus[u.Name] = true
+	if !c.rested(u) || c.unmet[u.Role] || len(c.planner.rentals) > 0 {
+		return
+	}
+	if u.Claims > 0 && c.emptied[u.Role] {
+		return // one that has to be emptied of each role a plan
+	}
+	c.choose(u)
+}
+
+// needed reports whether the role floors or the headroom need the machine.
+func (c *drainChoice) needed(u Unit) bool {
+	// Guards against short work that may not use spot machines waiting for a
+	// boot each time, since spot machines hold the role's floor.
+	if u.Role == place.Batch && !u.Kind.Spot && !c.plain.spares(u) {
+		return true
+	}
+	active := c.planner.in.Active[u.Role]
+	if active && c.holds[u.roleOfType()] <= tuning.RoleFloor {
+		return true
+	}
+	// What is not rented for headroom is not kept for it. Guards against idle
+	// ordinary machines, several times as dear, that stand in for the spot
+	// machines of which the cloud has no more.
+	if c.standsInForSpot(u) {
+		return false
+	}
+	return (active || u.Claims > 0) && !c.rooms[u.Role].spares(u)
+}
+
+// standsInForSpot reports whether the machine is an idle ordinary one, though
+// the typical batch work may use spot machines.
+func (c *drainChoice) standsInForSpot(u Unit) bool {
+	typical := c.planner.in.Batch.Spec
+	return u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && typical != nil && typical.Spot
+}
+
+// rested reports whether the machine has been idle for long enough to go. A
+// busy machine must be surplus for as long as an idle one must be idle.
+func (c *drainChoice) rested(u Unit) bool {
+	in := &c.planner.in
+	since, known := in.SurplusSince[u.Name]
+	if !known {
+		since = in.Now
+		in.SurplusSince[u.Name] = since
+	}
+	limit := in.Op.IdleOrdinary
+	if u.Kind.Spot {
+		limit = in.Op.IdleSpot
+	}
+	rest := u.Idle
+	if u.Claims > 0 {
+		rest = in.Now.Sub(since)
+	}
+	return rest >= limit
+}
+
+// choose gives the machine back, and takes it out of what is left.
+func (c *drainChoice) choose(u Unit) {
+	c.holds[u.roleOfType()]--
+	c.rooms[u.Role].leave(u)
+	c.plain.leave(u)
+	if u.Claims > 0 {
+		c.emptied[u.Role] = true
+		c.busy = append(c.busy, DrainPlan{u.Name, WhySpare})
+		return
+	}
+	c.idle[u.Group] = append(c.idle[u.Group], u)
+}
+
+// idleDrains gives back the idle machines that were chosen. The groups with
+// the most of them go first, a few a plan: each group costs a change, however
+// many of its machines go.
+func (c *drainChoice) idleDrains() []DrainPlan {
+	groups := make([]string, 0, len(c.idle))
+	for group := range c.idle {
+		groups = append(groups, group)
 	}
 	sort.Slice(groups, func(a, b int) bool {
-		if x, y := len(idle[groups[a]]), len(idle[groups[b]]); x != y {
+		if x, y := len(c.idle[groups[a]]), len(c.idle[groups[b]]); x != y {
 			return x > y
 		}
 		return groups[a] < groups[b]
 	})
-	for _, g := range groups[:min(len(groups), max(p.in.Groups, tuning.DrainGroups))] {
-		for _, u := range idle[g] {
+	most := max(c.planner.in.Groups, tuning.DrainGroups)
+	var out []DrainPlan
+	for _, group := range groups[:min(len(groups), most)] {
+		for _, u := range c.idle[group] {
 			out = append(out, DrainPlan{u.Name, WhyIdle})
 		}
 	}
-	for name := range p.in.SurplusSince {
-		if !surplus[name] {
-			delete(p.in.SurplusSince, name)
-		}
-	}
 	return out
 }
 
@@ -501,7 +625,7 @@
 	}
 	r.job = typical(l)
 	for _, v := range p.in.Units {
-		if !(v.Open || v.Booting) || v.Suspect || v.Silent || v.Missing || !suits(r.job, v.Kind, v.Role) {
+		if !(v.Open || v.Booting) || !v.sound() || !suits(r.job, v.Kind, v.Role) {
 			continue
 		}
 		n := 0
