--- /dev/null
+++ b/internal/fleet/drains.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"wheatspur/internal/place"
+	"wheatspur/internal/tuning"
+)
+
+// drains chooses machines to give back: those that are of no use, and idle
+// ones whose loss leaves the headroom and the role floors.
+func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
+	useless, spare := p.drainCandidates()
+	p.sortSpare(spare)
+	choice := p.newDrainChoice(unmet)
+	for _, u := range spare {
+		choice.consider(u)
+	}
+	p.forgetSurplus(choice.surplus)
+	out := append(useless, choice.busy...)
+	return append(out, choice.idleDrains()...)
+}
+
+// drainCandidates lists the machines that are of no use, with the reason, and
+// those that might be spared.
+func (p *planner) drainCandidates() (useless []DrainPlan, spare []Unit) {
+	for _, u := range p.in.Units {
+		if why := p.uselessWhy(u); why != "" {
+			useless = append(useless, DrainPlan{u.Name, why})
+		} else if u.Open && p.mayBeSpared(u) {
+			spare = append(spare, u)
+		}
+	}
+	return useless, spare
+}
+
+// uselessWhy is the reason for giving back a machine whatever the demand is,
+// "" if there is none.
+func (p *planner) uselessWhy(u Unit) string {
+	slowBoot := max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin)
+	switch {
+	case u.Booting && u.Age > slowBoot:
+		return WhySlowBoot
+	case u.Missing:
+		return WhyGone
+	case u.Silent:
+		return WhySilent
+	case u.Suspect:
+		return WhyUnfit
+	}
+	return ""
+}
+
+// mayBeSpared reports whether an open machine is idle, or could be emptied:
+// an ordinary one of batch work, whose tasks end by themselves, or one whose
+// service tasks can move.
+func (p *planner) mayBeSpared(u Unit) bool {
+	if u.Claims == 0 {
+		return true
+	}
+	if u.Role == place.Batch {
+		return !u.Kind.Spot
+	}
+	return u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1)
+}
+
+// sortSpare puts idle machines first, then the emptiest of the dearest.
+func (p *planner) sortSpare(spare []Unit) {
+	sort.Slice(spare, func(a, b int) bool {
+		x, y := spare[a], spare[b]
+		if (x.Claims == 0) != (y.Claims == 0) {
+			return x.Claims == 0
+		}
+		if p.price(x.Kind) != p.price(y.Kind) {
+			return p.price(x.Kind) > p.price(y.Kind)
+		}
+		if x.Claims != y.Claims {
+			return x.Claims < y.Claims
+		}
+		return x.Name < y.Name
+	})
+}
+
+// forgetSurplus ends the surplus of the machines that are not in it any more.
+func (p *planner) forgetSurplus(surplus map[string]bool) {
+	for name := range p.in.SurplusSince {
+		if !surplus[name] {
+			delete(p.in.SurplusSince, name)
+		}
+	}
+}
+
+// roleOfType is what a role's floor is kept of: machines of one type.
+type roleOfType struct {
+	machineType string
+	role        place.Role
+}
+
+func (u Unit) roleOfType() roleOfType {
+	return roleOfType{u.Kind.MachineType, u.Role}
+}
+
+// drainChoice is the choice among the machines that might be spared, given
+// those that were chosen before.
+type drainChoice struct {
+	planner *planner
+	unmet   map[place.Role]bool   // roles with tasks without a place
+	holds   map[roleOfType]int    // machines that keep a role's floor
+	rooms   map[place.Role]*rooms // room for the headroom of each role
+	plain   *rooms                // room for batch work that may not use spot machines
+	surplus map[string]bool       // machines that the plan could do without
+	emptied map[place.Role]bool   // roles of which a busy machine was chosen
+	busy    []DrainPlan           // chosen, to be emptied
+	idle    map[string][]Unit     // chosen, empty, by group
+}
+
+func (p *planner) newDrainChoice(unmet map[place.Role]bool) *drainChoice {
+	c := &drainChoice{
+		planner: p,
+		unmet:   unmet,
+		holds:   map[roleOfType]int{},
+		rooms: map[place.Role]*rooms{
+			place.Batch:   p.rooms(p.in.Batch, p.in.Op.BatchHeadroom),
+			place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom),
+		},
+		plain:   p.rooms(p.in.Plain, p.in.Op.BatchHeadroom),
+		surplus: map[string]bool{},
+		emptied: map[place.Role]bool{},
+		idle:    map[string][]Unit{},
+	}
+	for _, u := range p.in.Units {
+		if u.Open && u.sound() {
+			c.holds[u.roleOfType()]++
+		}
+	}
+	return c
+}
+
+// consider chooses the machine if it can be spared now, and notes it as
+// surplus if it could be.
+func (c *drainChoice) consider(u Unit) {
+	if c.needed(u) {
+		return
+	}
+	c.surplus[u.Name] = true
+	if !c.rested(u) || c.unmet[u.Role] || len(c.planner.rentals) > 0 {
+		return
+	}
+	if u.Claims > 0 && c.emptied[u.Role] {
+		return // one that has to be emptied of each role a plan
+	}
+	c.choose(u)
+}
+
+// needed reports whether the role floors or the headroom need the machine.
+func (c *drainChoice) needed(u Unit) bool {
+	// Guards against short work that may not use spot machines waiting for a
+	// boot each time, since spot machines hold the role's floor.
+	if u.Role == place.Batch && !u.Kind.Spot && !c.plain.spares(u) {
+		return true
+	}
+	active := c.planner.in.Active[u.Role]
+	if active && c.holds[u.roleOfType()] <= tuning.RoleFloor {
+		return true
+	}
+	// What is not rented for headroom is not kept for it. Guards against idle
+	// ordinary machines, several times as dear, that stand in for the spot
+	// machines of which the cloud has no more.
+	if c.standsInForSpot(u) {
+		return false
+	}
+	return (active || u.Claims > 0) && !c.rooms[u.Role].spares(u)
+}
+
+// standsInForSpot reports whether the machine is an idle ordinary one, though
+// the typical batch work may use spot machines.
+func (c *drainChoice) standsInForSpot(u Unit) bool {
+	typical := c.planner.in.Batch.Spec
+	return u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && typical != nil && typical.Spot
+}
+
+// rested reports whether the machine has been idle for long enough to go. A
+// busy machine must be surplus for as long as an idle one must be idle.
+func (c *drainChoice) rested(u Unit) bool {
+	in := &c.planner.in
+	since, known := in.SurplusSince[u.Name]
+	if !known {
+		since = in.Now
+		in.SurplusSince[u.Name] = since
+	}
+	limit := in.Op.IdleOrdinary
+	if u.Kind.Spot {
+		limit = in.Op.IdleSpot
+	}
+	rest := u.Idle
+	if u.Claims > 0 {
+		rest = in.Now.Sub(since)
+	}
+	return rest >= limit
+}
+
+// choose gives the machine back, and takes it out of what is left.
+func (c *drainChoice) choose(u Unit) {
+	c.holds[u.roleOfType()]--
+	c.rooms[u.Role].leave(u)
+	c.plain.leave(u)
+	if u.Claims > 0 {
+		c.emptied[u.Role] = true
+		c.busy = append(c.busy, DrainPlan{u.Name, WhySpare})
+		return
+	}
+	c.idle[u.Group] = append(c.idle[u.Group], u)
+}
+
+// idleDrains gives back the idle machines that were chosen. The groups with
+// the most of them go first, a few a plan: each group costs a change, however
+// many of its machines go.
+func (c *drainChoice) idleDrains() []DrainPlan {
+	groups := make([]string, 0, len(c.idle))
+	for group := range c.idle {
+		groups = append(groups, group)
+	}
+	sort.Slice(groups, func(a, b int) bool {
+		if x, y := len(c.idle[groups[a]]), len(c.idle[groups[b]]); x != y {
+			return x > y
+		}
+		return groups[a] < groups[b]
+	})
+	most := max(c.planner.in.Groups, tuning.DrainGroups)
+	var out []DrainPlan
+	for _, group := range groups[:min(len(groups), most)] {
+		for _, u := range c.idle[group] {
+			out = append(out, DrainPlan{u.Name, WhyIdle})
+		}
+	}
+	return out
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -221,6 +221,18 @@
 	return jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 }
 
+// price is what a machine of the kind costs.
+func (p *planner) price(k Kind) float64 {
+	return priceOf(p.types[k.MachineType], k.Spot)
+}
+
+func priceOf(t wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 // suits reports whether the job may use machines of the kind in the role.
 func suits(j *jobs.Job, k Kind, role place.Role) bool {
 	return place.Suits(j, &place.Machine{Type: k.MachineType, Zone: k.Zone, Spot: k.Spot, Role: role})
@@ -265,59 +277,111 @@
 	}
 }
 
-// rent plans one more machine for a task: the cheapest for each task it holds,
-// in the zone with the fewest machines of the role, and in a dark zone only if
-// there is none elsewhere; nil if none is to be had.
+// rent plans one more machine for a task, the best that the cloud offers; nil
+// if none is to be had.
 func (p *planner) rent(j *jobs.Job, waiting time.Duration, why string) *bin {
+	best := p.bestOffer(j, waiting)
+	if math.IsInf(best.taskPrice, 1) {
+		return nil
+	}
 	role := roleOf(j)
-	var best Kind
-	cost, least, far := math.Inf(1), 0, true
+	rental := RentPlan{Kind: best.kind, Role: role}
+	p.rentals[rental]++
+	if p.whys[rental] == "" {
+		p.whys[rental] = why
+	}
+	b := &bin{kind: best.kind, role: role, free: total(p.types[best.kind.MachineType])}
+	p.add(b)
+	return b
+}
+
+// offer is a kind of machine that could be rented for a task.
+type offer struct {
+	kind      Kind
+	taskPrice float64 // for each task that the machine holds
+	crowd     int     // machines of the role in the zone
+	dark      bool    // in a dark zone
+}
+
+// priceTolerance is below any difference of prices that counts.
+const priceTolerance = 1e-9
+
+// better orders offers: those outside dark zones, the cheapest for each task,
+// the zone with the fewest machines of the role.
+func (o offer) better(than offer) bool {
+	if o.dark != than.dark {
+		return than.dark
+	}
+	if o.taskPrice < than.taskPrice-priceTolerance {
+		return true
+	}
+	return o.taskPrice < than.taskPrice+priceTolerance && o.crowd < than.crowd
+}
+
+// bestOffer finds the machine to rent for a task; its price is infinite if
+// there is none.
+func (p *planner) bestOffer(j *jobs.Job, waiting time.Duration) offer {
+	best := offer{taskPrice: math.Inf(1), dark: true}
 	for _, t := range p.in.Types {
-		tot := total(t)
-		if !j.Need.Fits(tot) {
+		if !j.Need.Fits(total(t)) {
 			continue
 		}
-		fit := 1 / max(j.Need.Share(tot), 1e-9)
-		for _, z := range t.Zones {
+		tasks := tasksHeld(j, t)
+		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				k := Kind{t.Label, z, spot}
-				if !suits(j, k, role) {
-					continue
-				}
-				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
-					continue
-				}
-				if !spot && role == place.Batch && j.Record.Spec.Spot && waiting < tuning.OrdinaryBatchAfter {
+				kind := Kind{t.Label, zone, spot}
+				if !p.mayRent(j, kind, waiting) {
 					continue
 				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
+				o := offer{
+					kind:      kind,
+					taskPrice: priceOf(t, spot) / tasks,
+					crowd:     p.crowdFor(kind, roleOf(j)),
+					dark:      p.dark[zone],
 				}
-				c, n := price/math.Floor(fit+1e-6), p.crowds[crowd{z, role}]
-				if k := p.rentals[RentPlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.RentMax > 0 {
-					n = -1 // batch work fills one call before the next
-				}
-				if d := p.dark[z]; d != far {
-					if far {
-						best, cost, least, far = k, c, n, false
-					}
-				} else if c < cost-1e-9 || c < cost+1e-9 && n < least {
-					best, cost, least = k, c, n
+				if o.better(best) {
+					best = o
 				}
 			}
 		}
 	}
-	if math.IsInf(cost, 1) {
-		return nil
+	return best
+}
+
+// mayRent reports whether a machine of the kind may be rented for the job now.
+func (p *planner) mayRent(j *jobs.Job, kind Kind, waiting time.Duration) bool {
+	role := roleOf(j)
+	if !suits(j, kind, role) {
+		return false
 	}
-	h := RentPlan{Kind: best, Role: role}
-	if p.rentals[h]++; p.whys[h] == "" {
-		p.whys[h] = why
+	if at, refused := p.in.Refused[kind]; refused && p.in.Now.Sub(at) < tuning.RefusedPause {
+		return false
 	}
-	b := &bin{kind: best, role: role, free: total(p.types[best.MachineType])}
-	p.add(b)
-	return b
+	spotFirst := role == place.Batch && j.Record.Spec.Spot && waiting < tuning.OrdinaryBatchAfter
+	return kind.Spot || !spotFirst
+}
+
+// crowdFor is the number of machines of the role in the kind's zone. Batch
+// work fills one call before the next, so a call that has begun goes first.
+func (p *planner) crowdFor(kind Kind, role place.Role) int {
+	planned := p.rentals[RentPlan{Kind: kind, Role: role}]
+	if role == place.Batch && planned%tuning.RentMax > 0 {
+		return -1
+	}
+	return p.crowds[crowd{kind.Zone, role}]
+}
+
+// Guards of tasksHeld against a job that needs next to nothing, and against
+// the rounding of shares that are whole fractions.
+const (
+	shareMin       = 1e-9
+	shareTolerance = 1e-6
+)
+
+// tasksHeld is the number of the job's tasks that an empty machine holds.
+func tasksHeld(j *jobs.Job, t wire.MachineType) float64 {
+	share := max(j.Need.Share(total(t)), shareMin)
+	return math.Floor(1/share + shareTolerance)
 }
 
 // spare is the number of typical tasks that a role's headroom holds.
@@ -355,10 +419,11 @@
 func (p *planner) hedge(j *jobs.Job, waiting float64) int {
 	each := 0.0 // tasks a machine, of the type that holds the fewest
 	for _, t := range p.in.Types {
-		if jobs.Allowed(j.Record.Spec, t.Label) && j.Need.Fits(total(t)) {
-			if n := math.Floor(1/max(j.Need.Share(total(t)), 1e-9) + 1e-6); each == 0 || n < each {
-				each = n
-			}
+		if !jobs.Allowed(j.Record.Spec, t.Label) || !j.Need.Fits(total(t)) {
+			continue
+		}
+		if n := tasksHeld(j, t); each == 0 || n < each {
+			each = n
 		}
 	}
 	if each == 0 {
@@ -368,247 +433,6 @@
 	return int(math.Ceil(each * (late + tuning.LateBootSpread*math.Sqrt(late))))
 }
 
-// drains chooses machines to give back: those that are of no use, and idle
-// ones whose loss leaves the headroom and the role floors.
-func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
-	useless, spare := p.drainCandidates()
-	p.sortSpare(spare)
-	choice := p.newDrainChoice(unmet)
-	for _, u := range spare {
-		choice.consider(u)
-	}
-	p.forgetSurplus(choice.surplus)
-	out := append(useless, choice.busy...)
-	return append(out, choice.idleDrains()...)
-}
-
-// drainCandidates lists the machines that are of no use, with the reason, and
-// those that might be spared.
-func (p *planner) drainCandidates() (useless []DrainPlan, spare []Unit) {
-	for _, u := range p.in.Units {
-		if why := p.uselessWhy(u); why != "" {
-			useless = append(useless, DrainPlan{u.Name, why})
-		} else if u.Open && p.mayBeSpared(u) {
-			spare = append(spare, u)
-		}
-	}
-	return useless, spare
-}
-
-// uselessWhy is the reason for giving back a machine whatever the demand is,
-// "" if there is none.
-func (p *planner) uselessWhy(u Unit) string {
-	slowBoot := max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin)
-	switch {
-	case u.Booting && u.Age > slowBoot:
-		return WhySlowBoot
-	case u.Missing:
-		return WhyGone
-	case u.Silent:
-		return WhySilent
-	case u.Suspect:
-		return WhyUnfit
-	}
-	return ""
-}
-
-// mayBeSpared reports whether an open machine is idle, or could be emptied:
-// an ordinary one of batch work, whose tasks end by themselves, or one whose
-// service tasks can move.
-func (p *planner) mayBeSpared(u Unit) bool {
-	if u.Claims == 0 {
-		return true
-	}
-	if u.Role == place.Batch {
-		return !u.Kind.Spot
-	}
-	return u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1)
-}
-
-// sortSpare puts idle machines first, then the emptiest of the dearest.
-func (p *planner) sortSpare(spare []Unit) {
-	sort.Slice(spare, func(a, b int) bool {
-		x, y := spare[a], spare[b]
-		if (x.Claims == 0) != (y.Claims == 0) {
-			return x.Claims == 0
-		}
-		if p.price(x.Kind) != p.price(y.Kind) {
-			return p.price(x.Kind) > p.price(y.Kind)
-		}
-		if x.Claims != y.Claims {
-			return x.Claims < y.Claims
-		}
-		return x.Name < y.Name
-	})
-}
-
-// price is what a machine of the kind costs.
-func (p *planner) price(k Kind) float64 {
-	return priceOf(p.types[k.MachineType], k.Spot)
-}
-
-func priceOf(t wire.MachineType, spot bool) float64 {
-	if spot {
-		return t.SpotPrice
-	}
-	return t.Price
-}
-
-// forgetSurplus ends the surplus of the machines that are not in it any more.
-func (p *planner) forgetSurplus(surplus map[string]bool) {
-	for name := range p.in.SurplusSince {
-		if !surplus[name] {
-			delete(p.in.SurplusSince, name)
-		}
-	}
-}
-
-// roleOfType is what a role's floor is kept of: machines of one type.
-type roleOfType struct {
-	machineType string
-	role        place.Role
-}
-
-func (u Unit) roleOfType() roleOfType {
-	return roleOfType{u.Kind.MachineType, u.Role}
-}
-
-// drainChoice is the choice among the machines that might be spared, given
-// those that were chosen before.
-type drainChoice struct {
-	planner *planner
-	unmet   map[place.Role]bool   // roles with tasks without a place
-	holds   map[roleOfType]int    // machines that keep a role's floor
-	rooms   map[place.Role]*rooms // room for the headroom of each role
-	plain   *rooms                // room for batch work that may not use spot machines
-	surplus map[string]bool       // machines that the plan could do without
-	emptied map[place.Role]bool   // roles of which a busy machine was chosen
-	busy    []DrainPlan           // chosen, to be emptied
-	idle    map[string][]Unit     // chosen, empty, by group
-}
-
-func (p *planner) newDrainChoice(unmet map[place.Role]bool) *drainChoice {
-	c := &drainChoice{
-		planner: p,
-		unmet:   unmet,
-		holds:   map[roleOfType]int{},
-		rooms: map[place.Role]*rooms{
-			place.Batch:   p.rooms(p.in.Batch, p.in.Op.BatchHeadroom),
-			place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom),
-		},
-		plain:   p.rooms(p.in.Plain, p.in.Op.BatchHeadroom),
-		surplus: map[string]bool{},
-		emptied: map[place.Role]bool{},
-		idle:    map[string][]Unit{},
-	}
-	for _, u := range p.in.Units {
-		if u.Open && u.sound() {
-			c.holds[u.roleOfType()]++
-		}
-	}
-	return c
-}
-
-// consider chooses the machine if it can be spared now, and notes it as
-// surplus if it could be.
-func (c *drainChoice) consider(u Unit) {
-	if c.needed(u) {
-		return
-	}
-	c.surplus[u.Name] = true
-	if !c.rested(u) || c.unmet[u.Role] || len(c.planner.rentals) > 0 {
-		return
-	}
-	if u.Claims > 0 && c.emptied[u.Role] {
-		return // one that has to be emptied of each role a plan
-	}
-	c.choose(u)
-}
-
-// needed reports whether the role floors or the headroom need the machine.
-func (c *drainChoice) needed(u Unit) bool {
-	// Guards against short work that may not use spot machines waiting for a
-	// boot each time, since spot machines hold the role's floor.
-	if u.Role == place.Batch && !u.Kind.Spot && !c.plain.spares(u) {
-		return true
-	}
-	active := c.planner.in.Active[u.Role]
-	if active && c.holds[u.roleOfType()] <= tuning.RoleFloor {
-		return true
-	}
-	// What is not rented for headroom is not kept for it. Guards against idle
-	// ordinary machines, several times as dear, that stand in for the spot
-	// machines of which the cloud has no more.
-	if c.standsInForSpot(u) {
-		return false
-	}
-	return (active || u.Claims > 0) && !c.rooms[u.Role].spares(u)
-}
-
-// standsInForSpot reports whether the machine is an idle ordinary one, though
-// the typical batch work may use spot machines.
-func (c *drainChoice) standsInForSpot(u Unit) bool {
-	typical := c.planner.in.Batch.Spec
-	return u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && typical != nil && typical.Spot
-}
-
-// rested reports whether the machine has been idle for long enough to go. A
-// busy machine must be surplus for as long as an idle one must be idle.
-func (c *drainChoice) rested(u Unit) bool {
-	in := &c.planner.in
-	since, known := in.SurplusSince[u.Name]
-	if !known {
-		since = in.Now
-		in.SurplusSince[u.Name] = since
-	}
-	limit := in.Op.IdleOrdinary
-	if u.Kind.Spot {
-		limit = in.Op.IdleSpot
-	}
-	rest := u.Idle
-	if u.Claims > 0 {
-		rest = in.Now.Sub(since)
-	}
-	return rest >= limit
-}
-
-// choose gives the machine back, and takes it out of what is left.
-func (c *drainChoice) choose(u Unit) {
-	c.holds[u.roleOfType()]--
-	c.rooms[u.Role].leave(u)
-	c.plain.leave(u)
-	if u.Claims > 0 {
-		c.emptied[u.Role] = true
-		c.busy = append(c.busy, DrainPlan{u.Name, WhySpare})
-		return
-	}
-	c.idle[u.Group] = append(c.idle[u.Group], u)
-}
-
-// idleDrains gives back the idle machines that were chosen. The groups with
-// the most of them go first, a few a plan: each group costs a change, however
-// many of its machines go.
-func (c *drainChoice) idleDrains() []DrainPlan {
-	groups := make([]string, 0, len(c.idle))
-	for group := range c.idle {
-		groups = append(groups, group)
-	}
-	sort.Slice(groups, func(a, b int) bool {
-		if x, y := len(c.idle[groups[a]]), len(c.idle[groups[b]]); x != y {
-			return x > y
-		}
-		return groups[a] < groups[b]
-	})
-	most := max(c.planner.in.Groups, tuning.DrainGroups)
-	var out []DrainPlan
-	for _, group := range groups[:min(len(groups), most)] {
-		for _, u := range c.idle[group] {
-			out = append(out, DrainPlan{u.Name, WhyIdle})
-		}
-	}
-	return out
-}
-
 // rooms is the room of a role's machines in typical tasks, against what its
 // headroom must hold.
 type rooms struct {
