--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -144,44 +144,70 @@
 	role place.Role
 }
 
-// Plan decides what to rent and what to give back. It is pure.
+// Plan decides what to rent and what to give back. It is pure, but for
+// SurplusSince.
 func Plan(in PlanInput) PlanOutput {
-	p := &planner{in: in, types: map[string]wire.MachineType{}, crowds: map[crowd]int{}, rentals: map[RentPlan]int{}, whys: map[RentPlan]string{}}
+	p := newPlanner(in)
+	unmet := p.coverWants()
+	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
+	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
+	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
+	return PlanOutput{
+		Rentals: p.sortedRentals(),
+		Drains:  p.drains(unmet),
+	}
+}
+
+func newPlanner(in PlanInput) *planner {
+	p := &planner{
+		in:      in,
+		types:   map[string]wire.MachineType{},
+		crowds:  map[crowd]int{},
+		dark:    dark(in.Units),
+		rentals: map[RentPlan]int{},
+		whys:    map[RentPlan]string{},
+	}
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
 	for _, u := range in.Units {
-		// A machine beyond the usual boot time may yet come, or never: what
-		// counts on it waits for the time in which another would boot.
-		late := u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
-		if u.sound() && !late && (u.Open || u.Booting) {
+		if u.sound() && !p.late(u) && (u.Open || u.Booting) {
 			p.add(&bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
-	p.dark = dark(in.Units)
+	return p
+}
+
+// late reports whether the machine is beyond the usual boot time: it may yet
+// come, or never. What counts on it waits for the time in which another would
+// boot.
+func (p *planner) late(u Unit) bool {
+	return u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
+}
+
+// coverWants plans room for the tasks without a place, and returns the roles
+// of those for which a place was looked for.
+func (p *planner) coverWants() map[place.Role]bool {
 	unmet := map[place.Role]bool{}
-	for _, w := range in.Wants {
+	for _, w := range p.in.Wants {
 		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, "tasks without a place")
-		if w.Untried {
-			continue
-		}
-		if w.Job.Service() {
-			unmet[place.Service] = true
-		} else {
-			unmet[place.Batch] = true
+		if !w.Untried {
+			unmet[roleOf(w.Job)] = true
 		}
 	}
-	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
-	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
-	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
+	return unmet
+}
 
-	var out PlanOutput
-	for h, n := range p.rentals {
-		h.Count, h.Why = n, p.whys[h]
-		out.Rentals = append(out.Rentals, h)
+// sortedRentals lists what was planned: for services first, then by zone and
+// type.
+func (p *planner) sortedRentals() []RentPlan {
+	var rentals []RentPlan
+	for rental, count := range p.rentals {
+		rental.Count, rental.Why = count, p.whys[rental]
+		rentals = append(rentals, rental)
 	}
-	sort.Slice(out.Rentals, func(a, b int) bool {
-		x, y := out.Rentals[a], out.Rentals[b]
+	sort.Slice(rentals, func(a, b int) bool {
+		x, y := rentals[a], rentals[b]
 		if x.Role != y.Role {
 			return x.Role == place.Service
 		}
@@ -190,8 +216,7 @@
 		}
 		return x.Kind.MachineType < y.Kind.MachineType
 	})
-	out.Drains = p.drains(unmet)
-	return out
+	return rentals
 }
 
 // dark finds the zones of which most machines are quiet: what is rented there
