--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -185,7 +185,7 @@
 	return k
 }
 
-// room is what the team may still claim.
+// allows reports whether one more such task stays within the team's limit.
 func (t *Team) allows(need jobs.Resources) bool {
 	u := t.Used.Add(need)
 	return within(u.CPUs, t.Max.CPUs) && within(u.GPUs, t.Max.GPUs)
@@ -203,6 +203,16 @@
 	return within(u.CPUs, t.Guaranteed.CPUs) && within(u.GPUs, t.Guaranteed.GPUs)
 }
 
+// quota is the number of tasks, at most that given, that the team's limit
+// allows beside those in use.
+func (t *Team) quota(need jobs.Resources, tasks int) int {
+	allowed := 0
+	for use := *t; allowed < tasks && use.allows(need); allowed++ {
+		use.Used = use.Used.Add(need)
+	}
+	return allowed
+}
+
 // Demand is a job with pending tasks.
 type Demand struct {
 	Job          *jobs.Job
@@ -319,6 +329,9 @@
 	NoTurn  = "others are placed first"
 	NoQuota = "its team is at its limit"
 	NoShare = "its team's limit is being shared out anew"
+
+	noTeam           = "its team is not in the settings"
+	keptForGuarantee = "room is kept for another team's guarantee"
 )
 
 // scansPerPass bounds how often a pass looks through all machines for tasks
@@ -339,102 +352,149 @@
 	return out
 }
 
+// one places the tasks of a demand, as many as it can, and notes why the
+// others wait.
 func (in *Input) one(d *Demand, out *Output) {
-	w := d.Job.Record.Spec
-	wait := func(n int, why string) { out.Unmet[d.Job.ID], out.Why[d.Job.ID] = n, why }
-	team := in.Teams[w.Team]
+	team := in.Teams[d.Job.Record.Spec.Team]
 	if team == nil {
-		wait(len(d.Tasks), "its team is not in the settings")
+		out.wait(d, len(d.Tasks), noTeam)
 		return
 	}
 	guaranteed := in.guaranteed(d.Job)
 	if !guaranteed && d.priority >= in.held {
 		// Guards against borrowed work taking back the room that was freed for
 		// a guarantee: it was stopped and placed again many times a minute.
-		wait(len(d.Tasks), "room is kept for another team's guarantee")
+		out.wait(d, len(d.Tasks), keptForGuarantee)
 		return
 	}
-	tasks := d.Tasks
-	quota := 0
-	for use := *team; quota < len(tasks) && use.allows(d.Job.Need); quota++ {
-		use.Used = use.Used.Add(d.Job.Need)
-	}
-	if quota == 0 {
-		wait(len(tasks), NoQuota)
+	tasks := d.Tasks[:team.quota(d.Job.Need, len(d.Tasks))]
+	if len(tasks) == 0 {
+		out.wait(d, len(d.Tasks), NoQuota)
 		return
 	}
-	tasks = tasks[:quota]
-	// The first node whose machines hold all tasks, the shortest waits for the
-	// image coming first: a fetch costs more than any other choice here.
-	placer, picks, fetches := "", []*Machine(nil), 0.0
-	short := false // its place is limited by the shares of the limit alone
+	var choice placement
 	if in.Fleet.mayHold(d.Job) {
 		if in.MostJobs <= 0 {
-			wait(len(tasks), NoTurn)
+			out.wait(d, len(tasks), NoTurn)
 			return
 		}
-		for _, node := range in.Order(d.Job.ID) {
-			if team.grant(node, d.Job.Need, len(tasks)) < len(tasks) {
-				continue
-			}
-			p := in.fit(d, tasks, node)
-			if len(p) < len(tasks) {
-				continue
-			}
-			k := 0.0
-			for _, m := range p {
-				k += m.wait(d.Job)
-			}
-			if placer == "" || k < fetches {
-				placer, picks, fetches = node, p, k
-			}
+		choice = in.choose(d, team, tasks)
+	}
+	if len(choice.picks) > 0 {
+		in.MostJobs--
+		in.take(d, team, tasks, choice, out)
+	}
+	if out.noteUnplaced(d, tasks, choice) {
+		in.findRoom(d, guaranteed, tasks, choice, out)
+	}
+}
+
+// placement is the machines chosen for a demand's first tasks, and the node
+// that stores the claims.
+type placement struct {
+	placer string
+	picks  []*Machine
+	short  bool // its place is limited by the shares of the limit alone
+}
+
+// choose finds machines for the tasks: those of one node if they hold all of
+// them, else those of any.
+func (in *Input) choose(d *Demand, team *Team, tasks []int) placement {
+	choice := in.chooseNode(d, team, tasks)
+	if choice.placer == "" {
+		granted := team.grant(in.Leader, d.Job.Need, len(tasks))
+		choice.placer = in.Leader
+		choice.short = granted < len(tasks)
+		choice.picks = in.spread(d, tasks[:granted])
+	}
+	if d.Job.Gang() && (len(d.Job.Live) > 0 || len(choice.picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
+		choice.picks = nil // all at once or not at all
+	}
+	return choice
+}
+
+// chooseNode finds the first node whose machines hold all tasks, the shortest
+// waits for the image coming first: a fetch costs more than any other choice
+// here. Without such a node the placement is empty.
+func (in *Input) chooseNode(d *Demand, team *Team, tasks []int) placement {
+	var best placement
+	leastWait := 0.0
+	for _, node := range in.Order(d.Job.ID) {
+		if team.grant(node, d.Job.Need, len(tasks)) < len(tasks) {
+			continue
 		}
-		if placer == "" {
-			placer = in.Leader
-			k := team.grant(in.Leader, d.Job.Need, len(tasks))
-			short = k < len(tasks)
-			picks = in.spread(d, tasks[:k])
+		picks := in.fit(d, tasks, node)
+		if len(picks) < len(tasks) {
+			continue
 		}
-		if d.Job.Gang() && (len(d.Job.Live) > 0 || len(picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
-			picks = nil // all at once or not at all
+		wait := 0.0
+		for _, m := range picks {
+			wait += m.wait(d.Job)
 		}
-		if len(picks) > 0 {
-			in.MostJobs--
+		if best.placer == "" || wait < leastWait {
+			best.placer, best.picks = node, picks
+			leastWait = wait
 		}
 	}
-	for i, m := range picks {
+	return best
+}
+
+// take enters the placement into the machines and the team's use, and claims
+// the tasks if this node is to store them.
+func (in *Input) take(d *Demand, team *Team, tasks []int, choice placement, out *Output) {
+	for i, m := range choice.picks {
 		in.Fleet.change(m)
 		m.Free = m.Free.Sub(d.Job.Need)
-		m.pulling(w)
+		m.pulling(d.Job.Record.Spec)
 		m.placed++
 		team.Used = team.Used.Add(d.Job.Need)
-		if placer == in.Me && !d.Blocked {
+		if choice.placer == in.Me && !d.Blocked {
 			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Session})
 		}
 	}
-	if team.Left != nil && len(picks) > 0 {
-		team.Left[placer] = team.Left[placer].Sub(d.Job.Need.Times(float64(len(picks))))
+	if team.Left != nil {
+		taken := d.Job.Need.Times(float64(len(choice.picks)))
+		team.Left[choice.placer] = team.Left[choice.placer].Sub(taken)
 	}
-	if len(d.Tasks) == len(picks) {
-		return
-	}
-	if short {
-		out.GrantShort[w.Team] = true
-		wait(len(d.Tasks)-len(picks), NoShare)
-		return
-	}
-	if len(picks) == len(tasks) {
-		wait(len(d.Tasks)-len(picks), NoQuota) // no machine helps these
-		return
+}
+
+// wait notes that tasks of the demand have no place, and why.
+func (out *Output) wait(d *Demand, tasks int, why string) {
+	out.Unmet[d.Job.ID] = tasks
+	out.Why[d.Job.ID] = why
+}
+
+// noteUnplaced notes why tasks of the demand were left without a place, of
+// which tasks are within its team's limit. It reports whether machines with
+// more room would help.
+func (out *Output) noteUnplaced(d *Demand, tasks []int, choice placement) bool {
+	placed := len(choice.picks)
+	switch {
+	case len(d.Tasks) == placed:
+		return false
+	case choice.short:
+		out.GrantShort[d.Job.Record.Spec.Team] = true
+		out.wait(d, len(d.Tasks)-placed, NoShare)
+		return false
+	case len(tasks) == placed:
+		out.wait(d, len(d.Tasks)-placed, NoQuota) // no machine helps these
+		return false
 	}
-	wait(len(tasks)-len(picks), NoRoom)
+	out.wait(d, len(tasks)-placed, NoRoom)
+	return true
+}
+
+// findRoom sees to it that the tasks without a place get one: what comes later
+// in the pass may not take it, and other tasks are stopped for it.
+func (in *Input) findRoom(d *Demand, guaranteed bool, tasks []int, choice placement, out *Output) {
+	placed := len(choice.picks)
 	if d.Pressed && guaranteed {
 		in.held = min(in.held, d.priority)
 	}
-	if d.Aged && len(picks) == 0 && len(d.Job.Live) == 0 {
+	if d.Aged && placed == 0 && len(d.Job.Live) == 0 {
 		in.hold(d)
 	}
-	for range len(tasks) - len(picks) {
+	for range len(tasks) - placed {
 		if !in.makeRoom(d, out) {
 			break
 		}
