--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -468,11 +468,14 @@
 }
 
 func (p *planner) rooms(l Load, share float64) *rooms {
-	r := &rooms{need: spare(l, share), of: map[string]int{}}
 	if l.Spec == nil {
-		return r
+		return &rooms{need: spare(l, share), of: map[string]int{}}
+	}
+	r := &rooms{
+		job:  typical(l),
+		need: spare(l, share),
+		of:   make(map[string]int, len(p.in.Units)),
 	}
-	r.job = typical(l)
 	for _, v := range p.in.Units {
 		if !(v.Open || v.Booting) || !v.sound() || !suits(r.job, v.Kind, v.Role) {
 			continue
