--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"sort"
 	"strconv"
@@ -15,7 +14,6 @@
 	"github.com/magiconair/properties"
 	"github.com/pelletier/go-toml/v2"
 
-	"wheatspur/internal/jobs"
 	"wheatspur/internal/tuning"
 )
 
@@ -171,108 +169,6 @@
 	return &s, s.check()
 }
 
-func (s *Settings) check() error {
-	p := &s.Params
-	addr := func(name, v string) error {
-		if v == "" {
-			return fmt.Errorf("%s: is missing", name)
-		}
-		if _, _, err := net.SplitHostPort(v); err != nil {
-			return fmt.Errorf("%s: %q is no host:port", name, v)
-		}
-		return nil
-	}
-	if s.Label == "" {
-		return errors.New("label: is missing")
-	}
-	for _, a := range [][2]string{{"bind", s.Bind}, {"peer_listen", s.PeerListen},
-		{"endpoints.cloud", s.Endpoints.Cloud}, {"endpoints.state", s.Endpoints.State}} {
-		if err := addr(a[0], a[1]); err != nil {
-			return err
-		}
-	}
-	seen := map[string]bool{s.Label: true}
-	for i, sib := range s.Siblings {
-		name := fmt.Sprintf("siblings[%d]", i)
-		if sib.Label == "" {
-			return fmt.Errorf("%s.label: is missing", name)
-		}
-		if seen[sib.Label] {
-			return fmt.Errorf("%s.label: %q is used twice", name, sib.Label)
-		}
-		seen[sib.Label] = true
-		if err := addr(name+".endpoint", sib.Endpoint); err != nil {
-			return err
-		}
-	}
-	teams := map[string]bool{}
-	for i, t := range p.Teams {
-		name := fmt.Sprintf("params.teams[%d]", i)
-		if t.Name == "" || strings.ContainsAny(t.Name, " /") {
-			return fmt.Errorf("%s.name: %q is no team name", name, t.Name)
-		}
-		if teams[t.Name] {
-			return fmt.Errorf("%s.name: %q is used twice", name, t.Name)
-		}
-		teams[t.Name] = true
-		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
-			return fmt.Errorf("%s: negative amount", name)
-		}
-	}
-	type bound struct {
-		name     string
-		v        float64
-		min, max float64
-	}
-	bounds := []bound{
-		{"params.workers.report_s", p.Workers.ReportS, 0.1, 3600},
-		{"params.workers.lease_s", p.Workers.LeaseS, 1, 86400},
-		{"params.workers.cancel_s", p.Workers.CancelS, 1, 86400},
-		{"params.cloud.rps", p.Cloud.RPS, 0.1, 1e6},
-		{"params.cloud.list_lag_s", p.Cloud.ListLagS, 0, 3600},
-		{"params.limits.mem_mb", p.Limits.MemMB, 16, 1e7},
-		{"params.limits.max_connections", float64(p.Limits.MaxConnections), 32, 1e7},
-	}
-	state := func(at string, l Limits) {
-		bounds = append(bounds, bound{at + "rps", l.RPS, 1, 1e6}, bound{at + "write_rps", l.WriteRPS, 1, 1e6},
-			bound{at + "value_kb", l.ValueKB, 1, 64}, bound{at + "txn_ops", float64(l.TxnOps), 4, 10000})
-	}
-	state("params.state.", p.State.Limits)
-	if p.State.Next != nil {
-		if p.State.Next.negative() {
-			return errors.New("params.state.next: holds a negative limit")
-		}
-		state("params.state.next.", s.StateLimits())
-	}
-	for _, n := range bounds {
-		if !(n.v >= n.min && n.v <= n.max) {
-			return fmt.Errorf("%s: %v is not between %v and %v", n.name, n.v, n.min, n.max)
-		}
-	}
-	// A team's limit is shared out, and the membership stored, in one value
-	// that names every node.
-	names := len(s.Label)
-	for _, sib := range s.Siblings {
-		names += len(sib.Label)
-	}
-	least, field := s.StateLimits().ValueKB, "params.state.value_kb"
-	if least < p.State.ValueKB {
-		field = "params.state.next.value_kb"
-		if need := jobs.ChunkLeast(p.State.ValueKB); float64(need) > least*1024 {
-			return fmt.Errorf("%s: %v does not hold the chunk records that were written under params.state.value_kb (%d bytes)", field, least, need)
-		}
-	}
-	if need := valueBase + names + valueNode*(len(s.Siblings)+1); float64(need) > least*1024 {
-		return fmt.Errorf("%s: %v is too small for a record that names %d nodes (%d bytes)", field, least, len(s.Siblings)+1, need)
-	}
-	if p.Workers.CancelS <= p.Workers.LeaseS {
-		return errors.New("params.workers.cancel_s: must exceed lease_s")
-	}
-	return nil
-}
-
-func (l *Limits) negative() bool { return l.RPS < 0 || l.WriteRPS < 0 || l.ValueKB < 0 || l.TxnOps < 0 }
-
 // StateLimits are the limits that everything keeps to: the smaller of the
 // present ones and those that come at a moment which nobody tells.
 func (s *Settings) StateLimits() Limits {
@@ -295,12 +191,6 @@
 	return l
 }
 
-// valueBase and valueNode bound the JSON of a record with an entry a node.
-const (
-	valueBase = 160
-	valueNode = 64
-)
-
 // Lease returns the workers' lease.
 func (s *Settings) Lease() time.Duration { return Seconds(s.Params.Workers.LeaseS) }
 
