--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -186,120 +187,193 @@
 // most ops keys, so that each machine is in exactly one group at any time.
 // Those with the most changes come first.
 func (g *Register) Writes(list []Change, cut []string, limit, ops int) []Write {
-	touched, changes := map[string]map[string]Record{}, map[string]int{}
-	open := func(key string) map[string]Record {
-		if touched[key] == nil {
-			touched[key] = make(map[string]Record, len(g.groups[key])+1)
-			for host := range g.groups[key] {
-				touched[key][host] = g.Hosts[host]
-			}
-		}
-		return touched[key]
+	edit := g.edit(limit, ops)
+	for _, c := range list {
+		edit.enter(c)
+	}
+	for _, key := range cut {
+		edit.open(key)
+	}
+	writes := edit.writes()
+	sortWrites(writes)
+	return writes
+}
+
+// groupEdit collects changes of machines by the group that they are made in.
+type groupEdit struct {
+	register *Register
+	limit    int // bytes of JSON in a group
+	ops      int // keys in a transaction
+
+	touched map[string]map[string]Record // groups as they will be
+	changes map[string]int               // machines of each that change
+	next    int                          // number of the next new group
+	last    string                       // the group that takes new machines, "" at first
+}
+
+func (g *Register) edit(limit, ops int) *groupEdit {
+	e := &groupEdit{
+		register: g,
+		limit:    limit,
+		ops:      ops,
+		touched:  map[string]map[string]Record{},
+		changes:  map[string]int{},
 	}
-	next, last := 0, ""
 	for key := range g.groups {
-		if n, err := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix)); err == nil && n >= next {
-			next, last = n+1, key
+		n, err := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix))
+		if err == nil && n >= e.next {
+			e.next, e.last = n+1, key
 		}
 	}
-	for _, c := range list {
-		was, known := g.Hosts[c.Host]
-		if known != (c.Was != nil) || known && was != *c.Was {
-			continue
+	return e
+}
+
+// newKey is the key of a new group.
+func (e *groupEdit) newKey() string {
+	key := GroupKey(e.next)
+	e.next++
+	return key
+}
+
+// open returns the machines of a group, to be changed.
+func (e *groupEdit) open(key string) map[string]Record {
+	machines := e.touched[key]
+	if machines == nil {
+		stored := e.register.groups[key]
+		machines = make(map[string]Record, len(stored)+1)
+		for host := range stored {
+			machines[host] = e.register.Hosts[host]
 		}
-		key := g.keys[c.Host]
-		switch {
-		case c.Now == nil:
-			delete(open(key), c.Host)
-			changes[key]++
-			continue
-		case known && strings.HasPrefix(key, GroupPrefix):
-		case known:
-			delete(open(key), c.Host)
-			fallthrough
-		default:
-			if last == "" || !fits(open(last), *c.Now, c.Host, limit) {
-				last = GroupKey(next)
-				next++
-			}
-			key = last
+		e.touched[key] = machines
+	}
+	return machines
+}
+
+// enter makes one change, unless the record has changed since it was decided.
+func (e *groupEdit) enter(c Change) {
+	was, known := e.register.Hosts[c.Host]
+	if known != (c.Was != nil) || known && was != *c.Was {
+		return
+	}
+	key := e.register.keys[c.Host]
+	if c.Now == nil {
+		delete(e.open(key), c.Host)
+		e.changes[key]++
+		return
+	}
+	if grouped := known && strings.HasPrefix(key, GroupPrefix); !grouped {
+		if known {
+			delete(e.open(key), c.Host)
 		}
-		r := *c.Now
-		r.Why = r.Why[:min(len(r.Why), whyMax)]
-		open(key)[c.Host] = r
-		changes[key]++
+		key = e.groupFor(c)
 	}
-	for _, key := range cut {
-		open(key)
+	record := *c.Now
+	record.Why = record.Why[:min(len(record.Why), whyMax)]
+	e.open(key)[c.Host] = record
+	e.changes[key]++
+}
+
+// groupFor is the key of a group with room for a machine that is in none.
+func (e *groupEdit) groupFor(c Change) string {
+	if e.last == "" || !fits(e.open(e.last), *c.Now, c.Host, e.limit) {
+		e.last = e.newKey()
 	}
-	out := make([]Write, 0, len(touched))
-	for key, m := range touched {
-		w := Write{Key: key, Changes: changes[key]}
-		if len(m) > 0 {
-			parts := split(m, limit, ops)
-			w.V = &Group{Machines: parts[0]}
-			for _, p := range parts[1:] {
-				if w.Cut == nil {
-					w.Cut = map[string]*Group{}
-				}
-				w.Cut[GroupKey(next)] = &Group{Machines: p}
-				next++
-			}
-		} else if len(g.groups[key]) == 0 {
-			continue
+	return e.last
+}
+
+// writes lists a transaction for each group that was opened.
+func (e *groupEdit) writes() []Write {
+	out := make([]Write, 0, len(e.touched))
+	for key, machines := range e.touched {
+		if len(machines) == 0 && len(e.register.groups[key]) == 0 {
+			continue // it is not stored
 		}
-		out = append(out, w)
+		out = append(out, e.write(key, machines))
+	}
+	return out
+}
+
+func (e *groupEdit) write(key string, machines map[string]Record) Write {
+	w := Write{Key: key, Changes: e.changes[key]}
+	if len(machines) == 0 {
+		return w
+	}
+	parts := split(machines, e.limit, e.ops)
+	w.V = &Group{Machines: parts[0]}
+	if len(parts) > 1 {
+		w.Cut = make(map[string]*Group, len(parts)-1)
 	}
-	// A machine that moves stands in its new key before it leaves the old one.
-	moves := false
-	for _, w := range out {
-		moves = moves || strings.HasPrefix(w.Key, HostPrefix)
+	for _, part := range parts[1:] {
+		w.Cut[e.newKey()] = &Group{Machines: part}
 	}
-	sort.Slice(out, func(a, b int) bool {
-		if moves && (out[a].V == nil) != (out[b].V == nil) {
-			return out[a].V != nil
+	return w
+}
+
+// sortWrites puts the groups with the most changes first. If machines move
+// from the earlier layout, dropped keys come last: a machine that moves stands
+// in its new key before it leaves the old one.
+func sortWrites(writes []Write) {
+	moves := slices.ContainsFunc(writes, func(w Write) bool {
+		return strings.HasPrefix(w.Key, HostPrefix)
+	})
+	sort.Slice(writes, func(a, b int) bool {
+		x, y := &writes[a], &writes[b]
+		if moves && (x.V == nil) != (y.V == nil) {
+			return x.V != nil
 		}
-		if out[a].Changes != out[b].Changes {
-			return out[a].Changes > out[b].Changes
+		if x.Changes != y.Changes {
+			return x.Changes > y.Changes
 		}
-		return out[a].Key < out[b].Key
+		return x.Key < y.Key
 	})
-	return out
 }
 
 // split divides a group's machines into at most most parts that stay below
 // limit, and drops their reasons where there is no room for them.
-func split(m map[string]Record, limit, most int) []map[string]Record {
-	hosts := make([]string, 0, len(m))
-	size, why := 0, 0
-	for h, r := range m {
-		hosts = append(hosts, h)
-		size += r.bytes(h)
-		if r.Why != "" {
-			why += len(r.Why) + whyBytes
-		}
+func split(machines map[string]Record, limit, most int) []map[string]Record {
+	if bytesWithReasons(machines) <= limit {
+		return []map[string]Record{machines}
 	}
-	if size+why <= limit {
-		return []map[string]Record{m}
+	hosts := make([]string, 0, len(machines))
+	for host := range machines {
+		hosts = append(hosts, host)
 	}
 	sort.Strings(hosts)
-	parts, used := []map[string]Record{{}}, 0
-	for _, h := range hosts {
-		r := m[h]
-		r.Why = ""
-		if used += r.bytes(h); used > limit && used > r.bytes(h) && len(parts) < most {
-			parts = append(parts, map[string]Record{})
-			used = r.bytes(h)
+	part := map[string]Record{}
+	parts := []map[string]Record{part}
+	used := 0
+	for _, host := range hosts {
+		record := machines[host]
+		record.Why = ""
+		size := record.bytes(host)
+		if used > 0 && used+size > limit && len(parts) < most {
+			part = map[string]Record{}
+			parts = append(parts, part)
+			used = 0
 		}
-		parts[len(parts)-1][h] = r
+		part[host] = record
+		used += size
 	}
 	return parts
 }
 
-func fits(m map[string]Record, r Record, host string, limit int) bool {
-	size := r.bytes(host)
-	for h, v := range m {
-		size += v.bytes(h)
+// bytesWithReasons bounds the JSON form of a group's machines.
+func bytesWithReasons(machines map[string]Record) int {
+	size := 0
+	for host, record := range machines {
+		size += record.bytes(host)
+		if record.Why != "" {
+			size += len(record.Why) + whyBytes
+		}
+	}
+	return size
+}
+
+// fits reports whether a group can take one machine more.
+func fits(machines map[string]Record, added Record, host string, limit int) bool {
+	size := added.bytes(host)
+	for other, record := range machines {
+		size += record.bytes(other)
 	}
-	return len(m) < tuning.GroupMax && size <= limit
+	return len(machines) < tuning.GroupMax && size <= limit
 }
