--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -144,36 +144,49 @@
 		if j == nil || j.Record.Spec == nil {
 			continue
 		}
-		w := j.Record.Spec
-		priority, deadline := PriorityOrder(w.Priority), int64(0)
-		if w.DeadlineS != nil {
-			deadline = j.Record.At + int64(*w.DeadlineS*1000)
-		}
-		for jobID := range t.after[j.ID] {
-			n := t.Jobs[jobID]
-			if n == nil || n.Phase.Final() || n.Record.Spec == nil {
-				continue
-			}
-			priority = min(priority, n.Priority)
-			if n.Deadline > 0 {
-				// What the next step takes by its owner's estimate is not there
-				// for this one.
-				left := n.Deadline - int64(n.Record.Spec.EstimateS*1000) - tuning.StepGap.Milliseconds()
-				if deadline == 0 || left < deadline {
-					deadline = left
-				}
-			}
+		priority, deadline := t.urgency(j)
+		if priority == j.Priority && deadline == j.Deadline {
+			continue
 		}
-		if priority != j.Priority || deadline != j.Deadline {
-			j.Priority, j.Deadline = priority, deadline
-			for _, task := range j.Live {
-				t.Moved(task.Host)
-			}
-			list = append(list, j.dependencies()...)
+		j.Priority, j.Deadline = priority, deadline
+		for _, task := range j.Live {
+			t.Moved(task.Host)
 		}
+		list = append(list, j.dependencies()...)
 	}
 }
 
+// urgency is a job's priority and deadline (0: none), by its own record and
+// those of the unfinished jobs that depend on it.
+func (t *Table) urgency(j *Job) (priority int, deadline int64) {
+	spec := j.Record.Spec
+	priority = PriorityOrder(spec.Priority)
+	if spec.DeadlineS != nil {
+		deadline = j.Record.At + int64(*spec.DeadlineS*1000)
+	}
+	for jobID := range t.after[j.ID] {
+		next := t.Jobs[jobID]
+		if next == nil || next.Phase.Final() || next.Record.Spec == nil {
+			continue
+		}
+		priority = min(priority, next.Priority)
+		if next.Deadline <= 0 {
+			continue
+		}
+		if start := next.latestStart(); deadline == 0 || start < deadline {
+			deadline = start
+		}
+	}
+	return priority, deadline
+}
+
+// latestStart is when the jobs that a job with a deadline waits for must end:
+// what it takes by its owner's estimate is not there for them.
+func (j *Job) latestStart() int64 {
+	estimate := int64(j.Record.Spec.EstimateS * 1000)
+	return j.Deadline - estimate - tuning.StepGap.Milliseconds()
+}
+
 // Unfinished lists the jobs that a waiting job waits for, as they were named.
 func (t *Table) Unfinished(j *Job) []string {
 	return slices.DeleteFunc(slices.Clone(j.dependencies()), func(jobID string) bool {
