--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -563,7 +563,28 @@
 // node (or all): least free room left, among those with the shortest wait for
 // the image.
 func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
+	cand := in.candidates(d, node)
+	if len(cand) == 0 {
+		return nil
+	}
 	w := d.Job.Record.Spec
+	zones := map[string]int{}
+	if w.SpreadZones || w.SameZone {
+		zones = in.Fleet.Zones(d.Job)
+		if zones[""] > 0 {
+			return nil
+		}
+	}
+	if w.SameZone {
+		return fitOneZone(d, tasks, cand, zones)
+	}
+	return greedy(d, tasks, cand, zones, "")
+}
+
+// candidates lists the machines of one node (or all) that a task of the demand
+// fits, in memory that the next call uses again. It notes what room is left in
+// the pools that it looks through.
+func (in *Input) candidates(d *Demand, node string) []candidate {
 	cand := in.Fleet.scratch[:0]
 	for _, p := range in.Fleet.pools {
 		if node != "" && p.Owner != node || !p.suits(d.Job) || !d.Job.Need.Fits(p.room) {
@@ -584,29 +605,22 @@
 		}
 	}
 	in.Fleet.scratch = cand
-	if len(cand) == 0 {
-		return nil
-	}
-	zones := map[string]int{}
-	if w.SpreadZones || w.SameZone {
-		zones = in.Fleet.Zones(d.Job)
-		if zones[""] > 0 {
-			return nil
-		}
-	}
-	if !w.SameZone {
-		return greedy(d, tasks, cand, zones, "")
-	}
+	return cand
+}
+
+// fitOneZone chooses machines in the zone that holds the most of the tasks; if
+// the job has tasks already, in theirs.
+func fitOneZone(d *Demand, tasks []int, cand []candidate, zones map[string]int) []*Machine {
 	var best []*Machine
 	seen := map[string]bool{}
 	for _, c := range cand {
-		z := c.m.Zone
-		if seen[z] || len(zones) > 0 && zones[z] == 0 {
+		zone := c.m.Zone
+		if seen[zone] || len(zones) > 0 && zones[zone] == 0 {
 			continue
 		}
-		seen[z] = true
-		if p := greedy(d, tasks, cand, zones, z); len(p) > len(best) {
-			best = p
+		seen[zone] = true
+		if picks := greedy(d, tasks, cand, zones, zone); len(picks) > len(best) {
+			best = picks
 		}
 	}
 	return best
@@ -697,19 +711,10 @@
 func (in *Input) makeRoom(d *Demand, out *Output) bool {
 	var best *Machine
 	var victims []Resident
-	w := d.Job.Record.Spec
-	var zones map[string]int
-	if w.SpreadZones || w.SameZone {
-		zones = in.Fleet.Zones(d.Job)
-	}
+	zones := in.zonesInUse(d.Job)
 	scanned := false
 	for _, p := range in.Fleet.pools {
-		if !p.suits(d.Job) || !p.freeing && (d.PreemptedFor || p.worst <= d.priority && !(d.Pressed && d.guaranteed)) {
-			continue // nothing there is being stopped, or may be
-		}
-		if w.SpreadZones && zones[p.Zone] >= ApartCap(d.Job.Record.Tasks) || w.SameZone && len(zones) > 0 && zones[p.Zone] == 0 {
-			// Guards against stopping tasks for room that the job may not use:
-			// they came back to it and were stopped again, every few seconds.
+		if !p.mayMakeRoom(d) || !zoneAllowed(d.Job, zones, p.Zone) {
 			continue
 		}
 		if !scanned {
@@ -739,21 +744,63 @@
 	if best == nil {
 		return false
 	}
-	in.Fleet.change(best)
-	for _, v := range victims {
-		for i := range best.Tasks {
-			if r := &best.Tasks[i]; r.ID == v.ID {
-				r.Stopping, r.evicted = true, true
-			}
+	in.preempt(d, best, victims, out)
+	return true
+}
+
+// mayMakeRoom reports whether the demand may use the pool's machines, and tasks
+// there are being stopped, or may be for it.
+func (p *pool) mayMakeRoom(d *Demand) bool {
+	if !p.suits(d.Job) {
+		return false
+	}
+	if p.freeing {
+		return true
+	}
+	return !d.PreemptedFor && (p.worst > d.priority || d.Pressed && d.guaranteed)
+}
+
+// zonesInUse counts the job's tasks by zone, if it matters for others of them.
+func (in *Input) zonesInUse(j *jobs.Job) map[string]int {
+	if w := j.Record.Spec; w.SpreadZones || w.SameZone {
+		return in.Fleet.Zones(j)
+	}
+	return nil
+}
+
+// zoneAllowed reports whether the job may have one more task in the zone. It
+// guards against stopping tasks for room that the job may not use: they came
+// back to it and were stopped again, every few seconds.
+func zoneAllowed(j *jobs.Job, zones map[string]int, zone string) bool {
+	w := j.Record.Spec
+	if w.SpreadZones && zones[zone] >= ApartCap(j.Record.Tasks) {
+		return false
+	}
+	return !w.SameZone || len(zones) == 0 || zones[zone] > 0
+}
+
+// preempt stops tasks of the machine and reserves their room for one task of
+// the demand.
+func (in *Input) preempt(d *Demand, m *Machine, victims []Resident, out *Output) {
+	in.Fleet.change(m)
+	for _, victim := range victims {
+		m.markEvicted(victim.ID)
+		m.evicts = true
+		m.Freeing = m.Freeing.Add(victim.Job.Need)
+		if m.Owner == in.Me {
+			out.Evict = append(out.Evict, Eviction{victim, d.Job.ID})
 		}
-		best.evicts = true
-		best.Freeing = best.Freeing.Add(v.Job.Need)
-		if best.Owner == in.Me {
-			out.Evict = append(out.Evict, Eviction{v, d.Job.ID})
+	}
+	m.Freeing = m.Freeing.Sub(d.Job.Need)
+}
+
+// markEvicted notes that a task of the machine is being stopped by the pass.
+func (m *Machine) markEvicted(task jobs.TaskID) {
+	for i := range m.Tasks {
+		if r := &m.Tasks[i]; r.ID == task {
+			r.Stopping, r.evicted = true, true
 		}
 	}
-	best.Freeing = best.Freeing.Sub(d.Job.Need)
-	return true
 }
 
 // victims is the shortest list of tasks whose stop makes room for a task of
