--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -48,6 +48,11 @@
 	Group   string // key of its record: machines of one key go back in one change
 }
 
+// sound reports whether the machine can be counted on, once it is up.
+func (u Unit) sound() bool {
+	return !u.Suspect && !u.Silent && !u.Missing
+}
+
 // Want is a number of like tasks without a place.
 type Want struct {
 	Job     *jobs.Job
@@ -139,44 +144,70 @@
 	role place.Role
 }
 
-// Plan decides what to rent and what to give back. It is pure.
+// Plan decides what to rent and what to give back. It is pure, but for
+// SurplusSince.
 func Plan(in PlanInput) PlanOutput {
-	p := &planner{in: in, types: map[string]wire.MachineType{}, crowds: map[crowd]int{}, rentals: map[RentPlan]int{}, whys: map[RentPlan]string{}}
+	p := newPlanner(in)
+	unmet := p.coverWants()
+	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
+	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
+	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
+	return PlanOutput{
+		Rentals: p.sortedRentals(),
+		Drains:  p.drains(unmet),
+	}
+}
+
+func newPlanner(in PlanInput) *planner {
+	p := &planner{
+		in:      in,
+		types:   map[string]wire.MachineType{},
+		crowds:  map[crowd]int{},
+		dark:    dark(in.Units),
+		rentals: map[RentPlan]int{},
+		whys:    map[RentPlan]string{},
+	}
 	for _, t := range in.Types {
 		p.types[t.Label] = t
 	}
 	for _, u := range in.Units {
-		// A machine beyond the usual boot time may yet come, or never: what
-		// counts on it waits for the time in which another would boot.
-		late := u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
-		if !u.Suspect && !u.Silent && !u.Missing && !late && (u.Open || u.Booting) {
+		if u.sound() && !p.late(u) && (u.Open || u.Booting) {
 			p.add(&bin{u.Kind, u.Role, u.Free, u.Open, u.Name})
 		}
 	}
-	p.dark = dark(in.Units)
+	return p
+}
+
+// late reports whether the machine is beyond the usual boot time: it may yet
+// come, or never. What counts on it waits for the time in which another would
+// boot.
+func (p *planner) late(u Unit) bool {
+	return u.Booting && u.Age > time.Duration(tuning.LateBootFactor*float64(p.boot(u)))
+}
+
+// coverWants plans room for the tasks without a place, and returns the roles
+// of those for which a place was looked for.
+func (p *planner) coverWants() map[place.Role]bool {
 	unmet := map[place.Role]bool{}
-	for _, w := range in.Wants {
+	for _, w := range p.in.Wants {
 		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, "tasks without a place")
-		if w.Untried {
-			continue
-		}
-		if w.Job.Service() {
-			unmet[place.Service] = true
-		} else {
-			unmet[place.Batch] = true
+		if !w.Untried {
+			unmet[roleOf(w.Job)] = true
 		}
 	}
-	p.headroom(place.Service, in.Service, in.Op.ServiceHeadroom)
-	p.headroom(place.Batch, in.Batch, in.Op.BatchHeadroom)
-	p.headroom(place.Batch, in.Plain, in.Op.BatchHeadroom)
+	return unmet
+}
 
-	var out PlanOutput
-	for h, n := range p.rentals {
-		h.Count, h.Why = n, p.whys[h]
-		out.Rentals = append(out.Rentals, h)
+// sortedRentals lists what was planned: for services first, then by zone and
+// type.
+func (p *planner) sortedRentals() []RentPlan {
+	var rentals []RentPlan
+	for rental, count := range p.rentals {
+		rental.Count, rental.Why = count, p.whys[rental]
+		rentals = append(rentals, rental)
 	}
-	sort.Slice(out.Rentals, func(a, b int) bool {
-		x, y := out.Rentals[a], out.Rentals[b]
+	sort.Slice(rentals, func(a, b int) bool {
+		x, y := rentals[a], rentals[b]
 		if x.Role != y.Role {
 			return x.Role == place.Service
 		}
@@ -185,8 +216,7 @@
 		}
 		return x.Kind.MachineType < y.Kind.MachineType
 	})
-	out.Drains = p.drains(unmet)
-	return out
+	return rentals
 }
 
 // dark finds the zones of which most machines are quiet: what is rented there
@@ -216,6 +246,18 @@
 	return jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 }
 
+// price is what a machine of the kind costs.
+func (p *planner) price(k Kind) float64 {
+	return priceOf(p.types[k.MachineType], k.Spot)
+}
+
+func priceOf(t wire.MachineType, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 // suits reports whether the job may use machines of the kind in the role.
 func suits(j *jobs.Job, k Kind, role place.Role) bool {
 	return place.Suits(j, &place.Machine{Type: k.MachineType, Zone: k.Zone, Spot: k.Spot, Role: role})
@@ -260,59 +302,111 @@
 	}
 }
 
-// rent plans one more machine for a task: the cheapest for each task it holds,
-// in the zone with the fewest machines of the role, and in a dark zone only if
-// there is none elsewhere; nil if none is to be had.
+// rent plans one more machine for a task, the best that the cloud offers; nil
+// if none is to be had.
 func (p *planner) rent(j *jobs.Job, waiting time.Duration, why string) *bin {
+	best := p.bestOffer(j, waiting)
+	if math.IsInf(best.taskPrice, 1) {
+		return nil
+	}
 	role := roleOf(j)
-	var best Kind
-	cost, least, far := math.Inf(1), 0, true
+	rental := RentPlan{Kind: best.kind, Role: role}
+	p.rentals[rental]++
+	if p.whys[rental] == "" {
+		p.whys[rental] = why
+	}
+	b := &bin{kind: best.kind, role: role, free: total(p.types[best.kind.MachineType])}
+	p.add(b)
+	return b
+}
+
+// offer is a kind of machine that could be rented for a task.
+type offer struct {
+	kind      Kind
+	taskPrice float64 // for each task that the machine holds
+	crowd     int     // machines of the role in the zone
+	dark      bool    // in a dark zone
+}
+
+// priceTolerance is below any difference of prices that counts.
+const priceTolerance = 1e-9
+
+// better orders offers: those outside dark zones, the cheapest for each task,
+// the zone with the fewest machines of the role.
+func (o offer) better(than offer) bool {
+	if o.dark != than.dark {
+		return than.dark
+	}
+	if o.taskPrice < than.taskPrice-priceTolerance {
+		return true
+	}
+	return o.taskPrice < than.taskPrice+priceTolerance && o.crowd < than.crowd
+}
+
+// bestOffer finds the machine to rent for a task; its price is infinite if
+// there is none.
+func (p *planner) bestOffer(j *jobs.Job, waiting time.Duration) offer {
+	best := offer{taskPrice: math.Inf(1), dark: true}
 	for _, t := range p.in.Types {
-		tot := total(t)
-		if !j.Need.Fits(tot) {
+		if !j.Need.Fits(total(t)) {
 			continue
 		}
-		fit := 1 / max(j.Need.Share(tot), 1e-9)
-		for _, z := range t.Zones {
+		tasks := tasksHeld(j, t)
+		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				k := Kind{t.Label, z, spot}
-				if !suits(j, k, role) {
-					continue
-				}
-				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
+				kind := Kind{t.Label, zone, spot}
+				if !p.mayRent(j, kind, waiting) {
 					continue
 				}
-				if !spot && role == place.Batch && j.Record.Spec.Spot && waiting < tuning.OrdinaryBatchAfter {
-					continue
-				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice
-				}
-				c, n := price/math.Floor(fit+1e-6), p.crowds[crowd{z, role}]
-				if k := p.rentals[RentPlan{Kind: k, Role: role}]; role == place.Batch && k%tuning.RentMax > 0 {
-					n = -1 // batch work fills one call before the next
+				o := offer{
+					kind:      kind,
+					taskPrice: priceOf(t, spot) / tasks,
+					crowd:     p.crowdFor(kind, roleOf(j)),
+					dark:      p.dark[zone],
 				}
-				if d := p.dark[z]; d != far {
-					if far {
-						best, cost, least, far = k, c, n, false
-					}
-				} else if c < cost-1e-9 || c < cost+1e-9 && n < least {
-					best, cost, least = k, c, n
+				if o.better(best) {
+					best = o
 				}
 			}
 		}
 	}
-	if math.IsInf(cost, 1) {
-		return nil
+	return best
+}
+
+// mayRent reports whether a machine of the kind may be rented for the job now.
+func (p *planner) mayRent(j *jobs.Job, kind Kind, waiting time.Duration) bool {
+	role := roleOf(j)
+	if !suits(j, kind, role) {
+		return false
 	}
-	h := RentPlan{Kind: best, Role: role}
-	if p.rentals[h]++; p.whys[h] == "" {
-		p.whys[h] = why
+	if at, refused := p.in.Refused[kind]; refused && p.in.Now.Sub(at) < tuning.RefusedPause {
+		return false
 	}
-	b := &bin{kind: best, role: role, free: total(p.types[best.MachineType])}
-	p.add(b)
-	return b
+	spotFirst := role == place.Batch && j.Record.Spec.Spot && waiting < tuning.OrdinaryBatchAfter
+	return kind.Spot || !spotFirst
+}
+
+// crowdFor is the number of machines of the role in the kind's zone. Batch
+// work fills one call before the next, so a call that has begun goes first.
+func (p *planner) crowdFor(kind Kind, role place.Role) int {
+	planned := p.rentals[RentPlan{Kind: kind, Role: role}]
+	if role == place.Batch && planned%tuning.RentMax > 0 {
+		return -1
+	}
+	return p.crowds[crowd{kind.Zone, role}]
+}
+
+// Guards of tasksHeld against a job that needs next to nothing, and against
+// the rounding of shares that are whole fractions.
+const (
+	shareMin       = 1e-9
+	shareTolerance = 1e-6
+)
+
+// tasksHeld is the number of the job's tasks that an empty machine holds.
+func tasksHeld(j *jobs.Job, t wire.MachineType) float64 {
+	share := max(j.Need.Share(total(t)), shareMin)
+	return math.Floor(1/share + shareTolerance)
 }
 
 // spare is the number of typical tasks that a role's headroom holds.
@@ -350,10 +444,11 @@
 func (p *planner) hedge(j *jobs.Job, waiting float64) int {
 	each := 0.0 // tasks a machine, of the type that holds the fewest
 	for _, t := range p.in.Types {
-		if jobs.Allowed(j.Record.Spec, t.Label) && j.Need.Fits(total(t)) {
-			if n := math.Floor(1/max(j.Need.Share(total(t)), 1e-9) + 1e-6); each == 0 || n < each {
-				each = n
-			}
+		if !jobs.Allowed(j.Record.Spec, t.Label) || !j.Need.Fits(total(t)) {
+			continue
+		}
+		if n := tasksHeld(j, t); each == 0 || n < each {
+			each = n
 		}
 	}
 	if each == 0 {
@@ -363,128 +458,6 @@
 	return int(math.Ceil(each * (late + tuning.LateBootSpread*math.Sqrt(late))))
 }
 
-// drains chooses machines to give back: those that are of no use, and idle
-// ones whose loss leaves the headroom and the role floors.
-func (p *planner) drains(unmet map[place.Role]bool) []DrainPlan {
-	var out []DrainPlan
-	type roleOfType struct {
-		name string
-		role place.Role
-	}
-	holds := map[roleOfType]int{} // machines that keep a role's floor
-	floor := func(u Unit) roleOfType { return roleOfType{u.Kind.MachineType, u.Role} }
-	for _, u := range p.in.Units {
-		if u.Open && !u.Suspect && !u.Silent && !u.Missing {
-			holds[floor(u)]++
-		}
-	}
-	spare := []Unit{}
-	for _, u := range p.in.Units {
-		switch {
-		case u.Booting && u.Age > max(time.Duration(tuning.SlowBootFactor*float64(p.boot(u))), tuning.SlowBootMin):
-			out = append(out, DrainPlan{u.Name, WhySlowBoot})
-		case u.Missing:
-			out = append(out, DrainPlan{u.Name, WhyGone})
-		case u.Silent:
-			out = append(out, DrainPlan{u.Name, WhySilent})
-		case u.Suspect:
-			out = append(out, DrainPlan{u.Name, WhyUnfit})
-		case !u.Open:
-		case u.Claims == 0, u.Role == place.Batch && !u.Kind.Spot, u.Role == place.Service && u.Movable && p.in.Moving < max(p.in.Movers, 1):
-			spare = append(spare, u)
-		}
-	}
-	price := func(u Unit) float64 {
-		t := p.types[u.Kind.MachineType]
-		if u.Kind.Spot {
-			return t.SpotPrice
-		}
-		return t.Price
-	}
-	// Idle ones first, then the emptiest of the dearest.
-	sort.Slice(spare, func(a, b int) bool {
-		x, y := spare[a], spare[b]
-		if (x.Claims == 0) != (y.Claims == 0) {
-			return x.Claims == 0
-		}
-		if price(x) != price(y) {
-			return price(x) > price(y)
-		}
-		if x.Claims != y.Claims {
-			return x.Claims < y.Claims
-		}
-		return x.Name < y.Name
-	})
-	surplus := map[string]bool{}
-	rooms := map[place.Role]*rooms{place.Batch: p.rooms(p.in.Batch, p.in.Op.BatchHeadroom), place.Service: p.rooms(p.in.Service, p.in.Op.ServiceHeadroom)}
-	plain := p.rooms(p.in.Plain, p.in.Op.BatchHeadroom)
-	busy := map[place.Role]bool{}
-	idle := map[string][]Unit{} // ready to go, by group
-	for _, u := range spare {
-		// What is not rented for headroom is not kept for it. Guards against idle
-		// ordinary machines, several times as dear, that stand in for the spot
-		// machines of which the cloud has no more.
-		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Spec != nil && p.in.Batch.Spec.Spot
-		// Guards against short work that may not use spot machines waiting for a
-		// boot each time, since spot machines hold the role's floor.
-		if u.Role == place.Batch && !u.Kind.Spot && !plain.spares(u) {
-			continue
-		}
-		if p.in.Active[u.Role] && holds[floor(u)] <= tuning.RoleFloor || !dear && (p.in.Active[u.Role] || u.Claims > 0) && !rooms[u.Role].spares(u) {
-			continue
-		}
-		// A busy machine is surplus for as long as an idle one must be idle.
-		surplus[u.Name] = true
-		since, ok := p.in.SurplusSince[u.Name]
-		if !ok {
-			since = p.in.Now
-			p.in.SurplusSince[u.Name] = since
-		}
-		limit, rest := p.in.Op.IdleOrdinary, u.Idle
-		if u.Kind.Spot {
-			limit = p.in.Op.IdleSpot
-		}
-		if u.Claims > 0 {
-			rest = p.in.Now.Sub(since)
-		}
-		if rest < limit || unmet[u.Role] || len(p.rentals) > 0 || u.Claims > 0 && busy[u.Role] {
-			continue
-		}
-		holds[floor(u)]--
-		rooms[u.Role].leave(u)
-		plain.leave(u)
-		if u.Claims > 0 {
-			busy[u.Role] = true // one that has to be emptied of each role a plan
-			out = append(out, DrainPlan{u.Name, WhySpare})
-			continue
-		}
-		idle[u.Group] = append(idle[u.Group], u)
-	}
-	// The groups with the most idle machines go first, a few a plan: each
-	// group costs a change, however many of its machines go.
-	groups := make([]string, 0, len(idle))
-	for g := range idle {
-		groups = append(groups, g)
-	}
-	sort.Slice(groups, func(a, b int) bool {
-		if x, y := len(idle[groups[a]]), len(idle[groups[b]]); x != y {
-			return x > y
-		}
-		return groups[a] < groups[b]
-	})
-	for _, g := range groups[:min(len(groups), max(p.in.Groups, tuning.DrainGroups))] {
-		for _, u := range idle[g] {
-			out = append(out, DrainPlan{u.Name, WhyIdle})
-		}
-	}
-	for name := range p.in.SurplusSince {
-		if !surplus[name] {
-			delete(p.in.SurplusSince, name)
-		}
-	}
-	return out
-}
-
 // rooms is the room of a role's machines in typical tasks, against what its
 // headroom must hold.
 type rooms struct {
@@ -495,13 +468,16 @@
 }
 
 func (p *planner) rooms(l Load, share float64) *rooms {
-	r := &rooms{need: spare(l, share), of: map[string]int{}}
 	if l.Spec == nil {
-		return r
+		return &rooms{need: spare(l, share), of: map[string]int{}}
+	}
+	r := &rooms{
+		job:  typical(l),
+		need: spare(l, share),
+		of:   make(map[string]int, len(p.in.Units)),
 	}
-	r.job = typical(l)
 	for _, v := range p.in.Units {
-		if !(v.Open || v.Booting) || v.Suspect || v.Silent || v.Missing || !suits(r.job, v.Kind, v.Role) {
+		if !(v.Open || v.Booting) || !v.sound() || !suits(r.job, v.Kind, v.Role) {
 			continue
 		}
 		n := 0
