--- a/internal/server/grants_test.go
+++ b/internal/server/grants_test.go
@@ -51,7 +51,7 @@
 		if n != w.leader() {
 			w.st.expire(n.self.Incarnation)
 			w.sync()
-			n.endSession()
+			n.endSession(n.self.Incarnation)
 			n.self.Incarnation, _ = w.st.Lease(context.Background(), time.Second)
 			n.session = n.session.Next("got lease")
 			break
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -111,65 +111,104 @@
 	return false
 }
 
-// runMember keeps the session, the leadership and the membership.
-func (n *Node) runMember(ctx context.Context) error {
-	var touched time.Time
+// runSession keeps this node's lease in the state service, and does nothing
+// else: a write of the membership that waits, or a busy processor, must not cost
+// the session.
+func (n *Node) runSession(ctx context.Context) error {
+	renewal := member.NewRenewal()
+	var due time.Time // of the next renewal; zero: there is no lease
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		state, leaseID, settled := n.session, n.self.Incarnation, n.cache.Settled()
+		state, leaseID := n.session, n.self.Incarnation
 		n.mu.Unlock()
-		switch {
-		case state == member.NoLease:
-			id, err := n.svc.Lease(ctx, tuning.SessionTTL)
-			if err != nil {
-				n.log.Info("no lease yet", "err", err)
-				sleep(ctx, tuning.RetryPause)
-				continue
+		if state == member.NoLease {
+			if !due.IsZero() {
+				renewal.Ended()
+				due = time.Time{}
 			}
-			touched = n.now()
-			n.mu.Lock()
-			n.self.Incarnation = id
-			n.session = n.session.Next(member.GotLease)
-			n.mu.Unlock()
-			continue
-		case n.now().Sub(touched) >= tuning.SessionTouch:
-			touched = n.now()
-			if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
-				n.endSession()
-				continue
-			} else if err != nil {
-				n.log.Debug("session not renewed", "err", err)
-				touched = n.now().Add(tuning.RetryPause - tuning.SessionTouch)
+			if n.openSession(ctx, renewal.TTL()) {
+				due = n.now().Add(tuning.SessionTouch)
 			}
+			continue
 		}
-		if settled {
-			if err := n.memberStep(ctx); err != nil {
-				n.log.Debug("membership step failed", "err", err)
-				if errors.Is(err, store.ErrNoLease) {
-					n.endSession()
-				} else {
-					_ = n.sync.Barrier(tuning.BarrierWait)
-				}
-			}
-		}
-		left := tuning.SessionTouch - n.now().Sub(touched)
-		select {
-		case <-ctx.Done():
-		case <-n.memberWake:
-			sleep(ctx, 10*time.Millisecond)
-		case <-time.After(max(left, 10*time.Millisecond)):
+		sleep(ctx, max(due.Sub(n.now()), time.Millisecond))
+		sent := n.now()
+		renewal.Attempted(due, sent)
+		due = sent.Add(tuning.SessionTouch)
+		if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
+			n.endSession(leaseID)
+		} else if err != nil {
+			n.log.Debug("session not renewed", "err", err)
+			due = n.now().Add(tuning.RetryPause)
 		}
 	}
 	return nil
 }
 
-func (n *Node) endSession() {
+// openSession asks for a lease, once; false if there is none yet.
+func (n *Node) openSession(ctx context.Context, ttl time.Duration) bool {
+	id, err := n.svc.Lease(ctx, ttl)
+	if err != nil {
+		n.log.Info("no lease yet", "err", err)
+		sleep(ctx, tuning.RetryPause)
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.self.Incarnation = id
+	n.session = n.session.Next(member.GotLease)
+	n.log.Debug("session opened", "ttl", ttl)
+	wake(n.memberWake)
+	return true
+}
+
+// endSession notes that a lease has ended, unless another has been got since.
+func (n *Node) endSession(leaseID uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.self.Incarnation != leaseID {
+		return
+	}
 	n.session = n.session.Next(member.LeaseEnded)
 	n.log.Info("session ended")
 }
 
+// runMember stores the session's key, and takes part in the leadership and the
+// membership.
+func (n *Node) runMember(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		leaseID := n.self.Incarnation
+		ready := n.session != member.NoLease && n.cache.Settled()
+		n.mu.Unlock()
+		if ready {
+			n.tryMemberStep(ctx, leaseID)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.memberWake:
+			sleep(ctx, tuning.MemberPause)
+		case <-time.After(tuning.MemberEvery):
+		}
+	}
+	return nil
+}
+
+// tryMemberStep takes a step of the membership. Before the next one after a
+// failure, what is stored now is read.
+func (n *Node) tryMemberStep(ctx context.Context, leaseID uint64) {
+	err := n.memberStep(ctx)
+	if err == nil {
+		return
+	}
+	n.log.Debug("membership step failed", "err", err)
+	if errors.Is(err, store.ErrNoLease) {
+		n.endSession(leaseID)
+		return
+	}
+	_ = n.sync.Barrier(tuning.BarrierWait)
+}
+
 // memberWrite is a guarded write of one of the keys that make up the membership.
 type memberWrite struct {
 	guards       []wire.Guard
@@ -180,7 +219,7 @@
 // memberStep stores the session key, takes the lead or writes the membership.
 func (n *Node) memberStep(ctx context.Context) error {
 	n.mu.Lock()
-	write := n.nextMemberWrite()
+	write, self := n.nextMemberWrite(), n.self
 	n.mu.Unlock()
 	if write == nil {
 		return nil
@@ -201,7 +240,7 @@
 		// be in the cache before it counts.
 		n.cache.Own(changes, revision)
 	}
-	if write.change.Set == member.NodeKey(n.self.Label) {
+	if write.change.Set == member.NodeKey(n.self.Label) && self == n.self {
 		n.session = n.session.Next(member.Stored)
 	}
 	wake(n.memberWake)
@@ -211,6 +250,9 @@
 // nextMemberWrite chooses what this node should write about the membership now,
 // nil for nothing; mu is held.
 func (n *Node) nextMemberWrite() *memberWrite {
+	if n.session == member.NoLease {
+		return nil
+	}
 	n.noteStoredSession()
 	if n.session == member.Leased {
 		return n.sessionWrite()
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -167,6 +167,7 @@
 	})
 	g.Go(func() error { return n.sync.Run(ctx) })
 	g.Go(func() error { return n.sync.Barriers(ctx) })
+	g.Go(func() error { return n.runSession(ctx) })
 	g.Go(func() error { return n.runMember(ctx) })
 	g.Go(func() error { return n.runProbes(ctx) })
 	for range tuning.IntakeLanes {
--- a/internal/server/scripted_test.go
+++ b/internal/server/scripted_test.go
@@ -366,7 +366,7 @@
 
 // register gives a node whose session has ended a new one.
 func (x *trial) register(n *Node) {
-	n.endSession()
+	n.endSession(n.self.Incarnation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.self.Incarnation, _ = x.st.Lease(context.Background(), time.Second)
--- /dev/null
+++ b/internal/server/session_test.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wheatspur/internal/member"
+	"wheatspur/internal/store"
+	"wheatspur/wire"
+)
+
+// stuck is a state service whose transactions hang while leases are renewed.
+type stuck struct {
+	*access
+	writes  atomic.Int64
+	renewed atomic.Int64
+	release chan struct{}
+}
+
+func (s *stuck) Multi(ctx context.Context, class store.Class, guards []wire.Guard, changes []wire.Change) (uint64, error) {
+	s.writes.Add(1)
+	select {
+	case <-s.release:
+	case <-ctx.Done():
+	}
+	return s.access.Multi(ctx, class, guards, changes)
+}
+
+func (s *stuck) Touch(ctx context.Context, id uint64) error {
+	s.renewed.Add(1)
+	return s.access.Touch(ctx, id)
+}
+
+// A write of the membership that gets no answer does not hold up the renewal of
+// the session: it did, and slow nodes lost their sessions again and again.
+func TestAStuckMembershipWriteDoesNotCostTheSession(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	n := w.nodes["b"]
+	service := &stuck{access: w.way["b"], release: make(chan struct{})}
+	n.svc = service
+	n.mu.Lock()
+	n.session, n.sessions = member.NoLease, map[string]member.Node{}
+	n.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { _ = n.runSession(ctx) })
+	loops.Go(func() { _ = n.runMember(ctx) })
+	deadline := time.Now().Add(20 * time.Second)
+	for service.renewed.Load() < 2 || service.writes.Load() < 1 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d renewals and %d writes while a write hangs", service.renewed.Load(), service.writes.Load())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(service.release)
+	stop()
+	loops.Wait()
+}
+
+// The answer to a step that was taken under a former lease says nothing of the
+// present one.
+func TestAFormerLeaseEndsNoSession(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	former := n.self.Incarnation
+	n.endSession(former)
+	if n.session != member.NoLease {
+		t.Fatalf("session %s after its lease has ended", n.session)
+	}
+	if !n.openSession(context.Background(), time.Second) {
+		t.Fatal("no lease")
+	}
+	n.endSession(former)
+	if n.session != member.Leased {
+		t.Errorf("session %s: the end of a former lease ended it", n.session)
+	}
+}
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -164,7 +164,7 @@
 	// nothing of the machine and gets a copy first.
 	w.st.expire(n.self.Incarnation)
 	w.sync()
-	n.endSession()
+	n.endSession(n.self.Incarnation)
 	for range 4 {
 		w.settle()
 	}
@@ -220,7 +220,7 @@
 	w.st.down = false
 	w.st.expire(n.self.Incarnation)
 	w.sync()
-	n.endSession()
+	n.endSession(n.self.Incarnation)
 	for range 4 {
 		w.settle()
 	}
