--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -647,13 +647,16 @@
 // ApartCap is the most tasks that an apart job may have in one zone.
 func ApartCap(tasks int) int { return (tasks + 1) / 2 }
 
+// greedy chooses machines for as many of the tasks as fit, in one zone if only
+// names it: the best candidate is filled before the next. zones counts the
+// job's tasks that have a place already, and stays as it is.
 func greedy(d *Demand, tasks []int, cand []candidate, zones map[string]int, only string) []*Machine {
-	w := d.Job.Record.Spec
 	used := zones
-	if w.SpreadZones {
+	if d.Job.Record.Spec.SpreadZones {
+		// maps.Clone would move the callers' maps to the heap.
 		used = make(map[string]int, len(zones))
-		for z, n := range zones {
-			used[z] = n
+		for zone, n := range zones {
+			used[zone] = n
 		}
 	}
 	picks := make([]*Machine, 0, len(tasks))
@@ -661,33 +664,55 @@
 	for len(picks) < len(tasks) {
 		// The best machine has less room after each task, so it stays the best
 		// until it is full: one look through the others for each machine.
-		best := -1
-		for i := range cand {
-			if full[i] || only != "" && cand[i].m.Zone != only || w.SpreadZones && used[cand[i].m.Zone] >= ApartCap(d.Job.Record.Tasks) {
-				continue
-			}
-			if best < 0 || cand[i].before(&cand[best]) {
-				best = i
-			}
-		}
+		best := bestCandidate(d.Job, cand, full, used, only)
 		if best < 0 {
 			break
 		}
-		m := cand[best].m
 		full[best] = true
-		for free, n := m.Free, 0; len(picks) < len(tasks) && n < m.slots() && d.Job.Need.Fits(free); free, n = free.Sub(d.Job.Need), n+1 {
-			if w.SpreadZones {
-				if used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
-					break
-				}
-				used[m.Zone]++
-			}
-			picks = append(picks, m)
+		picks = fill(d.Job, cand[best].m, used, picks, len(tasks))
+	}
+	return picks
+}
+
+// bestCandidate is the index of the best candidate that is not full, -1 if
+// there is none.
+func bestCandidate(j *jobs.Job, cand []candidate, full []bool, used map[string]int, only string) int {
+	best := -1
+	for i := range cand {
+		zone := cand[i].m.Zone
+		if full[i] || only != "" && zone != only || spreadFull(j, used, zone) {
+			continue
+		}
+		if best < 0 || cand[i].before(&cand[best]) {
+			best = i
 		}
 	}
+	return best
+}
+
+// fill picks the machine for as many tasks as it holds, until there are most
+// picks, and counts them in used if the job is to be spread over zones.
+func fill(j *jobs.Job, m *Machine, used map[string]int, picks []*Machine, most int) []*Machine {
+	free := m.Free
+	for n := 0; len(picks) < most && n < m.slots() && j.Need.Fits(free); n++ {
+		if spreadFull(j, used, m.Zone) {
+			break
+		}
+		if j.Record.Spec.SpreadZones {
+			used[m.Zone]++
+		}
+		picks = append(picks, m)
+		free = free.Sub(j.Need)
+	}
 	return picks
 }
 
+// spreadFull reports whether the job is to be spread over zones, and has as
+// many tasks in this one as it may.
+func spreadFull(j *jobs.Job, used map[string]int, zone string) bool {
+	return j.Record.Spec.SpreadZones && used[zone] >= ApartCap(j.Record.Tasks)
+}
+
 // mayPreempt reports whether the protocol lets the job displace the resident.
 func (in *Input) mayPreempt(d *Demand, r Resident) bool {
 	j := d.Job
@@ -772,11 +797,10 @@
 // guards against stopping tasks for room that the job may not use: they came
 // back to it and were stopped again, every few seconds.
 func zoneAllowed(j *jobs.Job, zones map[string]int, zone string) bool {
-	w := j.Record.Spec
-	if w.SpreadZones && zones[zone] >= ApartCap(j.Record.Tasks) {
+	if spreadFull(j, zones, zone) {
 		return false
 	}
-	return !w.SameZone || len(zones) == 0 || zones[zone] > 0
+	return !j.Record.Spec.SameZone || len(zones) == 0 || zones[zone] > 0
 }
 
 // preempt stops tasks of the machine and reserves their room for one task of
