--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -105,45 +105,58 @@
 
 // Apply enters a stored value, nil if the key is gone.
 func (g *Register) Apply(key string, raw wire.Raw) error {
-	var now map[string]Record
-	if raw != nil {
-		var err error
-		if host, old := strings.CutPrefix(key, HostPrefix); old {
-			var r Record
-			err = wire.Unmarshal(raw, &r)
-			now = map[string]Record{host: r}
-		} else {
-			var v Group
-			err = wire.Unmarshal(raw, &v)
-			now = v.Machines
-		}
-		if err != nil {
-			return err
-		}
+	machines, err := decodeMachines(key, raw)
+	if err != nil {
+		return err
+	}
+	g.drop(key, machines)
+	g.enter(key, machines)
+	return nil
+}
+
+// decodeMachines reads the machines of a key, of either layout.
+func decodeMachines(key string, raw wire.Raw) (map[string]Record, error) {
+	if raw == nil {
+		return nil, nil
+	}
+	if host, single := strings.CutPrefix(key, HostPrefix); single {
+		var record Record
+		err := wire.Unmarshal(raw, &record)
+		return map[string]Record{host: record}, err
 	}
+	var group Group
+	err := wire.Unmarshal(raw, &group)
+	return group.Machines, err
+}
+
+// drop forgets the machines of a key that it holds no more.
+func (g *Register) drop(key string, machines map[string]Record) {
 	for host := range g.groups[key] {
-		if _, still := now[host]; !still && g.keys[host] == key {
+		if _, still := machines[host]; !still && g.keys[host] == key {
 			delete(g.Hosts, host)
 			delete(g.keys, host)
 			g.Moved(host)
 		}
 	}
 	delete(g.groups, key)
-	if len(now) > 0 {
-		g.groups[key] = make(map[string]bool, len(now))
+}
+
+// enter takes in the machines that a key holds.
+func (g *Register) enter(key string, machines map[string]Record) {
+	if len(machines) > 0 {
+		g.groups[key] = make(map[string]bool, len(machines))
 	}
-	for host, r := range now {
+	for host, record := range machines {
 		if strings.HasPrefix(key, HostPrefix) && strings.HasPrefix(g.keys[host], GroupPrefix) {
 			continue // it has moved; its former key is about to go
 		}
 		old, known := g.Hosts[host]
-		g.Hosts[host], g.keys[host] = r, key
-		if !known || old != r {
+		g.Hosts[host], g.keys[host] = record, key
+		if !known || old != record {
 			g.Moved(host)
 		}
 		g.groups[key][host] = true
 	}
-	return nil
 }
 
 // Change is one change of a machine's record.
