--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -23,6 +23,12 @@
 	WhySpare    = "the others have room for its tasks"
 )
 
+// Reasons for renting a machine.
+const (
+	whyUnplaced = "tasks without a place"
+	whyHeadroom = "headroom"
+)
+
 // Kind is what one rental asks for.
 type Kind struct {
 	MachineType, Zone string
@@ -121,24 +127,27 @@
 	Drains  []DrainPlan
 }
 
+// bin is the room of a machine, one that there is or a planned one.
 type bin struct {
 	kind Kind
 	role place.Role
 	free jobs.Resources
-	open bool
-	name string
+	open bool   // takes tasks now
+	name string // "" for a planned one
 }
 
+// planner is a plan in the making.
 type planner struct {
 	in      PlanInput
 	types   map[string]wire.MachineType
 	bins    []*bin
-	crowds  map[crowd]int // bins by zone and role
-	dark    map[string]bool
-	rentals map[RentPlan]int
+	crowds  map[crowd]int       // bins by zone and role
+	dark    map[string]bool     // zones; see the function
+	rentals map[RentPlan]int    // planned, by kind and role
 	whys    map[RentPlan]string // why the first of them is rented
 }
 
+// crowd is what machines are spread over zones by.
 type crowd struct {
 	zone string
 	role place.Role
@@ -190,7 +199,7 @@
 func (p *planner) coverWants() map[place.Role]bool {
 	unmet := map[place.Role]bool{}
 	for _, w := range p.in.Wants {
-		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, "tasks without a place")
+		p.cover(w.Job, w.Count, !w.Untried, w.Waiting, whyUnplaced)
 		if !w.Untried {
 			unmet[roleOf(w.Job)] = true
 		}
@@ -238,10 +247,12 @@
 	return out
 }
 
+// boot is the usual boot time of the machine's type.
 func (p *planner) boot(u Unit) time.Duration {
 	return config.Seconds(p.types[u.Kind.MachineType].StartupS)
 }
 
+// total is the room of an empty machine of the type.
 func total(t wire.MachineType) jobs.Resources {
 	return jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 }
@@ -263,6 +274,7 @@
 	return place.Suits(j, &place.Machine{Type: k.MachineType, Zone: k.Zone, Spot: k.Spot, Role: role})
 }
 
+// roleOf is the role of the machines that run the job's tasks.
 func roleOf(j *jobs.Job) place.Role {
 	if j.Service() {
 		return place.Service
@@ -424,16 +436,18 @@
 	return &jobs.Job{Record: jobs.Record{Phase: jobs.Open, Spec: &w}, Need: l.Need}
 }
 
+// headroom plans room for tasks that are yet to come, and for some of the
+// machines that are booting to come late.
 func (p *planner) headroom(role place.Role, l Load, share float64) {
 	if !p.in.Active[role] {
 		return
 	}
-	n := spare(l, share)
+	tasks := spare(l, share)
 	if l.Spec != nil && l.Wait > 0 {
-		n += p.hedge(typical(l), l.Wait)
+		tasks += p.hedge(typical(l), l.Wait)
 	}
-	if n > 0 {
-		p.cover(typical(l), n, false, 0, "headroom")
+	if tasks > 0 {
+		p.cover(typical(l), tasks, false, 0, whyHeadroom)
 	}
 }
 
