--- /dev/null
+++ b/internal/server/wants.go
@@ -0,0 +1,100 @@
+// This file holds the part of the capacity plan's input that says which tasks need room.
+
+package server
+
+import (
+	"sort"
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+)
+
+// addUntried enters the tasks that have a place that is not stored yet, and those
+// that had no turn in the pass: they take their room first. Guards against renting
+// only when the last free machine is taken: with hundreds of jobs that took half
+// a minute.
+func (b *planBuilder) addUntried() {
+	for jobID, j := range b.node.table.Open {
+		why := b.node.why[jobID]
+		count := j.Counts[jobs.Pending]
+		if why != place.NoTurn {
+			count -= b.node.unmet[jobID]
+		}
+		if count > 0 && (why == "" || why == place.NoTurn || why == place.NoRoom) {
+			b.input.Wants = append(b.input.Wants, fleet.Want{Job: j, Count: count, Untried: true})
+		}
+	}
+	wants := b.input.Wants
+	sort.Slice(wants, func(i, k int) bool { return wants[i].Job.ID < wants[k].Job.ID })
+}
+
+// addUnmet enters the tasks that the pass found no room for, those that have
+// waited longest first.
+func (b *planBuilder) addUnmet() {
+	for _, jobID := range b.node.unmetByAge() {
+		j := b.node.table.Open[jobID]
+		if j == nil || b.node.why[jobID] != place.NoRoom {
+			continue
+		}
+		count := b.node.unmet[jobID]
+		if j.Service() {
+			// The headroom is for what will run too.
+			b.input.Service.Tasks += float64(count)
+			b.input.Service.Wait += float64(count)
+			b.input.Service.Need, b.input.Service.Spec = j.Need, j.Record.Spec
+		}
+		b.input.Wants = append(b.input.Wants, fleet.Want{Job: j, Count: count, Waiting: b.now.Sub(b.node.unmetAt[jobID])})
+	}
+}
+
+// unmetByAge lists the jobs with tasks without a place, the oldest wait first; mu
+// is held.
+func (n *Node) unmetByAge() []string {
+	jobIDs := make([]string, 0, len(n.unmet))
+	for jobID := range n.unmet {
+		jobIDs = append(jobIDs, jobID)
+	}
+	sort.Slice(jobIDs, func(i, k int) bool { return n.unmetAt[jobIDs[i]].Before(n.unmetAt[jobIDs[k]]) })
+	return jobIDs
+}
+
+// tasksAtRisk lists the service tasks on machines that have fallen silent beside
+// others of their owner that are heard. Their room is rented before there is
+// proof that they are gone, since a boot takes longer than that: after a hundred
+// machines had died, services waited for their replacements for 45 s. A node
+// that hears hardly any of its machines has trouble of its own. up is how long
+// ago each machine was heard; mu is held.
+func (n *Node) tasksAtRisk(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
+	heard, quiet := map[string]int{}, map[string]int{}
+	var list []*place.Machine
+	for _, m := range machines.Machines {
+		age, ok := up[m.Name]
+		if ok && age < n.silentAfter() {
+			heard[m.Owner]++
+		} else if at, wasUp := n.leading.heard[m.Name]; wasUp && now.Sub(at) > n.silentAfter() {
+			quiet[m.Owner]++
+			if m.Role == place.Service {
+				list = append(list, m)
+			}
+		}
+	}
+	count := map[*jobs.Job]int{}
+	for _, m := range list {
+		if heard[m.Owner] < quiet[m.Owner] {
+			continue
+		}
+		for _, r := range m.Tasks {
+			if r.Job.Service() && r.Job.Phase == jobs.Open {
+				count[r.Job]++
+			}
+		}
+	}
+	out := make([]fleet.Want, 0, len(count))
+	for j, k := range count {
+		out = append(out, fleet.Want{Job: j, Count: k, Untried: true})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Job.ID < out[b].Job.ID })
+	return out
+}
