--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -111,58 +111,71 @@
 	return false
 }
 
+// memberPause is the least time between two steps of the membership.
+const memberPause = 10 * time.Millisecond
+
 // runMember keeps the session, the leadership and the membership.
 func (n *Node) runMember(ctx context.Context) error {
-	var touched time.Time
+	var touched time.Time // when the session was last renewed
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		state, leaseID, settled := n.session, n.self.Incarnation, n.cache.Settled()
 		n.mu.Unlock()
-		switch {
-		case state == member.NoLease:
-			id, err := n.svc.Lease(ctx, tuning.SessionTTL)
-			if err != nil {
-				n.log.Info("no lease yet", "err", err)
-				sleep(ctx, tuning.RetryPause)
-				continue
+		if state == member.NoLease {
+			if at, ok := n.startSession(ctx); ok {
+				touched = at
 			}
-			touched = n.now()
-			n.mu.Lock()
-			n.self.Incarnation = id
-			n.session = n.session.Next(member.GotLease)
-			n.mu.Unlock()
 			continue
-		case n.now().Sub(touched) >= tuning.SessionTouch:
-			touched = n.now()
-			if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
-				n.endSession()
+		}
+		if n.now().Sub(touched) >= tuning.SessionTouch {
+			at, ok := n.renewSession(ctx, leaseID)
+			touched = at
+			if !ok {
 				continue
-			} else if err != nil {
-				n.log.Debug("session not renewed", "err", err)
-				touched = n.now().Add(tuning.RetryPause - tuning.SessionTouch)
 			}
 		}
 		if settled {
-			if err := n.memberStep(ctx); err != nil {
-				n.log.Debug("membership step failed", "err", err)
-				if errors.Is(err, store.ErrNoLease) {
-					n.endSession()
-				} else {
-					_ = n.sync.Barrier(tuning.BarrierWait)
-				}
-			}
-		}
-		left := tuning.SessionTouch - n.now().Sub(touched)
-		select {
-		case <-ctx.Done():
-		case <-n.memberWake:
-			sleep(ctx, 10*time.Millisecond)
-		case <-time.After(max(left, 10*time.Millisecond)):
+			n.tryMemberStep(ctx)
 		}
+		n.awaitMemberStep(ctx, tuning.SessionTouch-n.now().Sub(touched))
 	}
 	return nil
 }
 
+// startSession gets a lease and returns when that was; if there is none yet, it
+// returns false after a pause.
+func (n *Node) startSession(ctx context.Context) (time.Time, bool) {
+	id, err := n.svc.Lease(ctx, tuning.SessionTTL)
+	if err != nil {
+		n.log.Info("no lease yet", "err", err)
+		sleep(ctx, tuning.RetryPause)
+		return time.Time{}, false
+	}
+	at := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.self.Incarnation = id
+	n.session = n.session.Next(member.GotLease)
+	return at, true
+}
+
+// renewSession renews the lease, and returns from when on the time to the next
+// renewal counts, and false if the session has ended. After a failure the next
+// one is due in RetryPause.
+func (n *Node) renewSession(ctx context.Context, leaseID uint64) (time.Time, bool) {
+	at := n.now()
+	err := n.svc.Touch(ctx, leaseID)
+	if errors.Is(err, store.ErrNoLease) {
+		n.endSession()
+		return at, false
+	}
+	if err != nil {
+		n.log.Debug("session not renewed", "err", err)
+		return n.now().Add(tuning.RetryPause - tuning.SessionTouch), true
+	}
+	return at, true
+}
+
 func (n *Node) endSession() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -170,6 +183,31 @@
 	n.log.Info("session ended")
 }
 
+// tryMemberStep makes a step; after a failure the session has ended, or the cache
+// catches up before the next.
+func (n *Node) tryMemberStep(ctx context.Context) {
+	err := n.memberStep(ctx)
+	if err == nil {
+		return
+	}
+	n.log.Debug("membership step failed", "err", err)
+	if errors.Is(err, store.ErrNoLease) {
+		n.endSession()
+		return
+	}
+	_ = n.sync.Barrier(tuning.BarrierWait)
+}
+
+// awaitMemberStep waits until the membership is woken, or for at most a time.
+func (n *Node) awaitMemberStep(ctx context.Context, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.memberWake:
+		sleep(ctx, memberPause)
+	case <-time.After(max(most, memberPause)):
+	}
+}
+
 // memberWrite is a guarded write of one of the keys that make up the membership.
 type memberWrite struct {
 	guards       []wire.Guard
@@ -303,29 +341,42 @@
 		}
 		return e
 	}
-	silent := n.silentAfter()
+	e.Heard, e.Silent = n.countHeard(now)
+	e.SiblingsReachable = n.siblingHearsWorkers()
+	return e
+}
+
+// countHeard counts this node's machines that are heard, and those with tasks that
+// are silent though they had time to report under this membership; mu is held.
+func (n *Node) countHeard(now time.Time) (heard, silent int) {
+	silentAfter := n.silentAfter()
 	for host, w := range n.workers {
 		if n.ownerOf(host) != n.self.Label || w.Heard.IsZero() {
 			continue
 		}
-		if now.Sub(w.Heard) < silent {
-			e.Heard++
-		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silent {
-			e.Silent++
+		if now.Sub(w.Heard) < silentAfter {
+			heard++
+		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silentAfter {
+			silent++
 		}
 	}
+	return heard, silent
+}
+
+// siblingHearsWorkers reports whether any sibling hears a machine of its own; mu
+// is held.
+func (n *Node) siblingHearsWorkers() bool {
 	for _, s := range n.siblings {
 		if !n.freshSibling(s) {
 			continue
 		}
 		for _, h := range s.hosts {
 			if !h.Silent {
-				e.SiblingsReachable = true
-				break
+				return true
 			}
 		}
 	}
-	return e
+	return false
 }
 
 // chooseProbes remembers workers to ask until one answers; mu is held.
