--- a/internal/server/leading.go
+++ b/internal/server/leading.go
@@ -50,29 +50,53 @@
 
 // leadMemory returns the leader's memory for the present token; mu is held.
 func (n *Node) leadMemory() *leading {
-	if n.leading.token != n.member.Token {
-		old := n.leading
-		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
-			active: map[place.Role]time.Time{}, rented: map[string]rental{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
-			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, surplusSince: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
-		if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
-			// The same leader under a new membership keeps what it knows of the
-			// cloud; role counters restart empty.
-			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
-			n.leading.rented, n.leading.refused = old.rented, old.refused
-			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
-			n.leading.unfit, n.leading.gone = old.unfit, old.gone
-			n.leading.surplusSince, n.leading.active = old.surplusSince, old.active
-			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
-			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
-			n.leading.batch, n.leading.service = old.batch, old.service
-			n.leading.plain, n.leading.plainSeen = old.plain, old.plainSeen
-		}
+	if n.leading.token == n.member.Token {
+		return &n.leading
+	}
+	old := n.leading
+	n.leading = newLeading(n.member.Token, n.member.Last()+1)
+	if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
+		n.leading.keep(&old)
 	}
 	return &n.leading
 }
 
+// newLeading is the memory of a leadership that begins.
+func newLeading(token, nextToken uint64) leading {
+	return leading{
+		token:        token,
+		nextToken:    nextToken,
+		listed:       map[string]wire.Host{},
+		absent:       map[string]int{},
+		rented:       map[string]rental{},
+		refused:      map[fleet.Kind]time.Time{},
+		control:      map[string]*roles.Controller{},
+		decision:     map[string]roles.Decision{},
+		seenJobs:     map[string]bool{},
+		idle:         map[string]time.Time{},
+		surplusSince: map[string]time.Time{},
+		gone:         map[string]time.Time{},
+		unfit:        map[string]time.Time{},
+		heard:        map[string]time.Time{},
+		since:        map[string]time.Time{},
+		active:       map[place.Role]time.Time{},
+	}
+}
+
+// keep takes over what the same leader knew of the cloud and of its load under
+// the membership before; role counters restart empty.
+func (l *leading) keep(old *leading) {
+	l.listed, l.listAt, l.absent = old.listed, old.listAt, old.absent
+	l.rented, l.refused = old.rented, old.refused
+	l.idle, l.heard, l.since = old.idle, old.heard, old.since
+	l.unfit, l.gone = old.unfit, old.gone
+	l.surplusSince, l.active = old.surplusSince, old.active
+	l.batchSize, l.batchSeen = old.batchSize, old.batchSeen
+	l.batchAvg, l.avgAt = old.batchAvg, old.avgAt
+	l.batch, l.service = old.batch, old.service
+	l.plain, l.plainSeen = old.plain, old.plainSeen
+}
+
 // hear notes that a machine was up at a time.
 func (l *leading) hear(host string, at time.Time) {
 	if at.After(l.heard[host]) {
