--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -166,7 +166,7 @@
 func (n *Node) endSession(leaseID uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.self.Incarnation != leaseID {
+	if n.self.Incarnation != leaseID || n.session == member.NoLease {
 		return
 	}
 	n.session = n.session.Next(member.LeaseEnded)
@@ -345,29 +345,42 @@
 		}
 		return e
 	}
-	silent := n.silentAfter()
+	e.Heard, e.Silent = n.countHeard(now)
+	e.SiblingsReachable = n.siblingHearsWorkers()
+	return e
+}
+
+// countHeard counts this node's machines that are heard, and those with tasks that
+// are silent though they had time to report under this membership; mu is held.
+func (n *Node) countHeard(now time.Time) (heard, silent int) {
+	silentAfter := n.silentAfter()
 	for host, w := range n.workers {
 		if n.ownerOf(host) != n.self.Label || w.Heard.IsZero() {
 			continue
 		}
-		if now.Sub(w.Heard) < silent {
-			e.Heard++
-		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silent {
-			e.Silent++
+		if now.Sub(w.Heard) < silentAfter {
+			heard++
+		} else if len(n.table.Hosts[host]) > 0 && now.Sub(n.raisedAt) > silentAfter {
+			silent++
 		}
 	}
+	return heard, silent
+}
+
+// siblingHearsWorkers reports whether any sibling hears a machine of its own; mu
+// is held.
+func (n *Node) siblingHearsWorkers() bool {
 	for _, s := range n.siblings {
 		if !n.freshSibling(s) {
 			continue
 		}
 		for _, h := range s.hosts {
 			if !h.Silent {
-				e.SiblingsReachable = true
-				break
+				return true
 			}
 		}
 	}
-	return e
+	return false
 }
 
 // chooseProbes remembers workers to ask until one answers; mu is held.
