--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -115,26 +115,18 @@
 // else: a write of the membership that waits, or a busy processor, must not cost
 // the session.
 func (n *Node) runSession(ctx context.Context) error {
-	renewal := member.NewRenewal()
-	var due time.Time // of the next renewal; zero: there is no lease
+	var due time.Time // of the next renewal
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		state, leaseID := n.session, n.self.Incarnation
 		n.mu.Unlock()
 		if state == member.NoLease {
-			if !due.IsZero() {
-				renewal.Ended()
-				due = time.Time{}
-			}
-			if n.openSession(ctx, renewal.TTL()) {
-				due = n.now().Add(tuning.SessionTouch)
-			}
+			n.openSession(ctx)
+			due = n.now().Add(tuning.SessionTouch)
 			continue
 		}
 		sleep(ctx, max(due.Sub(n.now()), time.Millisecond))
-		sent := n.now()
-		renewal.Attempted(due, sent)
-		due = sent.Add(tuning.SessionTouch)
+		due = n.now().Add(tuning.SessionTouch)
 		if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
 			n.endSession(leaseID)
 		} else if err != nil {
@@ -145,21 +137,19 @@
 	return nil
 }
 
-// openSession asks for a lease, once; false if there is none yet.
-func (n *Node) openSession(ctx context.Context, ttl time.Duration) bool {
-	id, err := n.svc.Lease(ctx, ttl)
+// openSession asks for a lease, once.
+func (n *Node) openSession(ctx context.Context) {
+	id, err := n.svc.Lease(ctx, tuning.SessionTTL)
 	if err != nil {
 		n.log.Info("no lease yet", "err", err)
 		sleep(ctx, tuning.RetryPause)
-		return false
+		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.self.Incarnation = id
 	n.session = n.session.Next(member.GotLease)
-	n.log.Debug("session opened", "ttl", ttl)
 	wake(n.memberWake)
-	return true
 }
 
 // endSession notes that a lease has ended, unless another has been got since.
--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -70,9 +70,7 @@
 	if n.session != member.NoLease {
 		t.Fatalf("session %s after its lease has ended", n.session)
 	}
-	if !n.openSession(context.Background(), time.Second) {
-		t.Fatal("no lease")
-	}
+	n.openSession(context.Background())
 	n.endSession(former)
 	if n.session != member.Leased {
 		t.Errorf("session %s: the end of a former lease ended it", n.session)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -17,12 +17,6 @@
 	SessionTTL = 3500 * time.Millisecond
 	// SessionTouch is the pause between renewals: three tries fit in the TTL.
 	SessionTouch = 1000 * time.Millisecond
-	// SessionTTLMost bounds the lease of a node whose own renewals came late: far
-	// below the leases of workers, which wait for such a node's machines to pass on.
-	SessionTTLMost = 14 * time.Second
-	// SessionLate is how late a renewal is sent by a node that is too busy: a
-	// timer of an idle one fires within some milliseconds.
-	SessionLate = 500 * time.Millisecond
 	// MemberEvery is the longest pause between two looks at the membership, and
 	// MemberPause the least, which batches what a watch brings.
 	MemberEvery = 1000 * time.Millisecond
