--- a/internal/server/headroom.go
+++ b/internal/server/headroom.go
@@ -44,7 +44,6 @@
 	}
 	b.input.Batch = l.batch
 	b.input.Plain = b.node.plain(l, b.now)
-	b.input.Service.Least = b.node.arrivingServiceTasks(b.now)
 }
 
 // averageBatch moves the mean of the batch tasks held towards their present number.
@@ -77,36 +76,6 @@
 	}
 }
 
-// arrivingServiceTasks is how many service tasks may arrive while a machine that
-// is rented now boots, by what has arrived lately. The lesser of two windows
-// counts, so that many services at once, as when a state service is back, are
-// not taken for a rate; and only a rate that rises counts, as the role control
-// tells it (RoleDemandRise): the usual headroom covers the usual rate. mu is held.
-func (n *Node) arrivingServiceTasks(now time.Time) int {
-	boot := 0.0
-	for _, t := range n.types {
-		boot = max(boot, t.StartupS)
-	}
-	var arrived [2]int // tasks by window, the last first
-	long := 0
-	for _, j := range n.table.Open {
-		age := time.Duration(now.UnixMilli()-j.Record.At) * time.Millisecond
-		if !j.Service() || age < 0 || age >= tuning.RoleLongWindow {
-			continue
-		}
-		long += j.Record.Tasks
-		if window := int(age / tuning.ArrivalWindow); window < len(arrived) {
-			arrived[window] += j.Record.Tasks
-		}
-	}
-	rate := float64(min(arrived[0], arrived[1])) / tuning.ArrivalWindow.Seconds()
-	usual := float64(long) / tuning.RoleLongWindow.Seconds()
-	if rate <= usual*(1+tuning.RoleDemandRise) {
-		return 0
-	}
-	return int(math.Ceil(rate * boot))
-}
-
 // plain is the batch work that may not use spot machines: room for one and a
 // half of its arrays is kept on ordinary machines while any is open or waits for
 // others, and for a minute after; mu is held.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -290,9 +290,6 @@
 	// ServiceHeadroom is the spare service capacity kept, as a share of what
 	// services hold.
 	ServiceHeadroom = 0.12
-	// ArrivalWindow is the time over which the rate of arriving services is
-	// taken for the headroom that covers a boot.
-	ArrivalWindow = 15 * time.Second
 	// LateBootShare is the share of machines that take much longer to boot than
 	// usual, and LateBootSpread how many deviations of their number are rented
 	// beside it: each costs a minute's price if all boot in time.
