--- a/internal/server/rolemoves.go
+++ b/internal/server/rolemoves.go
@@ -14,7 +14,8 @@
 	"wheatspur/wire"
 )
 
-// noteArrivals feeds the role controllers with service jobs that are new.
+// noteArrivals feeds the role controllers with service jobs that are new, and the
+// headroom with batch jobs; mu is held.
 func (n *Node) noteArrivals(l *leading, now time.Time) {
 	for _, t := range n.types {
 		if l.control[t.Label] == nil {
@@ -27,23 +28,9 @@
 		}
 		l.seenJobs[jobID] = true
 		if !j.Service() {
-			if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
-				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
-				if l.batchSize == 0 {
-					l.batchSize = size
-				}
-				l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
-			}
-			l.batchSeen = now
-		}
-		if !j.Service() || now.Sub(j.Seen) > tuning.RoleStep {
-			continue
-		}
-		for _, t := range n.types {
-			if jobs.Allowed(j.Record.Spec, t.Label) {
-				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
-				l.control[t.Label].Arrive(now, j.Need.Share(tot)*float64(j.Record.Tasks))
-			}
+			l.noteBatchArrival(j, now)
+		} else if now.Sub(j.Seen) <= tuning.RoleStep {
+			n.noteServiceArrival(l, j, now)
 		}
 	}
 	for jobID := range l.seenJobs {
@@ -53,6 +40,30 @@
 	}
 }
 
+// noteBatchArrival enters a new array in the mean size of those of the typical class.
+func (l *leading) noteBatchArrival(j *jobs.Job, now time.Time) {
+	if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
+		size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
+		if l.batchSize == 0 {
+			l.batchSize = size
+		}
+		l.batchSize += (size - l.batchSize) * tuning.BatchSizeAlpha
+	}
+	l.batchSeen = now
+}
+
+// noteServiceArrival tells the role controller of every type that a new service
+// job may use; mu is held.
+func (n *Node) noteServiceArrival(l *leading, j *jobs.Job, now time.Time) {
+	for _, t := range n.types {
+		if !jobs.Allowed(j.Record.Spec, t.Label) {
+			continue
+		}
+		total := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
+		l.control[t.Label].Arrive(now, j.Need.Share(total)*float64(j.Record.Tasks))
+	}
+}
+
 // split describes one type's ordinary machines and demand; mu is held.
 func (n *Node) split(t wire.MachineType, machines *place.Fleet) roles.Split {
 	s := roles.Split{Type: t.Label, Complete: true}
--- a/internal/server/siblings.go
+++ b/internal/server/siblings.go
@@ -74,19 +74,7 @@
 		n.applyAttestation(s, st, asked, now)
 	}
 	if answer && (st.Whole || seen.Token == s.seen.Token && seen.Incarnation == s.seen.Incarnation) {
-		if st.Whole {
-			for host := range s.hosts {
-				n.view.touch(host)
-			}
-			clear(s.hosts)
-		}
-		for _, h := range st.Hosts {
-			n.view.touch(h.Name)
-			s.hosts[h.Name] = h
-			if h.Silent && n.leading.heard != nil {
-				n.leading.hear(h.Name, now.Add(-h.Age))
-			}
-		}
+		n.applySiblingHosts(s, st, now)
 		s.seen, s.seenAt = seen, now
 	}
 	st.Hosts = nil
@@ -96,6 +84,24 @@
 	}
 }
 
+// applySiblingHosts enters what has changed of a sibling's machines, or all of them
+// in place of those known before; mu is held.
+func (n *Node) applySiblingHosts(s *sibling, st peer.Status, now time.Time) {
+	if st.Whole {
+		for host := range s.hosts {
+			n.view.touch(host)
+		}
+		clear(s.hosts)
+	}
+	for _, h := range st.Hosts {
+		n.view.touch(h.Name)
+		s.hosts[h.Name] = h
+		if h.Silent && n.leading.heard != nil {
+			n.leading.hear(h.Name, now.Add(-h.Age))
+		}
+	}
+}
+
 // applyAttestation enters what a sibling says of cancellations, and how far all of them
 // are known by it; mu is held.
 func (n *Node) applyAttestation(s *sibling, st peer.Status, asked, now time.Time) {
