--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -102,7 +102,7 @@
 // machines brings the picture of the fleet up to date; mu is held.
 func (n *Node) machines(now time.Time) *place.Fleet {
 	v := &n.view
-	n.applyRecords()
+	n.refreshRecords()
 	if v.fleet == nil || v.stale {
 		n.buildFleet()
 	}
@@ -136,9 +136,9 @@
 		w.TakenAt.IsZero() && !n.unfit(w, now)
 }
 
-// applyRecords looks at the machine records that have changed: most of them only
+// refreshRecords looks at the machine records that have changed: most of them only
 // in their phase, which needs no new index; mu is held.
-func (n *Node) applyRecords() {
+func (n *Node) refreshRecords() {
 	v := &n.view
 	for host := range v.records {
 		rec, stored := n.reg.Hosts[host]
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	now := n.now()
-	n.applyRecords()
+	n.refreshRecords()
 	workers, all := n.sweep(now)
 	for host, w := range workers {
 		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
