--- a/internal/fleet/worker_test.go
+++ b/internal/fleet/worker_test.go
@@ -367,3 +367,40 @@
 		t.Fatal("raised beyond the membership")
 	}
 }
+
+// Whatever a proof rests on makes the worker one to be looked at again. Guards
+// against claims that stay although their end could be proven.
+func TestNothingToProveEndsWithWhatItRestsOn(t *testing.T) {
+	const lease = 30 * time.Second
+	start := []Attempt{{jobs.TaskID{Job: "wk-1", Task: 0}, 2}}
+	for _, c := range []struct {
+		name string
+		at   time.Time
+		do   func(w *Worker)
+		want bool
+	}{
+		{"nothing happens", t0, func(*Worker) {}, true},
+		{"an old report comes", t0, func(w *Worker) { w.Observe(report(1, 3, 5), 5, t0) }, true},
+		{"a newer report comes", t0, func(w *Worker) { w.Observe(report(1, 4, 5), 5, t0) }, false},
+		{"a new session begins", t0, func(w *Worker) { w.Observe(report(2, 1, 5), 5, t0) }, false},
+		{"a claim comes, goes, or its job ends", t0, func(w *Worker) { w.Changed() }, false},
+		{"the membership changes", t0, func(w *Worker) { w.RaiseToken() }, false},
+		{"a task is to stop", t0, func(w *Worker) { w.Stop(start[0].ID) }, false},
+		{"a report is answered", t0, func(w *Worker) { w.Answer(report(1, 3, 5), nil, t0) }, false},
+		{"a direct start is answered", t0, func(w *Worker) { w.StartAnswered(start, 5, 1, 3) }, false},
+		{"the lease goes on", t0.Add(lease), func(*Worker) {}, true},
+		{"the lease has ended", t0.Add(lease + 5*time.Second), func(*Worker) {}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := NewWorker("h1")
+			w.Observe(report(1, 3, 5), 5, t0)
+			if got := w.Proofs(claimed(t, 1, 2, jobs.Open), t0, lease); len(got) != 0 {
+				t.Fatalf("%v is proven", got)
+			}
+			c.do(w)
+			if got := w.NothingToProve(c.at, lease); got != c.want {
+				t.Errorf("nothing to prove: %v", got)
+			}
+		})
+	}
+}
