--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -339,6 +339,17 @@
 	return newWorldWith(t, deaf{}, labels...)
 }
 
+// worldWithMachine is a world of one node and one machine, h1, which has
+// reported and shown the node's token.
+func worldWithMachine(t testing.TB, role string) (*world, *Node) {
+	t.Helper()
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.addHost("h1", role)
+	n.take(w.report("h1", 1, n.membershipToken()))
+	return w, n
+}
+
 // newWorldWith is a world with a workers' side of its own.
 func newWorldWith(t testing.TB, call caller, labels ...string) *world {
 	t.Helper()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -228,10 +228,7 @@
 // A node that can't read cancellations keeps leases alive for a while, starts
 // nothing, and then stops answering so that the leases end in time.
 func TestACutOffNodeStopsRenewingLeasesBeforeACancellationIsDue(t *testing.T) {
-	w := newWorld(t, "a")
-	n := w.nodes["a"]
-	w.addHost("h1", "batch")
-	n.take(w.report("h1", 1, n.membershipToken()))
+	w, n := worldWithMachine(t, "batch")
 	w.submit(n, work("wk-1", 1))
 	w.passAll()
 	w.st.down = true
@@ -275,11 +272,8 @@
 }
 
 func TestADrainedMachineTakesNoClaimAndGoesBackEmpty(t *testing.T) {
-	w := newWorld(t, "a")
-	n := w.nodes["a"]
+	w, n := worldWithMachine(t, "batch")
 	ctx := context.Background()
-	w.addHost("h1", "batch")
-	n.take(w.report("h1", 1, n.membershipToken()))
 	w.submit(n, work("wk-1", 1))
 	n.mu.Lock()
 	claim := n.pass()
@@ -312,11 +306,8 @@
 
 // A returned machine is the proof that releases its claims.
 func TestTasksOfAGoneMachineAreReleasedAfterItsReturn(t *testing.T) {
-	w := newWorld(t, "a")
-	n := w.nodes["a"]
+	w, n := worldWithMachine(t, "batch")
 	ctx := context.Background()
-	w.addHost("h1", "batch")
-	n.take(w.report("h1", 1, n.membershipToken()))
 	w.submit(n, work("wk-1", 1))
 	w.passAll()
 	if n.claimsOn("h1") != 1 {
