--- a/internal/server/fleetview_test.go
+++ b/internal/server/fleetview_test.go
@@ -147,3 +147,24 @@
 		t.Errorf("%d tasks are stopped for 12", evicted)
 	}
 }
+
+// What changes on a machine is told to siblings with the next status, not only
+// when all machines are compared with what siblings know.
+func TestAChangeIsPublishedBeforeTheNextSweep(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.addHost("h1", "batch")
+	n, other := w.owner("h1")
+	n.take(w.report("h1", 1, n.membershipToken()))
+	w.tell()
+	n.mu.Lock()
+	n.ownStatus(other.siblings[n.self.Label].seen) // the clock stands: all were compared now
+	n.mu.Unlock()
+	notice := 10.0
+	r := w.report("h1", 1, n.membershipToken())
+	r.NoticeS = &notice
+	n.take(r)
+	w.exchange(n, other)
+	if h := other.siblings[n.self.Label].hosts["h1"]; h.Notice < 0 {
+		t.Errorf("the sibling knows %+v, without the notice", h)
+	}
+}
