--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -62,7 +62,7 @@
 	Least int            // tasks that the headroom holds at least
 	Wait  float64        // tasks that wait for machines to boot
 	Need  jobs.Resources // of a typical task
-	Work  *wire.Work     // a typical job
+	Work  *wire.JobSpec  // a typical job
 }
 
 // PlanInput is what the capacity plan is made from.
@@ -280,7 +280,7 @@
 				if at, no := p.in.Refused[k]; no && p.in.Now.Sub(at) < tuning.RefusedPause {
 					continue
 				}
-				if !spot && role == place.Batch && j.Record.Work.Windfall && waiting < tuning.OrdinaryBatchAfter {
+				if !spot && role == place.Batch && j.Record.Spec.Spot && waiting < tuning.OrdinaryBatchAfter {
 					continue
 				}
 				price := t.Price
@@ -324,8 +324,8 @@
 // typical makes a job that stands for a load.
 func typical(l Load) *jobs.Job {
 	w := *l.Work
-	w.Plot = nil
-	return &jobs.Job{Record: jobs.Record{Phase: jobs.Open, Work: &w}, Need: l.Need}
+	w.Zone = nil
+	return &jobs.Job{Record: jobs.Record{Phase: jobs.Open, Spec: &w}, Need: l.Need}
 }
 
 func (p *planner) headroom(role place.Role, l Load, share float64) {
@@ -348,7 +348,7 @@
 func (p *planner) hedge(j *jobs.Job, waiting float64) int {
 	each := 0.0 // tasks a machine, of the type that holds the fewest
 	for _, t := range p.in.Types {
-		if jobs.Allowed(j.Record.Work, t.Label) && j.Need.Fits(total(t)) {
+		if jobs.Allowed(j.Record.Spec, t.Label) && j.Need.Fits(total(t)) {
 			if n := math.Floor(1/max(j.Need.Share(total(t)), 1e-9) + 1e-6); each == 0 || n < each {
 				each = n
 			}
@@ -422,7 +422,7 @@
 		// What is not rented for headroom is not kept for it. Guards against idle
 		// ordinary machines, several times as dear, that stand in for the spot
 		// machines of which the cloud has no more.
-		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Windfall
+		dear := u.Claims == 0 && u.Role == place.Batch && !u.Kind.Spot && p.in.Batch.Work != nil && p.in.Batch.Work.Spot
 		// Guards against short work that may not use spot machines waiting for a
 		// boot each time, since spot machines hold the role's floor.
 		if u.Role == place.Batch && !u.Kind.Spot && !plain.spares(u) {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -480,8 +480,8 @@
 		case wanted && s.Try == t.Try:
 			if w.Stopping[id] && s.Phase != wire.ShardFlushing {
 				leeway := 0.0
-				if w := j.Record.Work; w != nil {
-					leeway = w.StashS
+				if w := j.Record.Spec; w != nil {
+					leeway = w.SaveS
 				}
 				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &leeway})
 			}
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -8,9 +8,9 @@
 // Phases of a job.
 const (
 	Open Phase = "open"
-	// Waiting is the phase of a job that awaits others. It stays stored until
+	// Waiting is the phase of a job that depends on others. It stays stored until
 	// the job ends: whether the job may start, or is cancelled with one that it
-	// awaits, follows from the records of those (Table). Versions that do not
+	// depends on, follows from the records of those (Table). Versions that do not
 	// know the phase answer "queued" and never place such a job.
 	Waiting   Phase = "waiting"
 	Done      Phase = "done"
@@ -26,8 +26,8 @@
 // Events of a job.
 const (
 	JobCompleted JobEvent = "completed" // all tasks are stored done
-	JobCancel    JobEvent = "cancel"    // its user asked, or a job that it awaits is cancelled
-	JobReleased  JobEvent = "released"  // all jobs that it awaits are stored done
+	JobCancel    JobEvent = "cancel"    // its user asked, or a job that it depends on is cancelled
+	JobReleased  JobEvent = "released"  // all jobs that it depends on are stored done
 )
 
 // Next is the one function that changes a job's phase.
--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -7,19 +7,19 @@
 	"wheatspur/wire"
 )
 
-// Jobs that await others. What a waiting job may do is never stored: it follows
-// from the records of the jobs that it awaits, and is derived again whenever
+// Jobs that depend on others. What a waiting job may do is never stored: it follows
+// from the records of the jobs that it depends on, and is derived again whenever
 // one of them changes, in work lists whose length follows what changes. Done
 // and cancelled are final, so what is derived from them stands for ever.
 
-// CheckAwaits refuses a list that names what can't be awaited; accepted tells of a job whether it is known,
+// CheckDependencies refuses a list that names what can't be depended on; accepted tells of a job whether it is known,
 // and whether it is a service.
-func CheckAwaits(w *wire.Work, accepted func(ref string) (known, service bool)) error {
-	for _, ref := range w.Awaits {
-		if !wire.ValidRef(ref) {
+func CheckDependencies(w *wire.JobSpec, accepted func(ref string) (known, service bool)) error {
+	for _, ref := range w.DependsOn {
+		if !wire.ValidJobID(ref) {
 			return Refusal("awaits names no job: " + ref[:min(len(ref), 40)])
 		}
-		if ref == w.Ref {
+		if ref == w.ID {
 			return Refusal("a job can't await itself")
 		}
 		switch known, service := accepted(ref); {
@@ -32,16 +32,16 @@
 	return nil
 }
 
-// awaits lists the jobs that a job still waits for by its own record.
-func (j *Job) awaits() []string {
-	if j.Record.Work == nil || j.Record.Phase.Final() {
+// dependencies lists the jobs that a job still waits for by its own record.
+func (j *Job) dependencies() []string {
+	if j.Record.Spec == nil || j.Record.Phase.Final() {
 		return nil
 	}
-	return j.Record.Work.Awaits
+	return j.Record.Spec.DependsOn
 }
 
 func (t *Table) link(j *Job) {
-	for _, ref := range j.awaits() {
+	for _, ref := range j.dependencies() {
 		if t.after[ref] == nil {
 			t.after[ref] = map[string]bool{}
 		}
@@ -50,7 +50,7 @@
 }
 
 func (t *Table) unlink(j *Job) {
-	for _, ref := range j.awaits() {
+	for _, ref := range j.dependencies() {
 		delete(t.after[ref], j.Ref)
 		if len(t.after[ref]) == 0 {
 			delete(t.after, ref)
@@ -59,14 +59,14 @@
 }
 
 // phase is a job's phase as it follows from its own record and the phases of
-// those that it awaits. One that is not known, or whose record can't be read,
+// those that it depends on. One that is not known, or whose record can't be read,
 // is not done.
 func (t *Table) phase(j *Job) (p Phase, via string) {
 	if j.Record.Phase != Waiting {
 		return j.Record.Phase, j.Record.Via
 	}
 	event := JobReleased
-	for _, ref := range j.awaits() {
+	for _, ref := range j.dependencies() {
 		a := t.Jobs[ref]
 		switch {
 		case a != nil && a.Phase == Cancelled:
@@ -86,7 +86,7 @@
 }
 
 // derive brings up to date what follows from a job's record, for itself and
-// for all that it reaches; before is what it awaited by its former record.
+// for all that it reaches; before is what it depended on by its former record.
 func (t *Table) derive(ref string, before []string) {
 	up := append([]string{ref}, before...) // whose hints may change
 	for list := []string{ref}; len(list) > 0; {
@@ -103,8 +103,8 @@
 				list = append(list, next)
 			}
 		}
-		if j.Record.Work != nil {
-			up = append(up, j.awaits()...)
+		if j.Record.Spec != nil {
+			up = append(up, j.dependencies()...)
 		}
 	}
 	t.hint(up)
@@ -119,7 +119,7 @@
 	switch {
 	case j.Phase == Open:
 		t.Open[j.Ref] = j
-		for _, ref := range j.awaits() {
+		for _, ref := range j.dependencies() {
 			if a := t.Jobs[ref]; a != nil {
 				j.Ready = max(j.Ready, a.Record.End)
 			}
@@ -135,45 +135,45 @@
 	}
 }
 
-// hint works out again the rank and the deadline of jobs, and of those that
-// they await as far as that changes them.
+// hint works out again the priority and the deadline of jobs, and of those that
+// they depend on as far as that changes them.
 func (t *Table) hint(list []string) {
 	for len(list) > 0 {
 		j := t.Jobs[list[0]]
 		list = list[1:]
-		if j == nil || j.Record.Work == nil {
+		if j == nil || j.Record.Spec == nil {
 			continue
 		}
-		w := j.Record.Work
-		rank, due := RankOrder(w.Rank), int64(0)
-		if w.DueS != nil {
-			due = j.Record.At + int64(*w.DueS*1000)
+		w := j.Record.Spec
+		priority, deadline := PriorityOrder(w.Priority), int64(0)
+		if w.DeadlineS != nil {
+			deadline = j.Record.At + int64(*w.DeadlineS*1000)
 		}
 		for ref := range t.after[j.Ref] {
 			n := t.Jobs[ref]
-			if n == nil || n.Phase.Final() || n.Record.Work == nil {
+			if n == nil || n.Phase.Final() || n.Record.Spec == nil {
 				continue
 			}
-			rank = min(rank, n.Rank)
-			if n.Due > 0 {
+			priority = min(priority, n.Priority)
+			if n.Deadline > 0 {
 				// What the next step takes by its owner's estimate is not there
 				// for this one.
-				left := n.Due - int64(n.Record.Work.ReckonS*1000) - tuning.StepGap.Milliseconds()
-				if due == 0 || left < due {
-					due = left
+				left := n.Deadline - int64(n.Record.Spec.EstimateS*1000) - tuning.StepGap.Milliseconds()
+				if deadline == 0 || left < deadline {
+					deadline = left
 				}
 			}
 		}
-		if rank != j.Rank || due != j.Due {
-			j.Rank, j.Due = rank, due
-			list = append(list, j.awaits()...)
+		if priority != j.Priority || deadline != j.Deadline {
+			j.Priority, j.Deadline = priority, deadline
+			list = append(list, j.dependencies()...)
 		}
 	}
 }
 
 // Unfinished lists the jobs that a waiting job waits for, as they were named.
 func (t *Table) Unfinished(j *Job) []string {
-	return slices.DeleteFunc(slices.Clone(j.awaits()), func(ref string) bool {
+	return slices.DeleteFunc(slices.Clone(j.dependencies()), func(ref string) bool {
 		a := t.Jobs[ref]
 		return a != nil && a.Phase == Done
 	})
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -47,14 +47,14 @@
 // Record is the stored form of a job. Final records drop what is no longer
 // needed and are kept forever.
 type Record struct {
-	Phase  Phase      `cbor:"p"`
-	At     int64      `cbor:"at"` // time of acceptance, Unix milliseconds
-	Tasks  int        `cbor:"n"`
-	Chunk  int        `cbor:"cs"`          // tasks per chunk
-	Serial uint64     `cbor:"s,omitempty"` // raised by claims of jobs whose constraint spans chunks
-	Work   *wire.Work `cbor:"w,omitempty"`
-	End    int64      `cbor:"e,omitempty"` // of a final record: time of the end, Unix milliseconds
-	Via    string     `cbor:"v,omitempty"` // the job with which it was cancelled
+	Phase  Phase         `cbor:"p"`
+	At     int64         `cbor:"at"` // time of acceptance, Unix milliseconds
+	Tasks  int           `cbor:"n"`
+	Chunk  int           `cbor:"cs"`          // tasks per chunk
+	Serial uint64        `cbor:"s,omitempty"` // raised by claims of jobs whose constraint spans chunks
+	Spec   *wire.JobSpec `cbor:"w,omitempty"`
+	End    int64         `cbor:"e,omitempty"` // of a final record: time of the end, Unix milliseconds
+	Via    string        `cbor:"v,omitempty"` // the job with which it was cancelled
 }
 
 // Cancelled returns the record of the job after its user has cancelled it. Of
@@ -66,9 +66,9 @@
 		return r, err
 	}
 	r.Phase, r.End = phase, now.UnixMilli()
-	if w := r.Work; w != nil {
-		r.Work = &wire.Work{Ref: w.Ref, Crew: w.Crew, Shape: w.Shape, Rank: w.Rank, Shards: w.Shards,
-			CPUs: w.CPUs, Cards: w.Cards, RAMGB: w.RAMGB}
+	if w := r.Spec; w != nil {
+		r.Spec = &wire.JobSpec{ID: w.ID, Team: w.Team, Kind: w.Kind, Priority: w.Priority, Tasks: w.Tasks,
+			CPUs: w.CPUs, GPUs: w.GPUs, RAMGB: w.RAMGB}
 	}
 	return r, nil
 }
@@ -81,10 +81,10 @@
 }
 
 // recordBytes bounds the JSON of a job's record, all but its description.
-const recordBytes = 96
+const recordBytes = 90
 
 // IntakeBytes bounds the JSON of a job in an intake record.
-func IntakeBytes(w *wire.Work) int { return JSONSize(w) + recordBytes }
+func IntakeBytes(w *wire.JobSpec) int { return JSONSize(w) + recordBytes }
 
 // Task is the stored form of one task.
 type Task struct {
@@ -169,7 +169,7 @@
 }
 
 // JSONSize is the size of a submission as the state service counts it.
-func JSONSize(w *wire.Work) int {
+func JSONSize(w *wire.JobSpec) int {
 	b, err := json.Marshal(w)
 	if err != nil {
 		return wire.MaxBody + 1
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -51,7 +51,7 @@
 }
 
 // Need is what one task of the submission takes.
-func Need(w *wire.Work) Resources { return Resources{w.CPUs, w.Cards, w.RAMGB} }
+func Need(w *wire.JobSpec) Resources { return Resources{w.CPUs, w.GPUs, w.RAMGB} }
 
 // Job is a job as the cache knows it.
 type Job struct {
@@ -64,14 +64,14 @@
 	Live   map[int]Task   // claimed tasks
 	Seen   time.Time      // when this node first saw it
 
-	// What follows from the records of the jobs that it awaits and of those
-	// that await it (see pipeline.go). Phase is open, for a job that is stored
-	// waiting, once all that it awaits is stored done, and cancelled with any of it.
-	Phase Phase
-	Via   string // the job with which it is cancelled
-	Ready int64  // when it might start first, Unix milliseconds
-	Rank  int    // the highest of its own and of those that await it; see RankOrder
-	Due   int64  // when it should be done, for itself and those that await it, Unix milliseconds; 0: no deadline
+	// What follows from the records of the jobs that it depends on and of those
+	// that depend on it (see pipeline.go). Phase is open, for a job that is stored
+	// waiting, once all that it depends on is stored done, and cancelled with any of it.
+	Phase    Phase
+	Via      string // the job with which it is cancelled
+	Ready    int64  // when it might start first, Unix milliseconds
+	Priority int    // the highest of its own and of those that depend on it; see PriorityOrder
+	Deadline int64  // when it should be done, for itself and those that depend on it, Unix milliseconds; 0: no deadline
 
 	own    bool   // its own record is stored
 	intake uint64 // else the stamp of the intake record that holds it
@@ -79,11 +79,11 @@
 
 // Service reports whether the job's tasks run until it is cancelled.
 func (j *Job) Service() bool {
-	return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeStanding
+	return j.Record.Spec != nil && j.Record.Spec.Kind == wire.KindService
 }
 
 // Gang reports whether the job's tasks only run all at once.
-func (j *Job) Gang() bool { return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeGang }
+func (j *Job) Gang() bool { return j.Record.Spec != nil && j.Record.Spec.Kind == wire.KindGang }
 
 // Task returns a task's state.
 func (j *Job) Task(i int) Task {
@@ -109,8 +109,8 @@
 // more than one chunk: then every claim also writes the job's record, so that
 // a claim guarded by it has seen all others.
 func (j *Job) SpansChunks() bool {
-	w := j.Record.Work
-	return w != nil && (w.Together || w.Apart) && j.Record.Tasks > j.Record.Chunk
+	w := j.Record.Spec
+	return w != nil && (w.SameZone || w.SpreadZones) && j.Record.Tasks > j.Record.Chunk
 }
 
 // AllDone reports whether every task is stored done.
@@ -118,16 +118,16 @@
 
 // Status is what users are told.
 func (j *Job) Status() wire.Status {
-	s := wire.Status{Ref: j.Ref, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
+	s := wire.Status{ID: j.Ref, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
 	switch {
 	case j.Phase == Done:
-		s.Phase, s.Done, s.Running = wire.PhaseDone, j.Record.Tasks, 0
+		s.State, s.Done, s.Running = wire.StateDone, j.Record.Tasks, 0
 	case j.Phase == Cancelled:
-		s.Phase, s.Running = wire.PhaseCancelled, 0
+		s.State, s.Running = wire.StateCancelled, 0
 	case s.Running > 0:
-		s.Phase = wire.PhaseRunning
+		s.State = wire.StateRunning
 	default:
-		s.Phase = wire.PhaseQueued
+		s.State = wire.StateQueued
 	}
 	return s
 }
@@ -145,7 +145,7 @@
 	Team    map[string]TeamRecord      // team records
 	Intakes map[string][]string        // jobs of each intake record
 	early   map[string]map[int][]Task  // chunks whose job is not known yet
-	after   map[string]map[string]bool // jobs that await each job
+	after   map[string]map[string]bool // jobs that depend on each job
 	now     func() time.Time
 
 	FailedAt map[ID]time.Time // when a task's count of failures last rose
@@ -217,14 +217,14 @@
 		t.Jobs[ref] = j
 	}
 	j.Counts[Pending] += r.Tasks - j.Record.Tasks
-	before := j.awaits()
+	before := j.dependencies()
 	t.unlink(j)
 	j.Record = r
 	t.link(j)
-	if r.Work != nil {
+	if r.Spec != nil {
 		// Final records carry no description; what is needed to account for
 		// claims that are released later stays.
-		j.Need, j.Team = Need(r.Work), r.Work.Crew
+		j.Need, j.Team = Need(r.Spec), r.Spec.Team
 	}
 	t.derive(ref, before)
 	for c, tasks := range t.early[ref] {
@@ -328,7 +328,7 @@
 
 // Check refuses a job that can never run: 422 to its user. oneWrite is the
 // number of tasks that one write can claim.
-func Check(w *wire.Work, lim Limits, known bool, rigs []wire.Rig, oneWrite int) error {
+func Check(w *wire.JobSpec, lim Limits, known bool, rigs []wire.Rig, oneWrite int) error {
 	if !known {
 		return Refusal("unknown team")
 	}
@@ -341,25 +341,25 @@
 	if !fits {
 		return Refusal("no allowed machine type fits a task")
 	}
-	if w.Shape == wire.ShapeGang && w.Shards > oneWrite {
+	if w.Kind == wire.KindGang && w.Tasks > oneWrite {
 		return Refusal("more tasks at once than one write can claim")
 	}
 	n := 1.0
-	if w.Shape != wire.ShapeArray {
-		n = float64(w.Shards)
+	if w.Kind != wire.KindArray {
+		n = float64(w.Tasks)
 	}
-	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.Cards*n > lim.GPUsMax+epsilon {
+	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.GPUs*n > lim.GPUsMax+epsilon {
 		return Refusal("more than the team's limit")
 	}
 	return nil
 }
 
 // Allowed reports whether the job may use a machine type.
-func Allowed(w *wire.Work, rig string) bool {
-	if len(w.Rigs) == 0 {
+func Allowed(w *wire.JobSpec, rig string) bool {
+	if len(w.MachineTypes) == 0 {
 		return true
 	}
-	for _, r := range w.Rigs {
+	for _, r := range w.MachineTypes {
 		if r == rig {
 			return true
 		}
@@ -368,26 +368,26 @@
 }
 
 // AnyZone reports whether the job may run in one of the zones.
-func AnyZone(w *wire.Work, zones []string) bool {
-	if w.Plot == nil {
+func AnyZone(w *wire.JobSpec, zones []string) bool {
+	if w.Zone == nil {
 		return len(zones) > 0
 	}
 	for _, z := range zones {
-		if z == *w.Plot {
+		if z == *w.Zone {
 			return true
 		}
 	}
 	return false
 }
 
-// RankOrder orders ranks, most important first.
-func RankOrder(rank string) int {
-	switch rank {
-	case wire.RankCritical:
+// PriorityOrder orders priorities, most important first.
+func PriorityOrder(priority string) int {
+	switch priority {
+	case wire.PriorityCritical:
 		return 0
-	case wire.RankUrgent:
+	case wire.PriorityUrgent:
 		return 1
-	case wire.RankNormal:
+	case wire.PriorityNormal:
 		return 2
 	}
 	return 3
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -28,7 +28,7 @@
 	machines []*Machine
 	room     jobs.Resources // no open machine has more free, in any resource
 	freeing  bool           // some room is being freed
-	worst    int            // the lowest rank, as a number, of what could be stopped
+	worst    int            // the lowest priority, as a number, of what could be stopped
 }
 
 // suits reports whether the job may use the pool's machines.
@@ -69,8 +69,8 @@
 			p.room = p.room.Max(m.Free)
 			p.freeing = p.freeing || m.Freeing.GPUs > 0 || m.Freeing.CPUs > 0 || m.Freeing.RAM > 0
 			for _, r := range m.Tasks {
-				if r.Job.Record.Work != nil && !r.Stopping {
-					p.worst = max(p.worst, r.Job.Rank)
+				if r.Job.Record.Spec != nil && !r.Stopping {
+					p.worst = max(p.worst, r.Job.Priority)
 				}
 			}
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -55,14 +55,14 @@
 
 // pull is an image that a machine is to fetch.
 type pull struct {
-	bundle string
-	gb     float64
+	image string
+	gb    float64
 }
 
 // Holds reports whether the machine holds an image.
-func (m *Machine) Holds(bundle string) bool {
+func (m *Machine) Holds(image string) bool {
 	for _, im := range m.Images {
-		if im == bundle {
+		if im == image {
 			return true
 		}
 	}
@@ -74,21 +74,21 @@
 func (m *Machine) Refresh() {
 	m.pulls, m.placed = m.pulls[:0], 0
 	for i := range m.Tasks {
-		m.pulling(m.Tasks[i].Job.Record.Work)
+		m.pulling(m.Tasks[i].Job.Record.Spec)
 	}
 }
 
 // pulling notes that a task with this image is on the machine or comes to it.
-func (m *Machine) pulling(w *wire.Work) {
-	if w == nil || m.Holds(w.Bundle) {
+func (m *Machine) pulling(w *wire.JobSpec) {
+	if w == nil || m.Holds(w.Image) {
 		return
 	}
 	for _, p := range m.pulls {
-		if p.bundle == w.Bundle {
+		if p.image == w.Image {
 			return
 		}
 	}
-	m.pulls = append(m.pulls, pull{w.Bundle, w.ImageGB})
+	m.pulls = append(m.pulls, pull{w.Image, w.ImageGB})
 }
 
 // fetchBucket is the difference in expected fetch time, in seconds, below
@@ -99,8 +99,8 @@
 // nothing if it holds it, else the fetch together with those under way, which
 // share the machine's rate.
 func (m *Machine) wait(j *jobs.Job) float64 {
-	w := j.Record.Work
-	if m.Holds(w.Bundle) {
+	w := j.Record.Spec
+	if m.Holds(w.Image) {
 		return 0
 	}
 	rate := m.FetchGBPerS
@@ -109,7 +109,7 @@
 	}
 	gb := w.ImageGB
 	for _, p := range m.pulls {
-		if p.bundle == w.Bundle {
+		if p.image == w.Image {
 			gb -= w.ImageGB / 2 // joins a fetch that is under way
 		} else {
 			gb += p.gb
@@ -164,9 +164,9 @@
 	Pressed bool            // has waited long enough to displace borrowed work
 	Served  bool            // tasks were stopped for it lately; their room comes
 	Blocked bool            // a write of this node about it is under way
-	Aged    bool            // has waited so long that nothing of its rank goes before it
+	Aged    bool            // has waited so long that nothing of its priority goes before it
 
-	rank       int
+	priority   int
 	guaranteed bool
 	latest     int64
 }
@@ -183,7 +183,7 @@
 	// processor time; the rest has its turn when those are stored.
 	MostJobs int
 
-	held  int  // rank from which borrowed room is kept for a guarantee; see one
+	held  int  // priority from which borrowed room is kept for a guarantee; see one
 	scans int  // how often makeRoom may still look through the machines
 	track bool // room only shrinks: pools may note what is left
 }
@@ -211,13 +211,13 @@
 	Short  map[string]bool // teams whose limit is not used up, but shared out so that work waits
 }
 
-// less orders demands: rank, then what has waited too long, by age; then work
+// less orders demands: priority, then what has waited too long, by age; then work
 // within its team's guarantee, pressed work first, then the latest start that
 // keeps the deadline; what can't keep it any more, and what has none, by age
 // after that.
 func less(a, b *Demand) bool {
-	if a.rank != b.rank {
-		return a.rank < b.rank
+	if a.priority != b.priority {
+		return a.priority < b.priority
 	}
 	if a.Aged != b.Aged {
 		// Guards against starving a team without a guarantee, or a job that
@@ -242,29 +242,29 @@
 }
 
 // latest is when a job's tasks must start to keep its deadline, and those of
-// the jobs that await it, in Unix milliseconds.
+// the jobs that depend on it, in Unix milliseconds.
 func (in *Input) latest(j *jobs.Job) int64 {
-	if j.Due == 0 {
+	if j.Deadline == 0 {
 		return j.Ready + noDeadline
 	}
-	run := int64(j.Record.Work.ReckonS * 1000)
-	if in.Now.UnixMilli()+run/2 > j.Due {
+	run := int64(j.Record.Spec.EstimateS * 1000)
+	if in.Now.UnixMilli()+run/2 > j.Deadline {
 		// Even a run of half the estimate would be late.
 		return j.Ready + noDeadline
 	}
-	return j.Due - run
+	return j.Deadline - run
 }
 
 // noDeadline puts a job behind all that have a deadline to keep, by age.
 const noDeadline = int64(1) << 50
 
 func (in *Input) guaranteed(j *jobs.Job) bool {
-	t := in.Teams[j.Record.Work.Crew]
+	t := in.Teams[j.Record.Spec.Team]
 	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need))
 }
 
-// noRank is beyond the lowest rank.
-const noRank = 1 << 10
+// noPriority is beyond the lowest priority.
+const noPriority = 1 << 10
 
 // Why tasks wait.
 const (
@@ -281,9 +281,9 @@
 // Pass places pending tasks.
 func Pass(in Input) Output {
 	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, Short: map[string]bool{}}
-	in.held, in.scans, in.track = noRank, scansPerPass, true
+	in.held, in.scans, in.track = noPriority, scansPerPass, true
 	for _, d := range in.Demands {
-		d.rank, d.guaranteed, d.latest = d.Job.Rank, in.guaranteed(d.Job), in.latest(d.Job)
+		d.priority, d.guaranteed, d.latest = d.Job.Priority, in.guaranteed(d.Job), in.latest(d.Job)
 	}
 	sort.Slice(in.Demands, func(a, b int) bool { return less(in.Demands[a], in.Demands[b]) })
 	for _, d := range in.Demands {
@@ -293,15 +293,15 @@
 }
 
 func (in *Input) one(d *Demand, out *Output) {
-	w := d.Job.Record.Work
+	w := d.Job.Record.Spec
 	wait := func(n int, why string) { out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = n, why }
-	team := in.Teams[w.Crew]
+	team := in.Teams[w.Team]
 	if team == nil {
 		wait(len(d.Tasks), "its team is not in the settings")
 		return
 	}
 	guaranteed := in.guaranteed(d.Job)
-	if !guaranteed && d.rank >= in.held {
+	if !guaranteed && d.priority >= in.held {
 		// Guards against borrowed work taking back the room that was freed for
 		// a guarantee: it was stopped and placed again many times a minute.
 		wait(len(d.Tasks), "room is kept for another team's guarantee")
@@ -371,7 +371,7 @@
 		return
 	}
 	if short {
-		out.Short[w.Crew] = true
+		out.Short[w.Team] = true
 		wait(len(d.Tasks)-len(picks), NoShare)
 		return
 	}
@@ -381,7 +381,7 @@
 	}
 	wait(len(tasks)-len(picks), NoRoom)
 	if d.Pressed && guaranteed {
-		in.held = min(in.held, d.rank)
+		in.held = min(in.held, d.priority)
 	}
 	if d.Aged && len(picks) == 0 && len(d.Job.Live) == 0 {
 		in.hold(d)
@@ -397,7 +397,7 @@
 // places first: every owner stores the ends of its tasks by itself, so a job
 // spread thin over all of them costs several times the changes.
 func (in *Input) spread(d *Demand, tasks []int) []*Machine {
-	if w := d.Job.Record.Work; w.Apart || w.Together {
+	if w := d.Job.Record.Spec; w.SpreadZones || w.SameZone {
 		return in.fit(d, tasks, "") // zones count across owners
 	}
 	var parts [][]*Machine
@@ -438,12 +438,12 @@
 // Suits reports whether the job may use the machine, leaving aside zones of
 // its other tasks.
 func Suits(j *jobs.Job, m *Machine) bool {
-	w := j.Record.Work
+	w := j.Record.Spec
 	switch {
-	case !jobs.Allowed(w, m.Type), w.Plot != nil && *w.Plot != m.Zone:
+	case !jobs.Allowed(w, m.Type), w.Zone != nil && *w.Zone != m.Zone:
 		return false
 	case m.Spot:
-		return w.Windfall && !j.Service()
+		return w.Spot && !j.Service()
 	case j.Service():
 		return m.Role == Service
 	}
@@ -454,7 +454,7 @@
 // node (or all): least free room left, among those with the shortest wait for
 // the image.
 func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
-	w := d.Job.Record.Work
+	w := d.Job.Record.Spec
 	cand := in.Fleet.scratch[:0]
 	for _, p := range in.Fleet.pools {
 		if node != "" && p.Owner != node || !p.suits(d.Job) || !d.Job.Need.Fits(p.room) {
@@ -479,13 +479,13 @@
 		return nil
 	}
 	zones := map[string]int{}
-	if w.Apart || w.Together {
+	if w.SpreadZones || w.SameZone {
 		zones = in.Fleet.Zones(d.Job)
 		if zones[""] > 0 {
 			return nil
 		}
 	}
-	if !w.Together {
+	if !w.SameZone {
 		return greedy(d, tasks, cand, zones, "")
 	}
 	var best []*Machine
@@ -525,9 +525,9 @@
 func ApartCap(tasks int) int { return (tasks + 1) / 2 }
 
 func greedy(d *Demand, tasks []int, cand []candidate, zones map[string]int, only string) []*Machine {
-	w := d.Job.Record.Work
+	w := d.Job.Record.Spec
 	used := zones
-	if w.Apart {
+	if w.SpreadZones {
 		used = make(map[string]int, len(zones))
 		for z, n := range zones {
 			used[z] = n
@@ -540,7 +540,7 @@
 		// until it is full: one look through the others for each machine.
 		best := -1
 		for i := range cand {
-			if full[i] || only != "" && cand[i].m.Zone != only || w.Apart && used[cand[i].m.Zone] >= ApartCap(d.Job.Record.Tasks) {
+			if full[i] || only != "" && cand[i].m.Zone != only || w.SpreadZones && used[cand[i].m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 				continue
 			}
 			if best < 0 || cand[i].before(&cand[best]) {
@@ -553,7 +553,7 @@
 		m := cand[best].m
 		full[best] = true
 		for free, n := m.Free, 0; len(picks) < len(tasks) && n < m.slots() && d.Job.Need.Fits(free); free, n = free.Sub(d.Job.Need), n+1 {
-			if w.Apart {
+			if w.SpreadZones {
 				if used[m.Zone] >= ApartCap(d.Job.Record.Tasks) {
 					break
 				}
@@ -568,19 +568,19 @@
 // mayPreempt reports whether the protocol lets the job displace the resident.
 func (in *Input) mayPreempt(d *Demand, r Resident) bool {
 	j := d.Job
-	w, v := j.Record.Work, r.Job.Record.Work
+	w, v := j.Record.Spec, r.Job.Record.Spec
 	if v == nil {
 		return false
 	}
-	if j.Rank < r.Job.Rank {
+	if j.Priority < r.Job.Priority {
 		return true
 	}
 	if r.Job.Service() {
 		// A running service is worth more to people than a start in time.
 		return false
 	}
-	other := in.Teams[v.Crew]
-	return d.Pressed && v.Crew != w.Crew && in.guaranteed(j) && other != nil && !other.WithinGuarantee(other.Used)
+	other := in.Teams[v.Team]
+	return d.Pressed && v.Team != w.Team && in.guaranteed(j) && other != nil && !other.WithinGuarantee(other.Used)
 }
 
 // makeRoom reserves room that is being freed for one task, or stops the fewest
@@ -588,17 +588,17 @@
 func (in *Input) makeRoom(d *Demand, out *Output) bool {
 	var best *Machine
 	var victims []Resident
-	w := d.Job.Record.Work
+	w := d.Job.Record.Spec
 	var zones map[string]int
-	if w.Apart || w.Together {
+	if w.SpreadZones || w.SameZone {
 		zones = in.Fleet.Zones(d.Job)
 	}
 	scanned := false
 	for _, p := range in.Fleet.pools {
-		if !p.suits(d.Job) || !p.freeing && (d.Served || p.worst <= d.rank && !(d.Pressed && d.guaranteed)) {
+		if !p.suits(d.Job) || !p.freeing && (d.Served || p.worst <= d.priority && !(d.Pressed && d.guaranteed)) {
 			continue // nothing there is being stopped, or may be
 		}
-		if w.Apart && zones[p.Zone] >= ApartCap(d.Job.Record.Tasks) || w.Together && len(zones) > 0 && zones[p.Zone] == 0 {
+		if w.SpreadZones && zones[p.Zone] >= ApartCap(d.Job.Record.Tasks) || w.SameZone && len(zones) > 0 && zones[p.Zone] == 0 {
 			// Guards against stopping tasks for room that the job may not use:
 			// they came back to it and were stopped again, every few seconds.
 			continue
@@ -645,7 +645,7 @@
 }
 
 // victims is the shortest list of tasks whose stop makes room for a task of
-// the job, the lowest rank and the youngest first; nil if there is none.
+// the job, the lowest priority and the youngest first; nil if there is none.
 func (in *Input) victims(d *Demand, m *Machine, room jobs.Resources) []Resident {
 	var list []Resident
 	for _, r := range m.Tasks {
@@ -654,7 +654,7 @@
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
-		if ra, rb := list[a].Job.Rank, list[b].Job.Rank; ra != rb {
+		if ra, rb := list[a].Job.Priority, list[b].Job.Priority; ra != rb {
 			return ra > rb
 		}
 		return list[a].Job.Ready > list[b].Job.Ready
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -16,7 +16,7 @@
 
 // submission is a new job that waits for its durable write.
 type submission struct {
-	work   *wire.Work
+	work   *wire.JobSpec
 	rec    jobs.Record
 	before time.Time  // its user is answered by then
 	done   chan error // has room for the outcome
@@ -27,13 +27,13 @@
 var errAlone = errors.New("not stored with the others")
 
 // accept has a new job stored and answers 201 after the write.
-func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.Work, phase jobs.Phase) {
+func (n *Node) accept(c *fasthttp.RequestCtx, w *wire.JobSpec, phase jobs.Phase) {
 	begun := n.now()
 	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
 	defer stop()
 	s := &submission{work: w, before: time.Now().Add(tuning.DecisionWait), done: make(chan error, 1),
-		rec: jobs.Record{Phase: phase, At: n.now().UnixMilli(), Tasks: w.Shards,
-			Chunk: jobs.ChunkSize(n.limits.ValueKB), Work: w}}
+		rec: jobs.Record{Phase: phase, At: n.now().UnixMilli(), Tasks: w.Tasks,
+			Chunk: jobs.ChunkSize(n.limits.ValueKB), Spec: w}}
 	select {
 	case n.intake <- s:
 	default: // those whose users have been told to come back are still in it
@@ -51,11 +51,11 @@
 	}
 	switch {
 	case err == nil:
-		n.log.Debug("job accepted", "job", w.Ref, "class", w.Cohort, "tasks", w.Shards, "image", w.Bundle, "image_gb", w.ImageGB, "reckon_s", w.ReckonS, "due_s", due(w), "awaits", len(w.Awaits), "took", n.now().Sub(begun))
-		reply(c, 201, wire.Status{Ref: w.Ref, Phase: wire.PhaseQueued})
+		n.log.Debug("job accepted", "job", w.ID, "class", w.Class, "tasks", w.Tasks, "image", w.Image, "image_gb", w.ImageGB, "reckon_s", w.EstimateS, "due_s", due(w), "awaits", len(w.DependsOn), "took", n.now().Sub(begun))
+		reply(c, 201, wire.Status{ID: w.ID, State: wire.StateQueued})
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLost):
 		// A lost answer is settled by reading again.
-		n.resubmitted(c, w.Ref)
+		n.resubmitted(c, w.ID)
 	default:
 		n.later(c, 503, "the job can't be stored now")
 	}
@@ -100,11 +100,11 @@
 		// Whose user has been told to come back is left out.
 		if time.Now().Before(s.before) {
 			room -= jobs.IntakeBytes(s.work)
-			if len(group) > 0 && (room < 0 || refs[s.work.Ref]) {
+			if len(group) > 0 && (room < 0 || refs[s.work.ID]) {
 				return group, s
 			}
 			group = append(group, s)
-			refs[s.work.Ref] = true
+			refs[s.work.ID] = true
 		}
 		if len(group) == most {
 			return group, nil
@@ -119,7 +119,7 @@
 
 // storeOne stores a job's own record.
 func (n *Node) storeOne(ctx context.Context, s *submission) error {
-	key := jobs.JobKey(s.work.Ref)
+	key := jobs.JobKey(s.work.ID)
 	return n.storeNew(ctx, []wire.Guard{{Key: key}}, wire.Change{Set: key, V: wire.MustMarshal(s.rec)})
 }
 
@@ -134,8 +134,8 @@
 	v := jobs.IntakeRecord{Jobs: map[string]jobs.Record{}}
 	last := group[0].before
 	for _, s := range group {
-		guards = append(guards, wire.Guard{Key: jobs.JobKey(s.work.Ref)})
-		v.Jobs[s.work.Ref] = s.rec
+		guards = append(guards, wire.Guard{Key: jobs.JobKey(s.work.ID)})
+		v.Jobs[s.work.ID] = s.rec
 		if s.before.After(last) {
 			last = s.before
 		}
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -143,7 +143,7 @@
 		}
 		l.seenJobs[ref] = true
 		if !j.Service() {
-			if l.batch.Work == nil || l.batch.Work.Cohort == j.Record.Work.Cohort {
+			if l.batch.Work == nil || l.batch.Work.Class == j.Record.Spec.Class {
 				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
 				if l.batchSize == 0 {
 					l.batchSize = size
@@ -156,7 +156,7 @@
 			continue
 		}
 		for _, t := range n.types {
-			if jobs.Allowed(j.Record.Work, t.Label) {
+			if jobs.Allowed(j.Record.Spec, t.Label) {
 				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
 				l.control[t.Label].Arrive(now, j.Need.Share(tot)*float64(j.Record.Tasks))
 			}
@@ -220,7 +220,7 @@
 	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
 	for ref, k := range n.unmet {
 		j := n.table.Jobs[ref]
-		if j == nil || j.Record.Work == nil || !jobs.Allowed(j.Record.Work, t.Label) {
+		if j == nil || j.Record.Spec == nil || !jobs.Allowed(j.Record.Spec, t.Label) {
 			continue
 		}
 		for i := 0; !j.Service() && k > 0 && i < len(coming); {
@@ -233,7 +233,7 @@
 		}
 		all := 0
 		for label, c := range count {
-			if jobs.Allowed(j.Record.Work, label) {
+			if jobs.Allowed(j.Record.Spec, label) {
 				all += c
 			}
 		}
@@ -244,7 +244,7 @@
 		if j.Service() {
 			s.ServiceBooked += part
 		} else {
-			s.BatchWork += part * j.Record.Work.ReckonS
+			s.BatchWork += part * j.Record.Spec.EstimateS
 		}
 	}
 	return s
@@ -313,7 +313,7 @@
 			continue
 		}
 		to := place.Elsewhere(f, r.Job, r.ID.Task, victim.Name)
-		if to == nil || held && !to.Holds(r.Job.Record.Work.Bundle) {
+		if to == nil || held && !to.Holds(r.Job.Record.Spec.Image) {
 			return false
 		}
 		to.Free = to.Free.Sub(r.Job.Need)
@@ -379,7 +379,7 @@
 			u.Idle = now.Sub(at)
 		}
 		for _, r := range m.Tasks {
-			wk := r.Job.Record.Work
+			wk := r.Job.Record.Spec
 			if wk == nil || r.Job.Phase != jobs.Open {
 				continue
 			}
@@ -387,10 +387,10 @@
 				service.Tasks++
 				service.Need, service.Work = r.Job.Need, wk
 			} else {
-				h := held[wk.Cohort]
+				h := held[wk.Class]
 				if h == nil {
 					h = &heldBatch{}
-					held[wk.Cohort] = h
+					held[wk.Class] = h
 				}
 				h.add(r.Job, m.Total)
 			}
@@ -487,7 +487,7 @@
 			// The headroom is for what will run too.
 			in.Service.Tasks += float64(n.unmet[ref])
 			in.Service.Wait += float64(n.unmet[ref])
-			in.Service.Need, in.Service.Work = j.Need, j.Record.Work
+			in.Service.Need, in.Service.Work = j.Need, j.Record.Spec
 		}
 		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
 	}
@@ -502,7 +502,7 @@
 	arrays, tasks := 0, 0.0
 	for _, list := range []map[string]*jobs.Job{n.table.Open, n.table.Waiting} {
 		for _, j := range list {
-			if j.Service() || j.Record.Work.Windfall {
+			if j.Service() || j.Record.Spec.Spot {
 				continue
 			}
 			arrays++
@@ -513,7 +513,7 @@
 		}
 	}
 	if typical != nil {
-		l.plain = fleet.Load{Need: typical.Need, Work: typical.Record.Work, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
+		l.plain = fleet.Load{Need: typical.Need, Work: typical.Record.Spec, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
 		l.plainSeen = now
 	} else if now.Sub(l.plainSeen) > tuning.BatchHeadroomHold {
 		l.plain = fleet.Load{}
@@ -543,16 +543,16 @@
 func (l *leading) typicalBatch(held map[string]*heldBatch) float64 {
 	var most *heldBatch
 	all, class := 0.0, ""
-	for cohort, h := range held {
+	for name, h := range held {
 		all += h.share
-		if most == nil || h.share > most.share || h.share == most.share && cohort < class {
-			most, class = h, cohort
+		if most == nil || h.share > most.share || h.share == most.share && name < class {
+			most, class = h, name
 		}
 	}
 	if most == nil || most.share == 0 {
 		return 0
 	}
-	l.batch.Need, l.batch.Work = most.job.Need, most.job.Record.Work
+	l.batch.Need, l.batch.Work = most.job.Need, most.job.Record.Spec
 	return all * most.tasks / most.share
 }
 
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -278,7 +278,7 @@
 type haste int
 
 const (
-	endsJob   haste = iota // the job is over: its user and what awaits it wait for that
+	endsJob   haste = iota // the job is over: its user and what depends on it wait for that
 	wanted                 // a task waits for a new start, or this node's part of the job is over
 	freesRoom              // the rest
 )
@@ -521,7 +521,7 @@
 		g.claims = append(g.claims, c)
 	}
 	for _, g := range groups {
-		j, team := g.job, g.job.Record.Work.Crew
+		j, team := g.job, g.job.Record.Spec.Team
 		if *most < 1 {
 			break
 		}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -232,7 +232,7 @@
 }
 
 func (n *Node) poll(c *fasthttp.RequestCtx, ref string) {
-	if !wire.ValidRef(ref) {
+	if !wire.ValidJobID(ref) {
 		refuse(c, 404, "no such job")
 		return
 	}
@@ -252,7 +252,7 @@
 	var p struct {
 		Ref string `cbor:"ref"`
 	}
-	if wire.Unmarshal(body, &p) != nil || !wire.ValidRef(p.Ref) {
+	if wire.Unmarshal(body, &p) != nil || !wire.ValidJobID(p.Ref) {
 		return ""
 	}
 	return p.Ref
@@ -268,7 +268,7 @@
 			return
 		}
 	}
-	w, err := wire.DecodeWork(body)
+	w, err := wire.DecodeJobSpec(body)
 	status := 400
 	if err == nil && jobs.IntakeBytes(&w) > n.groupLimit() {
 		status, err = 422, errors.New("the job's description is larger than the state service can hold")
@@ -281,7 +281,7 @@
 			n.later(c, 503, "machine types are not known yet")
 			return
 		}
-		team, ok := n.set.Team(w.Crew)
+		team, ok := n.set.Team(w.Team)
 		status = 422
 		err = jobs.Check(&w, jobs.Limits{CPUsMax: team.CPUsMax, GPUsMax: team.GPUsMax}, ok, types,
 			jobs.ChunkSize(n.limits.ValueKB))
@@ -306,9 +306,9 @@
 		return
 	}
 	phase := jobs.Open
-	if len(w.Awaits) > 0 {
+	if len(w.DependsOn) > 0 {
 		var answered bool
-		if phase, answered = n.awaited(c, &w); answered {
+		if phase, answered = n.checkDependencies(c, &w); answered {
 			return
 		}
 	}
@@ -322,24 +322,24 @@
 	n.accept(c, &w, phase)
 }
 
-// awaited decides whether a submission may await the jobs that it names, and
+// checkDependencies decides whether a submission may depend on the jobs that it names, and
 // the phase in which it is stored. What it can't take is answered here.
-func (n *Node) awaited(c *fasthttp.RequestCtx, w *wire.Work) (phase jobs.Phase, answered bool) {
-	slices.Sort(w.Awaits)
-	w.Awaits = slices.Compact(w.Awaits)
+func (n *Node) checkDependencies(c *fasthttp.RequestCtx, w *wire.JobSpec) (phase jobs.Phase, answered bool) {
+	slices.Sort(w.DependsOn)
+	w.DependsOn = slices.Compact(w.DependsOn)
 	// Whether they were accepted is known behind a read that was sent now;
 	// it also tells whether another node has taken this one.
-	if _, known, err := n.fresh(w.Ref); err != nil {
+	if _, known, err := n.fresh(w.ID); err != nil {
 		n.later(c, 503, "the state service can't be read")
 		return "", true
 	} else if known {
-		n.resubmitted(c, w.Ref)
+		n.resubmitted(c, w.ID)
 		return "", true
 	}
 	n.mu.Lock()
 	all := n.pipelines()
 	done := true
-	err := jobs.CheckAwaits(w, func(ref string) (known, service bool) {
+	err := jobs.CheckDependencies(w, func(ref string) (known, service bool) {
 		j := n.table.Jobs[ref]
 		if j == nil {
 			return false, false
@@ -373,7 +373,7 @@
 }
 
 func (n *Node) cancel(c *fasthttp.RequestCtx, ref string) {
-	if !wire.ValidRef(ref) {
+	if !wire.ValidJobID(ref) {
 		refuse(c, 404, "no such job")
 		return
 	}
@@ -394,7 +394,7 @@
 				refuse(c, 404, "no such job")
 				return
 			}
-			if fst.Phase == wire.PhaseDone || fst.Phase == wire.PhaseCancelled {
+			if fst.State == wire.StateDone || fst.State == wire.StateCancelled {
 				continue
 			}
 		}
@@ -421,9 +421,9 @@
 }
 
 // due is a job's deadline for the log, 0 if it has none.
-func due(w *wire.Work) float64 {
-	if w.DueS == nil {
+func due(w *wire.JobSpec) float64 {
+	if w.DeadlineS == nil {
 		return 0
 	}
-	return *w.DueS
+	return *w.DeadlineS
 }
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -113,7 +113,7 @@
 		if before[id] != s.Phase {
 			n.log.Debug("task changes", "task", id, "try", s.Try, "phase", s.Phase, "cause", s.Cause, "host", w.Host)
 		}
-		if j == nil || j.Record.Work == nil {
+		if j == nil || j.Record.Spec == nil {
 			continue
 		}
 		switch s.Phase {
@@ -121,8 +121,8 @@
 			if before[id] != s.Phase {
 				// Once a start. Guards against an order of use that changes with
 				// each report: siblings were told of every machine all the time.
-				n.imageGB[j.Record.Work.Bundle] = j.Record.Work.ImageGB
-				w.NoteImage(j.Record.Work.Bundle, n.imageSize, n.rigs[w.Rig].LocalGB)
+				n.imageGB[j.Record.Spec.Image] = j.Record.Spec.ImageGB
+				w.NoteImage(j.Record.Spec.Image, n.imageSize, n.rigs[w.Rig].LocalGB)
 			}
 		case wire.ShardExited:
 			switch s.Cause {
@@ -139,7 +139,7 @@
 		// The cloud takes the machine: what can't end in time starts elsewhere.
 		left := time.Duration(float64(w.TakenAt.Sub(now)) * tuning.WarningKillFactor)
 		for id, j := range n.table.Hosts[w.Host] {
-			if wk := j.Record.Work; wk != nil && (j.Service() || wk.ReckonS > left.Seconds()) {
+			if wk := j.Record.Spec; wk != nil && (j.Service() || wk.EstimateS > left.Seconds()) {
 				w.Stop(id)
 			}
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -161,7 +161,7 @@
 	// PassPauseMax bounds that rest.
 	PassPauseMax = 400 * time.Millisecond
 	// AgedAfter is how long a job waits without any task begun before nothing
-	// of its rank goes before it: half of the four minutes that users grant.
+	// of its priority goes before it: half of the four minutes that users grant.
 	AgedAfter = 100 * time.Second
 	// GuaranteePreemptAfter is how long work within a guarantee waits before
 	// another team's borrowed work is stopped for it: by then the cloud has had
@@ -171,7 +171,7 @@
 	// before it stops more for it: a stop, its report and the next claim.
 	PreemptPause = 8 * time.Second
 	// StepGap is what passes between the end of a job and the first start of
-	// one that awaits it: the end is stored, seen, placed, claimed and started.
+	// one that depends on it: the end is stored, seen, placed, claimed and started.
 	StepGap = 3 * time.Second
 	// TasksPerMachine bounds the tasks of a machine, and the commands of an
 	// answer to it: a report of twice as many, exited ones among them, holds
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -20,8 +20,8 @@
 // MaxBody is the largest request or response body in bytes, as JSON.
 const MaxBody = 64 << 10
 
-// MaxShards is the largest number of tasks of one job.
-const MaxShards = 100_000
+// MaxTasks is the largest number of tasks of one job.
+const MaxTasks = 100_000
 
 // ContentType is sent with every body.
 const ContentType = "application/cbor"
@@ -63,32 +63,32 @@
 // Unmarshal decodes one CBOR value into v and refuses trailing bytes.
 func Unmarshal(b []byte, v any) error { return dec.Unmarshal(b, v) }
 
-// Job shapes.
+// Kinds of jobs.
 const (
-	ShapeArray    = "array"
-	ShapeStanding = "standing"
-	// ShapeGang is an array whose tasks only run all at once. The protocol's
+	KindArray   = "array"
+	KindService = "standing"
+	// KindGang is an array whose tasks only run all at once. The protocol's
 	// text does not describe it; see docs/questions.md.
-	ShapeGang = "gang"
+	KindGang = "gang"
 )
 
-// Job ranks, highest first.
+// Priorities of jobs, highest first.
 const (
-	RankCritical = "critical"
-	RankUrgent   = "urgent"
-	RankNormal   = "normal"
-	RankLow      = "low"
+	PriorityCritical = "critical"
+	PriorityUrgent   = "urgent"
+	PriorityNormal   = "normal"
+	PriorityLow      = "low"
 )
 
-// Job phases.
+// States of jobs.
 const (
-	PhaseQueued    = "queued"
-	PhaseRunning   = "running"
-	PhaseDone      = "done"
-	PhaseCancelled = "cancelled"
+	StateQueued    = "queued"
+	StateRunning   = "running"
+	StateDone      = "done"
+	StateCancelled = "cancelled"
 )
 
-// Shard phases in reports (PhaseRunning is shared with jobs).
+// Shard phases in reports (StateRunning is shared with jobs).
 const (
 	ShardPulling  = "pulling"
 	ShardRunning  = "running"
@@ -120,55 +120,56 @@
 	HostFailed   = "failed"
 )
 
-// Work is the body of POST /work.
-type Work struct {
-	Ref      string   `cbor:"ref"`
-	Cohort   string   `cbor:"cohort"`
-	Crew     string   `cbor:"crew"`
-	Shape    string   `cbor:"shape"`
-	Rank     string   `cbor:"rank"`
-	Shards   int      `cbor:"shards"`
-	CPUs     float64  `cbor:"cpus"`
-	Cards    float64  `cbor:"cards"`
-	RAMGB    float64  `cbor:"ram_gb"`
-	Bundle   string   `cbor:"bundle"`
-	ImageGB  float64  `cbor:"image_gb"`
-	Rigs     []string `cbor:"rigs"`
-	Plot     *string  `cbor:"plot"`
-	Together bool     `cbor:"together"`
-	Apart    bool     `cbor:"apart"`
-	Windfall bool     `cbor:"windfall"`
-	ReckonS  float64  `cbor:"reckon_s"`
-	StakeS   float64  `cbor:"stake_s"`
-	StashS   float64  `cbor:"stash_s"`
-	DueS     *float64 `cbor:"due_s"`
-	// Awaits names the jobs that have to be done before any task starts;
+// JobSpec describes a job: the body of POST /work. Its JSON form is what the
+// state service counts.
+type JobSpec struct {
+	ID           string   `cbor:"ref" json:"ref"`
+	Class        string   `cbor:"cohort" json:"cohort"`
+	Team         string   `cbor:"crew" json:"crew"`
+	Kind         string   `cbor:"shape" json:"shape"`
+	Priority     string   `cbor:"rank" json:"rank"`
+	Tasks        int      `cbor:"shards" json:"shards"`
+	CPUs         float64  `cbor:"cpus" json:"cpus"`
+	GPUs         float64  `cbor:"cards" json:"cards"`
+	RAMGB        float64  `cbor:"ram_gb" json:"ram_gb"`
+	Image        string   `cbor:"bundle" json:"bundle"`
+	ImageGB      float64  `cbor:"image_gb" json:"image_gb"`
+	MachineTypes []string `cbor:"rigs" json:"rigs"`
+	Zone         *string  `cbor:"plot" json:"plot"`
+	SameZone     bool     `cbor:"together" json:"together"`
+	SpreadZones  bool     `cbor:"apart" json:"apart"`
+	Spot         bool     `cbor:"windfall" json:"windfall"`
+	EstimateS    float64  `cbor:"reckon_s" json:"reckon_s"`
+	CheckpointS  float64  `cbor:"stake_s" json:"stake_s"`
+	SaveS        float64  `cbor:"stash_s" json:"stash_s"`
+	DeadlineS    *float64 `cbor:"due_s" json:"due_s"`
+	// DependsOn names the jobs that have to be done before any task starts;
 	// absent or null: none.
-	Awaits []string `cbor:"awaits,omitempty"`
+	DependsOn []string `cbor:"awaits,omitempty" json:"awaits"`
 }
 
-// requiredWork lists the fields that a submission must carry; rigs, plot, due_s
+// requiredFields lists the keys that a submission must carry; rigs, plot, due_s
 // and awaits may be null and so may be absent.
-var requiredWork = []string{
+var requiredFields = []string{
 	"ref", "cohort", "crew", "shape", "rank", "shards", "cpus", "cards", "ram_gb",
 	"bundle", "image_gb", "together", "apart", "windfall", "reckon_s", "stake_s", "stash_s",
 }
 
-var refPattern = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+var jobIDPattern = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
 
-// ValidRef reports whether s has the form of a job id.
-func ValidRef(s string) bool { return refPattern.MatchString(s) }
+// ValidJobID reports whether s has the form of a job id.
+func ValidJobID(s string) bool { return jobIDPattern.MatchString(s) }
 
-// ErrMalformed is the kind of every error of DecodeWork.
+// ErrMalformed is the kind of every error of DecodeJobSpec.
 var ErrMalformed = errors.New("malformed")
 
 func malformed(format string, a ...any) error {
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, a...))
 }
 
-// DecodeWork decodes and checks the body of POST /work.
-func DecodeWork(b []byte) (Work, error) {
-	var w Work
+// DecodeJobSpec decodes and checks the body of POST /work.
+func DecodeJobSpec(b []byte) (JobSpec, error) {
+	var w JobSpec
 	if len(b) > MaxBody {
 		return w, malformed("body over %d bytes", MaxBody)
 	}
@@ -176,7 +177,7 @@
 	if err := Unmarshal(b, &fields); err != nil || fields == nil {
 		return w, malformed("not a CBOR map")
 	}
-	for _, f := range requiredWork {
+	for _, f := range requiredFields {
 		if v, ok := fields[f]; !ok || len(v) == 1 && v[0] >= 0xf6 {
 			return w, malformed("%s is missing", f)
 		}
@@ -192,43 +193,43 @@
 	return w, w.check()
 }
 
-func (w *Work) check() error {
+func (w *JobSpec) check() error {
 	switch {
-	case !ValidRef(w.Ref):
-		return malformed("ref %q is not a job id", w.Ref)
-	case w.Cohort == "" || len(w.Cohort) > 200:
+	case !ValidJobID(w.ID):
+		return malformed("ref %q is not a job id", w.ID)
+	case w.Class == "" || len(w.Class) > 200:
 		return malformed("cohort is invalid")
-	case w.Crew == "" || len(w.Crew) > 100:
+	case w.Team == "" || len(w.Team) > 100:
 		return malformed("crew is invalid")
-	case w.Shape != ShapeArray && w.Shape != ShapeStanding && w.Shape != ShapeGang:
-		return malformed("shape %q is unknown", w.Shape)
-	case w.Rank != RankCritical && w.Rank != RankUrgent && w.Rank != RankNormal && w.Rank != RankLow:
-		return malformed("rank %q is unknown", w.Rank)
-	case w.Shards < 1 || w.Shards > MaxShards:
-		return malformed("shards %d is out of range", w.Shards)
-	case w.Bundle == "" || len(w.Bundle) > 200:
+	case w.Kind != KindArray && w.Kind != KindService && w.Kind != KindGang:
+		return malformed("shape %q is unknown", w.Kind)
+	case w.Priority != PriorityCritical && w.Priority != PriorityUrgent && w.Priority != PriorityNormal && w.Priority != PriorityLow:
+		return malformed("rank %q is unknown", w.Priority)
+	case w.Tasks < 1 || w.Tasks > MaxTasks:
+		return malformed("shards %d is out of range", w.Tasks)
+	case w.Image == "" || len(w.Image) > 200:
 		return malformed("bundle is invalid")
-	case len(w.Rigs) > 32:
+	case len(w.MachineTypes) > 32:
 		return malformed("rigs names too many types")
 	}
-	for _, r := range w.Rigs {
+	for _, r := range w.MachineTypes {
 		if r == "" || len(r) > 100 {
 			return malformed("rigs is invalid")
 		}
 	}
-	if w.Plot != nil && (*w.Plot == "" || len(*w.Plot) > 100) {
+	if w.Zone != nil && (*w.Zone == "" || len(*w.Zone) > 100) {
 		return malformed("plot is invalid")
 	}
 	for _, a := range []struct {
 		name string
 		v    float64
-	}{{"cpus", w.CPUs}, {"cards", w.Cards}, {"ram_gb", w.RAMGB}, {"image_gb", w.ImageGB},
-		{"reckon_s", w.ReckonS}, {"stake_s", w.StakeS}, {"stash_s", w.StashS}} {
+	}{{"cpus", w.CPUs}, {"cards", w.GPUs}, {"ram_gb", w.RAMGB}, {"image_gb", w.ImageGB},
+		{"reckon_s", w.EstimateS}, {"stake_s", w.CheckpointS}, {"stash_s", w.SaveS}} {
 		if !(a.v >= 0) || math.IsInf(a.v, 0) || a.v > 1e9 {
 			return malformed("%s is out of range", a.name)
 		}
 	}
-	if w.DueS != nil && (!(*w.DueS >= 0) || *w.DueS > 1e9) {
+	if w.DeadlineS != nil && (!(*w.DeadlineS >= 0) || *w.DeadlineS > 1e9) {
 		return malformed("due_s is out of range")
 	}
 	return nil
@@ -236,8 +237,8 @@
 
 // Status answers a submission, a poll or a cancellation.
 type Status struct {
-	Ref     string `cbor:"ref"`
-	Phase   string `cbor:"phase"`
+	ID      string `cbor:"ref"`
+	State   string `cbor:"phase"`
 	Done    int    `cbor:"done"`
 	Running int    `cbor:"running"`
 }
