--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -17,11 +17,11 @@
 
 // States of a worker's session, as its owner sees it.
 const (
-	// Unproven: no report of the current session has shown our baton yet; a
+	// Unproven: no report of the current session has shown our token yet; a
 	// former owner's commands may still be under way.
 	Unproven SessionState = "unproven"
-	// Proven: a report of the current session has shown our baton, so that all
-	// commands under lower batons are dead. It stays proven under the batons
+	// Proven: a report of the current session has shown our token, so that all
+	// commands under lower tokens are dead. It stays proven under the tokens
 	// after it for as long as each membership gives the machine to this node.
 	Proven SessionState = "proven"
 	// Expired: the worker's lease has surely ended; everything in the session
@@ -34,22 +34,22 @@
 
 // Events of a worker's session.
 const (
-	BatonRaised SessionEvent = "baton raised" // our membership has changed, and another node may have owned the machine
-	BatonShown  SessionEvent = "baton shown"  // a newer report shows our baton
-	NewStint    SessionEvent = "new stint"
+	TokenRaised SessionEvent = "token raised" // our membership has changed, and another node may have owned the machine
+	TokenShown  SessionEvent = "token shown"  // a newer report shows our token
+	NewSession  SessionEvent = "new session"
 	LeaseEnded  SessionEvent = "lease ended"
 )
 
 // Next is the one function that changes a worker session's state.
 func (s SessionState) Next(e SessionEvent) SessionState {
 	switch {
-	case e == NewStint:
+	case e == NewSession:
 		return Unproven
 	case s == Expired:
-		return Expired // only a new stint leaves it
-	case e == BatonRaised:
+		return Expired // only a new session leaves it
+	case e == TokenRaised:
 		return Unproven
-	case e == BatonShown:
+	case e == TokenShown:
 		return Proven
 	case e == LeaseEnded && s == Proven:
 		return Expired
@@ -59,8 +59,8 @@
 
 // Attempt is one try of a task.
 type Attempt struct {
-	ID  jobs.ID
-	Try uint64
+	ID     jobs.ID
+	Number uint64
 }
 
 // sentStart is a direct start under a token.
@@ -71,23 +71,23 @@
 
 // Worker is the owner's view of one machine's worker.
 type Worker struct {
-	Host     string
-	Address  string
-	Rig      string
-	Plot     string
-	Spot     bool
-	State    SessionState
-	Stint    uint64
-	Tally    uint64 // of the newest message
-	Reported uint64 // of the newest report; answers to direct calls come between
-	Baton    uint64 // highest that the worker has shown
-	Shards   map[jobs.ID]wire.Shard
-	Heard    time.Time        // arrival of the last message
-	First    time.Time        // arrival of the first message
-	Answered time.Time        // arrival of the last report that we answered with 200
-	ProvenAt time.Time        // arrival of the message that proved the session
-	TakenAt  time.Time        // when the cloud takes the machine; zero: no notice
-	Stopping map[jobs.ID]bool // tasks that we want off this machine
+	Host        string
+	Address     string
+	MachineType string
+	Zone        string
+	Spot        bool
+	State       SessionState
+	Session     uint64
+	Sequence    uint64 // of the newest message
+	Reported    uint64 // of the newest report; answers to direct calls come between
+	ShownToken  uint64 // highest that the worker has shown
+	Tasks       map[jobs.ID]wire.TaskReport
+	Heard       time.Time        // arrival of the last message
+	First       time.Time        // arrival of the first message
+	Answered    time.Time        // arrival of the last report that we answered with 200
+	ProvenAt    time.Time        // arrival of the message that proved the session
+	TakenAt     time.Time        // when the cloud takes the machine; zero: no notice
+	Stopping    map[jobs.ID]bool // tasks that we want off this machine
 
 	// Token of our commands to this worker; the membership's, or above it once
 	// starts had to be made void (Void).
@@ -96,56 +96,56 @@
 	// token that they carry. They may yet be carried out.
 	unanswered map[sentStart]int
 	// Starts of this session that are over, by the message that shows what came
-	// of them: any report with a larger tally.
+	// of them: any report with a larger sequence.
 	started map[Attempt]uint64
 
 	// Commands in answers to reports that no report has shown as carried out,
 	// by when the first of those answers went.
-	told map[Command]time.Time
-
-	Images  []string              // seen here, newest last
-	Errors  map[string]bool       // jobs whose tasks failed here since the last success
-	Refused time.Time             // last refusal for want of room
-	Sent    map[Command]time.Time // direct starts and kills, by when
-	Called  time.Time             // last direct call
-	Calling bool                  // a direct call is under way
-	Mute    bool                  // it reports, but nothing that it is told shows
-	Quiet   bool                  // nothing has changed since it last had no orders to send
+	told map[CommandKey]time.Time
+
+	Images  []string                 // seen here, newest last
+	Errors  map[string]bool          // jobs whose tasks failed here since the last success
+	Refused time.Time                // last refusal for want of room
+	Sent    map[CommandKey]time.Time // direct starts and kills, by when
+	Called  time.Time                // last direct call
+	Calling bool                     // a direct call is under way
+	Mute    bool                     // it reports, but nothing that it is told shows
+	Quiet   bool                     // nothing has changed since it last had no commands to send
 }
 
-// Command is one command about one attempt. A report must show its effect to
+// CommandKey is one command about one attempt. A report must show its effect to
 // prove that it was carried out.
-type Command struct{ verb, shard string }
+type CommandKey struct{ verb, task string }
 
-// CommandOf names an order's command.
-func CommandOf(o wire.Order) Command {
-	return Command{o.Verb, o.Shard + "#" + strconv.FormatUint(o.Try, 10)}
+// KeyOf returns the key of a command.
+func KeyOf(o wire.Command) CommandKey {
+	return CommandKey{o.Verb, o.Task + "#" + strconv.FormatUint(o.Attempt, 10)}
 }
 
 // Copy reports whether a report is a late copy of one that this node has seen,
 // or older: the network may deliver such copies minutes late. It guards against
 // a dead machine that looks alive and a lease that seems renewed.
-func (w *Worker) Copy(r *wire.Checkin) bool {
-	return r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Reported
+func (w *Worker) Copy(r *wire.Report) bool {
+	return r.Session < w.Session || r.Session == w.Session && r.Sequence <= w.Reported
 }
 
 // Answer notes that a report was answered with 200 and these commands. A
 // command that is due again and again is not heard: the machine's reports get
 // through to us and our answers not to it.
-func (w *Worker) Answer(r *wire.Checkin, orders []wire.Order, now time.Time) {
-	w.Answered, w.Reported = now, r.Tally
-	for a, tally := range w.started {
-		if tally < r.Tally {
+func (w *Worker) Answer(r *wire.Report, commands []wire.Command, now time.Time) {
+	w.Answered, w.Reported = now, r.Sequence
+	for a, sequence := range w.started {
+		if sequence < r.Sequence {
 			delete(w.started, a) // this report shows what came of it
 		}
 	}
-	for _, a := range Starts(orders) {
-		w.started[a] = max(w.started[a], r.Tally)
+	for _, a := range Starts(commands) {
+		w.started[a] = max(w.started[a], r.Sequence)
 	}
-	told := make(map[Command]time.Time, len(orders))
+	told := make(map[CommandKey]time.Time, len(commands))
 	late := false
-	for _, o := range orders {
-		c := CommandOf(o)
+	for _, o := range commands {
+		c := KeyOf(o)
 		at, before := w.told[c]
 		if !before {
 			at = now
@@ -170,31 +170,31 @@
 
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
-	return &Worker{Host: host, State: Unproven, Shards: map[jobs.ID]wire.Shard{}, Stopping: map[jobs.ID]bool{},
-		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[Command]time.Time{}}
+	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.ID]wire.TaskReport{}, Stopping: map[jobs.ID]bool{},
+		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[CommandKey]time.Time{}}
 }
 
-// RaiseBaton notes that our membership has changed, and that another node may
+// RaiseToken notes that our membership has changed, and that another node may
 // have owned the machine meanwhile.
-func (w *Worker) RaiseBaton() { w.State, w.Quiet = w.State.Next(BatonRaised), false }
+func (w *Worker) RaiseToken() { w.State, w.Quiet = w.State.Next(TokenRaised), false }
 
 // Stop notes that a task is wanted off the machine.
 func (w *Worker) Stop(id jobs.ID) { w.Stopping[id], w.Quiet = true, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
-// baton is the one of our membership; a worker that has shown it or one that
+// token is the one of our membership; a worker that has shown it or one that
 // stands above it for this worker alone (Void) has heard us.
-func (w *Worker) Observe(r *wire.Checkin, baton uint64, now time.Time) bool {
+func (w *Worker) Observe(r *wire.Report, token uint64, now time.Time) bool {
 	if w.First.IsZero() {
 		w.First = now
 	}
-	if r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Tally {
+	if r.Session < w.Session || r.Session == w.Session && r.Sequence <= w.Sequence {
 		return false
 	}
-	if r.Stint > w.Stint {
+	if r.Session > w.Session {
 		// Guards against taking an old session's proof for the new one's, and
 		// against waiting for starts that the worker now refuses.
-		w.State = w.State.Next(NewStint)
+		w.State = w.State.Next(NewSession)
 		clear(w.unanswered)
 		clear(w.started)
 		clear(w.Sent)
@@ -202,13 +202,13 @@
 		clear(w.told)
 		w.Reported = 0
 	}
-	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
-	w.Stint, w.Tally, w.Heard, w.Quiet = r.Stint, r.Tally, now, false
-	w.Baton = max(w.Baton, r.Baton)
-	w.Token = max(w.Token, baton)
-	if baton > 0 && r.Baton >= baton {
+	w.Host, w.Address, w.MachineType, w.Zone, w.Spot = r.Host, r.Address, r.MachineType, r.Zone, r.Spot
+	w.Session, w.Sequence, w.Heard, w.Quiet = r.Session, r.Sequence, now, false
+	w.ShownToken = max(w.ShownToken, r.Token)
+	w.Token = max(w.Token, token)
+	if token > 0 && r.Token >= token {
 		if w.State == Unproven {
-			w.State = w.State.Next(BatonShown)
+			w.State = w.State.Next(TokenShown)
 			w.ProvenAt = now
 		}
 	}
@@ -216,28 +216,28 @@
 	// and this message shows what came of them. Those under the same are not:
 	// one sent before the proof may still be held somewhere.
 	for k := range w.unanswered {
-		if k.token < r.Baton {
+		if k.token < r.Token {
 			delete(w.unanswered, k)
 		}
 	}
-	if r.WarningS == nil {
+	if r.NoticeS == nil {
 		w.TakenAt = time.Time{}
 	} else {
-		w.TakenAt = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+		w.TakenAt = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	}
-	clear(w.Shards)
-	for _, s := range r.Shards {
-		ref, n, ok := jobs.ParseShard(s.Shard)
+	clear(w.Tasks)
+	for _, s := range r.Tasks {
+		ref, n, ok := jobs.ParseTaskName(s.Task)
 		if !ok {
 			continue
 		}
 		id := jobs.ID{Ref: ref, Task: n}
 		// The task may be listed with an older, exited attempt too: the newest
 		// attempt counts, and an older one is still to be reaped.
-		if old, dup := w.Shards[id]; dup && old.Try > s.Try {
+		if old, dup := w.Tasks[id]; dup && old.Attempt > s.Attempt {
 			continue
 		}
-		w.Shards[id] = s
+		w.Tasks[id] = s
 	}
 	return true
 }
@@ -255,8 +255,8 @@
 
 // Leaves reports whether a claimed task is on its way off the machine.
 func (w *Worker) Leaves(id jobs.ID) bool {
-	s, on := w.Shards[id]
-	return w.Stopping[id] || on && s.Phase == wire.ShardExited
+	s, on := w.Tasks[id]
+	return w.Stopping[id] || on && s.State == wire.TaskExited
 }
 
 // StartSent notes direct starts that are about to be sent.
@@ -267,15 +267,15 @@
 }
 
 // StartAnswered notes that a direct call with these starts was answered by a
-// report with this session and tally.
-func (w *Worker) StartAnswered(starts []Attempt, token, stint, tally uint64) {
+// report with this session and sequence.
+func (w *Worker) StartAnswered(starts []Attempt, token, session, sequence uint64) {
 	for _, a := range starts {
 		k := sentStart{a, token}
 		if w.unanswered[k]--; w.unanswered[k] <= 0 {
 			delete(w.unanswered, k)
 		}
-		if stint == w.Stint {
-			w.started[a] = max(w.started[a], tally)
+		if session == w.Session {
+			w.started[a] = max(w.started[a], sequence)
 		}
 	}
 }
@@ -297,8 +297,8 @@
 	}
 	var out []Attempt
 	for id, j := range claims {
-		a := Attempt{id, j.Live[id.Task].Try}
-		if s, on := w.Shards[id]; j.Phase == jobs.Cancelled && !(on && s.Try == a.Try) && w.mayStart(a) {
+		a := Attempt{id, j.Live[id.Task].Attempt}
+		if s, on := w.Tasks[id]; j.Phase == jobs.Cancelled && !(on && s.Attempt == a.Number) && w.mayStart(a) {
 			out = append(out, a)
 		}
 	}
@@ -365,7 +365,7 @@
 }
 
 // LeaseOver reports whether the session's lease has surely ended: the worker
-// showed our baton, so that only our answers renew it, and the last report
+// showed our token, so that only our answers renew it, and the last report
 // that we answered arrived too long ago. A report is sent before it arrives,
 // and the worker counts from the sending.
 func (w *Worker) LeaseOver(now time.Time, lease time.Duration) bool {
@@ -393,23 +393,23 @@
 	var out []Release
 	for id, j := range claims {
 		t := j.Live[id.Task]
-		switch s, on := w.Shards[id]; {
-		case over && t.Stint <= w.Stint:
+		switch s, on := w.Tasks[id]; {
+		case over && t.Session <= w.Session:
 			out = append(out, Release{id, jobs.Release, "lease ended"})
 		case w.State != Proven:
 			// A former owner's commands may still be under way.
-		case t.Stint < w.Stint:
+		case t.Session < w.Session:
 			out = append(out, Release{id, jobs.Release, "new session"})
-		case on && s.Try == t.Try && s.Phase == wire.ShardExited:
+		case on && s.Attempt == t.Attempt && s.State == wire.TaskExited:
 			kind := jobs.Release
-			switch s.Cause {
-			case wire.CauseDone:
+			switch s.ExitCause {
+			case wire.ExitCauseDone:
 				kind = jobs.Complete
-			case wire.CauseError, wire.CauseUnknown:
+			case wire.ExitCauseError, wire.ExitCauseUnknown:
 				kind = jobs.Fail
 			}
-			out = append(out, Release{id, kind, s.Cause})
-		case j.Phase == jobs.Cancelled && (!on || s.Try < t.Try) && w.neverRan(Attempt{id, t.Try}):
+			out = append(out, Release{id, kind, s.ExitCause})
+		case j.Phase == jobs.Cancelled && (!on || s.Attempt < t.Attempt) && w.neverRan(Attempt{id, t.Attempt}):
 			// Nobody starts a cancelled job's task any more. Guards against a
 			// claim that counted against its team, and filled its machine, for
 			// as long as the machine's session lasted.
@@ -425,22 +425,22 @@
 	return out
 }
 
-// Orders returns the commands that the stored claims call for. mayStart is
+// Commands returns the commands that the stored claims call for. mayStart is
 // false while the state service can't be read. Reaps in it may travel in
 // report responses only: a start in the response to an earlier report is then
 // surely over, while a direct reap could overtake it.
-func (w *Worker) Orders(claims map[jobs.ID]*jobs.Job, mayStart bool) []wire.Order {
+func (w *Worker) Commands(claims map[jobs.ID]*jobs.Job, mayStart bool) []wire.Command {
 	if w.State == Expired {
 		return nil
 	}
-	var out []wire.Order
-	ids := make([]jobs.ID, 0, len(claims)+len(w.Shards))
+	var out []wire.Command
+	ids := make([]jobs.ID, 0, len(claims)+len(w.Tasks))
 	for id := range claims {
-		if _, on := w.Shards[id]; !on {
+		if _, on := w.Tasks[id]; !on {
 			ids = append(ids, id)
 		}
 	}
-	for id := range w.Shards {
+	for id := range w.Tasks {
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(a, b int) bool {
@@ -459,49 +459,49 @@
 		if j != nil {
 			t = j.Live[id.Task]
 		}
-		s, on := w.Shards[id]
-		wanted := j != nil && t.Stint == w.Stint && j.Phase == jobs.Open
+		s, on := w.Tasks[id]
+		wanted := j != nil && t.Session == w.Session && j.Phase == jobs.Open
 		switch {
-		case wanted && (!on || s.Try < t.Try):
-			if on && s.Phase != wire.ShardExited {
-				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
-			} else if on && !w.mayStart(Attempt{id, s.Try}) && w.State == Proven {
-				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+		case wanted && (!on || s.Attempt < t.Attempt):
+			if on && s.State != wire.TaskExited {
+				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
+			} else if on && !w.mayStart(Attempt{id, s.Attempt}) && w.State == Proven {
+				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
 			}
 			if mayStart {
-				out = append(out, wire.Order{Verb: wire.VerbStart, Shard: id.String(), Try: t.Try})
+				out = append(out, wire.Command{Verb: wire.VerbStart, Task: id.String(), Attempt: t.Attempt})
 			}
 		case !on:
-		case s.Phase == wire.ShardExited:
+		case s.State == wire.TaskExited:
 			// Reap only once the release is stored: no claim names the attempt.
-			if (j == nil || t.Try != s.Try) && w.State == Proven && !w.mayStart(Attempt{id, s.Try}) {
-				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+			if (j == nil || t.Attempt != s.Attempt) && w.State == Proven && !w.mayStart(Attempt{id, s.Attempt}) {
+				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
 			}
-		case wanted && s.Try == t.Try:
-			if w.Stopping[id] && s.Phase != wire.ShardFlushing {
+		case wanted && s.Attempt == t.Attempt:
+			if w.Stopping[id] && s.State != wire.TaskFlushing {
 				leeway := 0.0
 				if w := j.Record.Spec; w != nil {
 					leeway = w.SaveS
 				}
-				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &leeway})
+				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &leeway})
 			}
 		default:
 			// No stored claim covers it, or its job is over.
-			out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
+			out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
 		}
 	}
 	return out
 }
 
-// Starts lists the attempts that a list of orders starts.
-func Starts(orders []wire.Order) []Attempt {
+// Starts lists the attempts that a list of commands starts.
+func Starts(commands []wire.Command) []Attempt {
 	var out []Attempt
-	for _, o := range orders {
+	for _, o := range commands {
 		if o.Verb != wire.VerbStart {
 			continue
 		}
-		if ref, n, ok := jobs.ParseShard(o.Shard); ok {
-			out = append(out, Attempt{jobs.ID{Ref: ref, Task: n}, o.Try})
+		if ref, n, ok := jobs.ParseTaskName(o.Task); ok {
+			out = append(out, Attempt{jobs.ID{Ref: ref, Task: n}, o.Attempt})
 		}
 	}
 	return out
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -59,9 +59,9 @@
 
 // TaskEvent changes a task's state.
 type TaskEvent struct {
-	Kind  TaskEventKind
-	Host  string // of a claim
-	Stint uint64 // of a claim
+	Kind    TaskEventKind
+	Host    string // of a claim
+	Session uint64 // of a claim
 }
 
 // TaskEventKind names the events of a task.
@@ -82,13 +82,13 @@
 func (t Task) Next(e TaskEvent) (Task, error) {
 	switch {
 	case t.State == Pending && e.Kind == Claim:
-		return Task{State: Claimed, Try: t.Try + 1, Host: e.Host, Stint: e.Stint, Errs: t.Errs}, nil
+		return Task{State: Claimed, Attempt: t.Attempt + 1, Host: e.Host, Session: e.Session, Errs: t.Errs}, nil
 	case t.State == Claimed && e.Kind == Complete:
-		return Task{State: Completed, Try: t.Try}, nil
+		return Task{State: Completed, Attempt: t.Attempt}, nil
 	case t.State == Claimed && e.Kind == Release:
-		return Task{State: Pending, Try: t.Try, Errs: t.Errs}, nil
+		return Task{State: Pending, Attempt: t.Attempt, Errs: t.Errs}, nil
 	case t.State == Claimed && e.Kind == Fail:
-		return Task{State: Pending, Try: t.Try, Errs: min(t.Errs+1, errsCap)}, nil
+		return Task{State: Pending, Attempt: t.Attempt, Errs: min(t.Errs+1, errsCap)}, nil
 	}
 	return t, fmt.Errorf("task: no %s in state %s", e.Kind, t.State)
 }
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -88,12 +88,12 @@
 
 // Task is the stored form of one task.
 type Task struct {
-	_     struct{} `cbor:",toarray"`
-	State State
-	Try   uint64
-	Host  string
-	Stint uint64
-	Errs  uint64
+	_       struct{} `cbor:",toarray"`
+	State   State
+	Attempt uint64
+	Host    string
+	Session uint64
+	Errs    uint64
 }
 
 // ChunkRecord is the stored form of a run of tasks.
@@ -105,7 +105,7 @@
 // a node's machines may hold of the team's claims. The grants never sum to
 // more than the limit, and a node's claims never to more than its grant.
 type TeamRecord struct {
-	Baton  uint64           `cbor:"b"`
+	Token  uint64           `cbor:"b"`
 	Frozen bool             `cbor:"f,omitempty"` // about to be shared out anew: nobody claims
 	Grants map[string]Grant `cbor:"g,omitempty"` // by node
 }
@@ -152,13 +152,13 @@
 func (c ChunkRecord) Bytes() int {
 	n := chunkBase
 	for _, t := range c.Tasks {
-		n += taskBase + len(t.Host) + digits(t.Try) + digits(t.Stint) + digits(t.Errs)
+		n += taskBase + len(t.Host) + digits(t.Attempt) + digits(t.Session) + digits(t.Errs)
 	}
 	return n
 }
 
 // ClaimBytes bounds what a claim adds to the JSON form of its chunk's record.
-func ClaimBytes(e TaskEvent) int { return len(e.Host) + digits(e.Stint) + 1 }
+func ClaimBytes(e TaskEvent) int { return len(e.Host) + digits(e.Session) + 1 }
 
 func digits(v uint64) int {
 	n := 1
@@ -177,11 +177,11 @@
 	return len(b)
 }
 
-// Shard names a task the way workers do.
-func Shard(ref string, task int) string { return ref + "/" + strconv.Itoa(task) }
+// TaskName names a task the way workers do.
+func TaskName(ref string, task int) string { return ref + "/" + strconv.Itoa(task) }
 
-// ParseShard splits a worker's task name.
-func ParseShard(s string) (ref string, task int, ok bool) {
+// ParseTaskName splits a worker's task name.
+func ParseTaskName(s string) (ref string, task int, ok bool) {
 	ref, t, ok := strings.Cut(s, "/")
 	if !ok {
 		return "", 0, false
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,9 +53,9 @@
 	Version string `cbor:"s,omitempty"` // of the program, for operators
 }
 
-// Record is the membership: who is entitled to act, and with which baton.
+// Record is the membership: who is entitled to act, and with which token.
 type Record struct {
-	Baton  uint64 `cbor:"b"`
+	Token  uint64 `cbor:"b"`
 	Leader Node   `cbor:"d"`
 	Nodes  []Node `cbor:"n"`
 	// Deaf members hear no worker and own no machines.
@@ -67,10 +67,10 @@
 }
 
 // Last is the highest token of the membership.
-func (r *Record) Last() uint64 { return r.Baton + max(r.Span, 1) - 1 }
+func (r *Record) Last() uint64 { return r.Token + max(r.Span, 1) - 1 }
 
 // Follows reports whether the membership is the one right after another.
-func (r *Record) Follows(last *Record) bool { return r.Baton == last.Last()+1 }
+func (r *Record) Follows(last *Record) bool { return r.Token == last.Last()+1 }
 
 func (r *Record) deaf(label string) bool {
 	for _, l := range r.Deaf {
@@ -198,7 +198,7 @@
 	if *v.Lead != v.Self {
 		return Action{}
 	}
-	want := Record{Baton: 1, Leader: v.Self}
+	want := Record{Token: 1, Leader: v.Self}
 	for _, n := range v.Sessions {
 		want.Nodes = append(want.Nodes, n)
 	}
@@ -215,7 +215,7 @@
 		if same(*v.Member, want) {
 			return Action{}
 		}
-		want.Baton = v.Member.Last() + 1
+		want.Token = v.Member.Last() + 1
 	}
 	if v.Spans {
 		want.Span = tuning.TokenSpan
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,11 +30,11 @@
 // Host is what a node tells about one of its machines.
 type Host struct {
 	Name    string
-	Stint   uint64
+	Session uint64
 	Age     time.Duration // since its last message, if silent
 	Silent  bool          // not heard for longer than its reports allow
 	Proven  bool
-	Warning time.Duration // negative: no notice
+	Notice  time.Duration // negative: no notice
 	Suspect bool
 	Images  []string
 }
@@ -43,7 +43,7 @@
 type Status struct {
 	Label       string
 	Incarnation uint64
-	Baton       uint64
+	Token       uint64
 	Epoch       uint64
 	HasState    bool
 	Want        uint32 // changes of the state service that wait for its budget
@@ -58,7 +58,7 @@
 }
 
 // Seen is the view that a node has of another node's machines.
-type Seen struct{ View, Baton, Incarnation uint64 }
+type Seen struct{ View, Token, Incarnation uint64 }
 
 // Encode returns the FlatBuffers form.
 func (s *Status) Encode() []byte {
@@ -73,11 +73,11 @@
 		vec := vector(b, images, fb.HostViewStartImagesVector)
 		fb.HostViewStart(b)
 		fb.HostViewAddName(b, name)
-		fb.HostViewAddStint(b, h.Stint)
+		fb.HostViewAddStint(b, h.Session)
 		fb.HostViewAddAgeMs(b, millis(h.Age))
 		fb.HostViewAddSilent(b, h.Silent)
 		fb.HostViewAddProven(b, h.Proven)
-		fb.HostViewAddWarningMs(b, millis(h.Warning))
+		fb.HostViewAddWarningMs(b, millis(h.Notice))
 		fb.HostViewAddSuspect(b, h.Suspect)
 		fb.HostViewAddImages(b, vec)
 		hosts[i] = fb.HostViewEnd(b)
@@ -87,14 +87,14 @@
 	fb.StatusStart(b)
 	fb.StatusAddLabel(b, label)
 	fb.StatusAddIncarnation(b, s.Incarnation)
-	fb.StatusAddBaton(b, s.Baton)
+	fb.StatusAddBaton(b, s.Token)
 	fb.StatusAddEpoch(b, s.Epoch)
 	fb.StatusAddHasState(b, s.HasState)
 	fb.StatusAddWant(b, s.Want)
 	fb.StatusAddView(b, s.View)
 	fb.StatusAddWhole(b, s.Whole)
 	fb.StatusAddSeen(b, s.Seen.View)
-	fb.StatusAddSeenBaton(b, s.Seen.Baton)
+	fb.StatusAddSeenBaton(b, s.Seen.Token)
 	fb.StatusAddSeenIncarnation(b, s.Seen.Incarnation)
 	fb.StatusAddHosts(b, vec)
 	fb.StatusAddCounts(b, s.Counts)
@@ -135,7 +135,7 @@
 		return s, ErrMalformed
 	}
 	f := fb.GetRootAsStatus(b, 0)
-	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
+	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
 		Counts: f.Counts(), Cancelled: f.Cancelled(), Want: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
@@ -143,8 +143,8 @@
 	for i := range f.HostsLength() {
 		var h fb.HostView
 		f.Hosts(&h, i)
-		v := Host{Name: string(h.Name()), Stint: h.Stint(), Age: span(h.AgeMs()), Silent: h.Silent(), Proven: h.Proven(),
-			Warning: span(h.WarningMs()), Suspect: h.Suspect()}
+		v := Host{Name: string(h.Name()), Session: h.Stint(), Age: span(h.AgeMs()), Silent: h.Silent(), Proven: h.Proven(),
+			Notice: span(h.WarningMs()), Suspect: h.Suspect()}
 		if h.ImagesLength() > len(b)/4 {
 			return Status{}, ErrMalformed
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -38,7 +38,7 @@
 	Spot                    bool
 	Role                    Role
 	Open                    bool // takes new tasks
-	Stint                   uint64
+	Session                 uint64
 	Total                   jobs.Resources
 	Free                    jobs.Resources // not claimed
 	Freeing                 jobs.Resources // claimed by tasks that are being stopped
@@ -190,10 +190,10 @@
 
 // Claim is a placement for this node to store.
 type Claim struct {
-	Job   *jobs.Job
-	Task  int
-	Host  string
-	Stint uint64
+	Job     *jobs.Job
+	Task    int
+	Host    string
+	Session uint64
 }
 
 // Eviction is a task to stop on one of this node's machines.
@@ -361,7 +361,7 @@
 		m.placed++
 		team.Used = team.Used.Add(d.Job.Need)
 		if placer == in.Me && !d.Blocked {
-			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Stint})
+			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Session})
 		}
 	}
 	if team.Left != nil && len(picks) > 0 {
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -51,7 +51,7 @@
 		}
 		team.Left = map[string]jobs.Resources{}
 		rec := n.table.Team[t.Name]
-		if rec.Baton != n.member.Baton || rec.Frozen {
+		if rec.Token != n.member.Token || rec.Frozen {
 			continue
 		}
 		for label, g := range rec.Grants {
@@ -93,13 +93,13 @@
 	}
 	key := jobs.TeamKey(team)
 	rec := n.table.Team[team]
-	if rec.Baton != n.member.Baton || rec.Frozen {
+	if rec.Token != n.member.Token || rec.Frozen {
 		return false
 	}
 	t.guards[key] = n.cache.Stamp(key)
 	t.claims = team
 	if len(moved) > 0 {
-		next := jobs.TeamRecord{Baton: rec.Baton, Grants: map[string]jobs.Grant{}}
+		next := jobs.TeamRecord{Token: rec.Token, Grants: map[string]jobs.Grant{}}
 		for label, g := range rec.Grants {
 			next.Grants[label] = g
 		}
@@ -143,11 +143,11 @@
 	for _, cfg := range n.set.Params.Teams {
 		key := jobs.TeamKey(cfg.Name)
 		rec := n.table.Team[cfg.Name]
-		fresh := rec.Baton != n.member.Baton
+		fresh := rec.Token != n.member.Token
 		if !limited(cfg) || n.busyTeam[cfg.Name] || *most < 1 && !fresh {
 			continue
 		}
-		next := jobs.TeamRecord{Baton: n.member.Baton}
+		next := jobs.TeamRecord{Token: n.member.Token}
 		switch {
 		case fresh, rec.Frozen && n.cache.Rev() >= n.cache.Stamp(key):
 			// Nobody claims before this is stored, and every claim before is
@@ -220,7 +220,7 @@
 	}
 	for team := range short {
 		rec := n.table.Team[team]
-		if rec.Baton != n.member.Baton || rec.Frozen {
+		if rec.Token != n.member.Token || rec.Frozen {
 			// Guards against sharing out again what has just been shared out.
 			delete(n.shortAt, team)
 		} else if n.shortAt[team].IsZero() {
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -20,15 +20,15 @@
 	"wheatspur/wire"
 )
 
-// leadMemory returns the leader's memory for the present baton; mu is held.
+// leadMemory returns the leader's memory for the present token; mu is held.
 func (n *Node) leadMemory() *leading {
-	if n.leading.baton != n.member.Baton {
+	if n.leading.token != n.member.Token {
 		old := n.leading
-		n.leading = leading{baton: n.member.Baton, next: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
+		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
 			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
 			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
-		if old.baton > 0 && old.next == n.member.Baton && old.hired != nil {
+		if old.token > 0 && old.nextToken == n.member.Token && old.hired != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -408,7 +408,7 @@
 	n.storeHosts(ctx, changes, nil, tuning.GroupsPerBatch)
 }
 
-// hire rents machines. A request's name holds the baton, which only one leader
+// hire rents machines. A request's name holds the token, which only one leader
 // ever has, and a counter: no name is used twice.
 func (n *Node) hire(ctx context.Context, h fleet.HirePlan) {
 	n.mu.Lock()
@@ -418,7 +418,7 @@
 	}
 	l := n.leadMemory()
 	l.counter++
-	name := fmt.Sprintf("%s-%d-%d", n.self.Label, l.baton, l.counter)
+	name := fmt.Sprintf("%s-%d-%d", n.self.Label, l.token, l.counter)
 	n.mu.Unlock()
 	number := min(h.Number, tuning.HireMax)
 	names, err := n.cloud.Hire(wire.Hire{Hire: name, Rig: h.Kind.Rig, Plot: h.Kind.Zone, Windfall: h.Kind.Spot, Number: number})
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -128,8 +128,8 @@
 
 // leading is the leader's memory; it starts empty with each leadership.
 type leading struct {
-	baton     uint64
-	next      uint64 // the baton of the membership after it
+	token     uint64
+	nextToken uint64 // the token of the membership after it
 	counter   int
 	listed    map[string]wire.Host
 	listAt    time.Time
@@ -383,11 +383,11 @@
 			// What another owner does meanwhile makes this view worthless.
 			delete(n.workers, host)
 		} else if !next || last.Owner(host) != n.self.Label {
-			w.RaiseBaton()
+			w.RaiseToken()
 		}
 	}
 	n.shareBudget()
-	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
+	n.log.Info("membership", "baton", r.Token, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
 }
 
@@ -470,7 +470,7 @@
 		return false
 	}
 	for _, s := range n.siblings {
-		if n.freshSibling(s) && s.status.HasState && s.status.Baton > n.member.Baton {
+		if n.freshSibling(s) && s.status.HasState && s.status.Token > n.member.Token {
 			return true
 		}
 	}
@@ -744,12 +744,12 @@
 		return
 	}
 	now := n.now()
-	seen := peer.Seen{View: st.View, Baton: st.Baton, Incarnation: st.Incarnation}
+	seen := peer.Seen{View: st.View, Token: st.Token, Incarnation: st.Incarnation}
 	answer := !asked.IsZero()
 	if answer {
 		n.vouched(s, st, asked, now)
 	}
-	if answer && (st.Whole || seen.Baton == s.seen.Baton && seen.Incarnation == s.seen.Incarnation) {
+	if answer && (st.Whole || seen.Token == s.seen.Token && seen.Incarnation == s.seen.Incarnation) {
 		if st.Whole {
 			clear(s.hosts)
 		}
@@ -763,7 +763,7 @@
 	}
 	st.Hosts = nil
 	s.status, s.at = st, now
-	if n.member != nil && st.Baton > n.member.Baton {
+	if n.member != nil && st.Token > n.member.Token {
 		wake(n.mkick)
 	}
 }
@@ -800,7 +800,7 @@
 	now := n.now()
 	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
 	if n.member != nil {
-		st.Baton = n.member.Baton
+		st.Token = n.member.Token
 	}
 	if n.entitled() && now.Sub(n.viewAt) >= tuning.ViewEvery {
 		n.viewAt = now
@@ -809,7 +809,7 @@
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
 	st.Want = uint32(math.Ceil(n.want))
 	st.View = n.view
-	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.view
+	st.Whole = seen.Token != st.Token || seen.Incarnation != st.Incarnation || seen.View > n.view
 	if n.entitled() {
 		for _, t := range n.told {
 			if st.Whole || t.view > seen.View {
@@ -827,16 +827,16 @@
 		if w.Heard.IsZero() {
 			continue
 		}
-		h := peer.Host{Name: host, Stint: w.Stint, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
-			Warning: -1, Suspect: n.unfit(w)}
+		h := peer.Host{Name: host, Session: w.Session, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
+			Notice: -1, Suspect: n.unfit(w)}
 		if !w.TakenAt.IsZero() {
-			h.Warning = 0
+			h.Notice = 0
 		}
 		t := n.told[host]
 		if t == nil {
 			t = &told{}
 			n.told[host] = t
-		} else if o := t.host; o.Stint == h.Stint && o.Silent == h.Silent && o.Proven == h.Proven && o.Warning == h.Warning &&
+		} else if o := t.host; o.Session == h.Session && o.Silent == h.Silent && o.Proven == h.Proven && o.Notice == h.Notice &&
 			o.Suspect == h.Suspect && slices.Equal(o.Images, w.Images) {
 			continue
 		}
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -545,7 +545,7 @@
 			if _, ok := t.guards[hkey]; !ok && !n.room(t, 0, 0, len(changes)+4) {
 				continue // more machines than one write may name
 			}
-			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}, int(n.limits.ValueKB*1024)) {
+			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Session: cl.Session}, int(n.limits.ValueKB*1024)) {
 				continue // its turn comes when others of the chunk are over
 			}
 			t.guards[hkey] = n.cache.Stamp(hkey)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -36,7 +36,7 @@
 		fmt.Fprintf(&b, "cancellations known until %.1f s ago, leases renewed up to %.1f s\n", n.now().Sub(at).Seconds(), n.set.AnswerBound().Seconds())
 	}
 	if n.member != nil {
-		fmt.Fprintf(&b, "membership baton %d leader %s nodes", n.member.Baton, n.member.Leader.Label)
+		fmt.Fprintf(&b, "membership baton %d leader %s nodes", n.member.Token, n.member.Leader.Label)
 		for _, m := range n.member.Nodes {
 			fmt.Fprintf(&b, " %s", m.Label)
 		}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -85,7 +85,7 @@
 	case "/metrics":
 		n.serveMetrics(c)
 	case "/checkin":
-		n.checkin(c)
+		n.handleReport(c)
 		return "report"
 	case "/work":
 		n.serveWork(c, path)
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -15,10 +15,10 @@
 	"wheatspur/wire"
 )
 
-// checkin answers a worker's report.
-func (n *Node) checkin(c *fasthttp.RequestCtx) {
-	var r wire.Checkin
-	if err := wire.Unmarshal(c.PostBody(), &r); err != nil || r.Host == "" || r.Stint == 0 {
+// handleReport answers a worker's report.
+func (n *Node) handleReport(c *fasthttp.RequestCtx) {
+	var r wire.Report
+	if err := wire.Unmarshal(c.PostBody(), &r); err != nil || r.Host == "" || r.Session == 0 {
 		refuse(c, 400, "malformed report")
 		return
 	}
@@ -34,12 +34,12 @@
 }
 
 // report decides the answer to a report; mu is held.
-func (n *Node) report(r *wire.Checkin) (int, any) {
+func (n *Node) report(r *wire.Report) (int, any) {
 	now := n.now()
 	if !n.entitled() {
 		return 503, wire.Failure{Error: "not a member"}
 	}
-	if r.Baton > n.token(r.Host) {
+	if r.Token > n.token(r.Host) {
 		// Somebody newer is entitled; a 200 of ours would hold the worker here
 		// while its lease runs out.
 		wake(n.mkick)
@@ -52,34 +52,34 @@
 		return 421, wire.Redirect{}
 	}
 	if owner := n.ownerOf(r.Host); owner != n.self.Label {
-		return 421, wire.Redirect{Foreman: owner}
+		return 421, wire.Redirect{Node: owner}
 	}
 	w := n.worker(r.Host)
 	if w.Copy(r) {
 		return 503, wire.Failure{Error: "a newer report has been seen"}
 	}
-	if w.State == fleet.Expired && r.Stint <= w.Stint {
+	if w.State == fleet.Expired && r.Session <= w.Session {
 		return 503, wire.Failure{Error: "session has ended"}
 	}
 	n.observe(w, r, now)
-	orders := w.Orders(n.table.Hosts[r.Host], stale < tuning.StateStale && n.startable(r.Host))
-	if orders == nil {
-		orders = []wire.Order{}
+	commands := w.Commands(n.table.Hosts[r.Host], stale < tuning.StateStale && n.startable(r.Host))
+	if commands == nil {
+		commands = []wire.Command{}
 	}
 	mute := w.Mute
-	w.Answer(r, orders, now)
+	w.Answer(r, commands, now)
 	if w.Mute != mute {
 		n.log.Info("machine's hearing changes", "host", w.Host, "mute", w.Mute)
 	}
-	return 200, wire.Orders{Baton: w.Token, Orders: orders}
+	return 200, wire.ReportResponse{Token: w.Token, Commands: commands}
 }
 
 // token is the highest token that this node has used for a machine; mu is held.
 func (n *Node) token(host string) uint64 {
 	if w := n.workers[host]; w != nil {
-		return max(w.Token, n.member.Baton)
+		return max(w.Token, n.member.Token)
 	}
-	return n.member.Baton
+	return n.member.Token
 }
 
 // startable reports whether stored claims on a machine may be started: it is
@@ -100,44 +100,44 @@
 }
 
 // observe enters a report and what follows from it; mu is held.
-func (n *Node) observe(w *fleet.Worker, r *wire.Checkin, now time.Time) {
-	before := make(map[jobs.ID]string, len(w.Shards))
-	for id, s := range w.Shards {
-		before[id] = s.Phase
+func (n *Node) observe(w *fleet.Worker, r *wire.Report, now time.Time) {
+	before := make(map[jobs.ID]string, len(w.Tasks))
+	for id, s := range w.Tasks {
+		before[id] = s.State
 	}
-	if !w.Observe(r, n.member.Baton, now) {
+	if !w.Observe(r, n.member.Token, now) {
 		return
 	}
-	for id, s := range w.Shards {
+	for id, s := range w.Tasks {
 		j := n.table.Jobs[id.Ref]
-		if before[id] != s.Phase {
-			n.log.Debug("task changes", "task", id, "try", s.Try, "phase", s.Phase, "cause", s.Cause, "host", w.Host)
+		if before[id] != s.State {
+			n.log.Debug("task changes", "task", id, "try", s.Attempt, "phase", s.State, "cause", s.ExitCause, "host", w.Host)
 		}
 		if j == nil || j.Record.Spec == nil {
 			continue
 		}
-		switch s.Phase {
-		case wire.ShardRunning:
-			if before[id] != s.Phase {
+		switch s.State {
+		case wire.TaskRunning:
+			if before[id] != s.State {
 				// Once a start. Guards against an order of use that changes with
 				// each report: siblings were told of every machine all the time.
 				n.imageGB[j.Record.Spec.Image] = j.Record.Spec.ImageGB
-				w.NoteImage(j.Record.Spec.Image, n.imageSize, n.rigs[w.Rig].LocalGB)
+				w.NoteImage(j.Record.Spec.Image, n.imageSize, n.rigs[w.MachineType].LocalGB)
 			}
-		case wire.ShardExited:
-			switch s.Cause {
-			case wire.CauseDone:
+		case wire.TaskExited:
+			switch s.ExitCause {
+			case wire.ExitCauseDone:
 				clear(w.Errors)
-			case wire.CauseError:
+			case wire.ExitCauseError:
 				w.Errors[id.Ref] = true
-			case wire.CauseNoRoom:
+			case wire.ExitCauseNoRoom:
 				w.Refused = now
 			}
 		}
 	}
 	if !w.TakenAt.IsZero() {
 		// The cloud takes the machine: what can't end in time starts elsewhere.
-		left := time.Duration(float64(w.TakenAt.Sub(now)) * tuning.WarningKillFactor)
+		left := time.Duration(float64(w.TakenAt.Sub(now)) * tuning.NoticeKillFactor)
 		for id, j := range n.table.Hosts[w.Host] {
 			if wk := j.Record.Spec; wk != nil && (j.Service() || wk.EstimateS > left.Seconds()) {
 				w.Stop(id)
@@ -153,7 +153,7 @@
 
 // caller sends direct commands to workers.
 type caller interface {
-	commands(address string, cmd wire.Commands) (int, *wire.Checkin, error)
+	commands(address string, cmd wire.CommandRequest) (int, *wire.Report, error)
 	show(address string) error
 }
 
@@ -161,7 +161,7 @@
 
 func newWorkerCaller() *workerCaller { return &workerCaller{httpc.Many(tuning.WorkerConns)} }
 
-func (w *workerCaller) commands(address string, cmd wire.Commands) (int, *wire.Checkin, error) {
+func (w *workerCaller) commands(address string, cmd wire.CommandRequest) (int, *wire.Report, error) {
 	status, body, err := httpc.Do(w.hc, "POST", address, "/commands", wire.MustMarshal(cmd), tuning.WorkerCallTimeout)
 	if err != nil {
 		return 0, nil, err
@@ -169,7 +169,7 @@
 	if status != 200 && status != 409 {
 		return status, nil, fmt.Errorf("worker answered %d", status)
 	}
-	var r wire.Checkin
+	var r wire.Report
 	if err := wire.Unmarshal(body, &r); err != nil {
 		return 0, nil, err
 	}
@@ -185,25 +185,25 @@
 }
 
 // direct sends a worker what it should not wait a report interval for: starts,
-// kills, and our baton if it has not shown it; mu is held.
+// kills, and our token if it has not shown it; mu is held.
 func (n *Node) direct(w *fleet.Worker, now time.Time) {
 	if w.Calling || w.Address == "" || w.State == fleet.Expired || !n.hasState() {
 		return
 	}
-	var orders []wire.Order
+	var commands []wire.Command
 	silent := now.Sub(w.Heard) >= n.silentAfter()
-	if !w.Quiet && w.Stint > 0 {
+	if !w.Quiet && w.Session > 0 {
 		w.Quiet = true
-		for _, o := range w.Orders(n.table.Hosts[w.Host], n.startable(w.Host)) {
+		for _, o := range w.Commands(n.table.Hosts[w.Host], n.startable(w.Host)) {
 			if o.Verb == wire.VerbReap {
-				continue // see fleet.Worker.Orders
+				continue // see fleet.Worker.Commands
 			}
 			if silent && o.Verb != wire.VerbKill {
 				continue // it may only be unable to reach us, and run what was cancelled
 			}
 			w.Quiet = false
-			if now.Sub(w.Sent[fleet.CommandOf(o)]) > n.set.Report() {
-				orders = append(orders, o)
+			if now.Sub(w.Sent[fleet.KeyOf(o)]) > n.set.Report() {
+				commands = append(commands, o)
 			}
 		}
 	}
@@ -211,17 +211,17 @@
 	greet = greet || w.Mute && now.Sub(w.Called) > tuning.MutePause
 	// A raised token that the worker has not seen: the sooner it shows it, the
 	// sooner the starts below it are void.
-	greet = greet || w.State == fleet.Proven && w.Token > max(w.Baton, n.member.Baton)
-	if len(orders) == 0 && !greet || len(orders) == 0 && now.Sub(w.Called) < tuning.GreetPause {
+	greet = greet || w.State == fleet.Proven && w.Token > max(w.ShownToken, n.member.Token)
+	if len(commands) == 0 && !greet || len(commands) == 0 && now.Sub(w.Called) < tuning.GreetPause {
 		return
 	}
 	// Kills go before starts, and those before calls that only ask: each call to
 	// a machine that hangs holds its place for two seconds.
 	room := cap(n.calls)
 	switch {
-	case len(orders) == 0, silent:
+	case len(commands) == 0, silent:
 		room /= 2
-	case !slices.ContainsFunc(orders, func(o wire.Order) bool { return o.Verb == wire.VerbKill }):
+	case !slices.ContainsFunc(commands, func(o wire.Command) bool { return o.Verb == wire.VerbKill }):
 		room -= room / 4
 	}
 	if len(n.calls) >= room {
@@ -233,20 +233,20 @@
 			delete(w.Sent, c)
 		}
 	}
-	for _, o := range orders {
-		w.Sent[fleet.CommandOf(o)] = now
+	for _, o := range commands {
+		w.Sent[fleet.KeyOf(o)] = now
 	}
-	starts := fleet.Starts(orders)
-	w.Token = max(w.Token, n.member.Baton)
+	starts := fleet.Starts(commands)
+	w.Token = max(w.Token, n.member.Token)
 	w.StartSent(starts, w.Token)
 	w.Called, w.Calling = now, true
-	if orders == nil {
-		orders = []wire.Order{}
+	if commands == nil {
+		commands = []wire.Command{}
 	}
-	go n.callWorker(w, w.Address, wire.Commands{Baton: w.Token, Stint: max(w.Stint, 1), Orders: orders}, starts)
+	go n.callWorker(w, w.Address, wire.CommandRequest{Token: w.Token, Session: max(w.Session, 1), Commands: commands}, starts)
 }
 
-func (n *Node) callWorker(w *fleet.Worker, address string, cmd wire.Commands, starts []fleet.Attempt) {
+func (n *Node) callWorker(w *fleet.Worker, address string, cmd wire.CommandRequest, starts []fleet.Attempt) {
 	defer func() { <-n.calls }()
 	_, r, err := n.call.commands(address, cmd)
 	n.mu.Lock()
@@ -257,9 +257,9 @@
 		n.log.Debug("direct call failed", "host", w.Host, "err", err)
 		return
 	}
-	w.StartAnswered(starts, cmd.Baton, r.Stint, r.Tally)
+	w.StartAnswered(starts, cmd.Token, r.Session, r.Sequence)
 	w.Reached()
-	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Baton <= n.token(w.Host) {
+	if n.workers[w.Host] == w && r.Host == w.Host && n.entitled() && r.Token <= n.token(w.Host) {
 		n.observe(w, r, n.now())
 	}
 	wake(n.kick)
@@ -276,7 +276,7 @@
 	}
 	for _, a := range w.Held(n.table.Hosts[w.Host]) {
 		if w.Void(n.member.Last()) {
-			n.log.Debug("start made void", "task", a.ID, "try", a.Try, "host", w.Host, "token", w.Token)
+			n.log.Debug("start made void", "task", a.ID, "try", a.Number, "host", w.Host, "token", w.Token)
 		}
 	}
 }
@@ -306,10 +306,10 @@
 				m.Freeing = m.Freeing.Add(j.Need)
 			}
 		}
-		m.Open, m.Stint, m.Images = false, 0, nil
+		m.Open, m.Session, m.Images = false, 0, nil
 		if m.Owner == n.self.Label {
 			if w != nil {
-				m.Stint, m.Images = w.Stint, w.Images
+				m.Session, m.Images = w.Session, w.Images
 				// Only a machine that has shown our token takes tasks. It guards
 				// against a late copy of a report of a machine that is gone. And only
 				// one whose reports come: one that answers calls and can't report
@@ -317,10 +317,10 @@
 				m.Open = rec.Phase == fleet.In && w.State == fleet.Proven &&
 					now.Sub(w.Heard) < silent && now.Sub(w.Renewed()) < silent && w.TakenAt.IsZero() && !n.unfit(w)
 			}
-		} else if s := n.siblings[m.Owner]; s != nil && n.freshSibling(s) && s.seen.Baton == n.member.Baton {
+		} else if s := n.siblings[m.Owner]; s != nil && n.freshSibling(s) && s.seen.Token == n.member.Token {
 			if h, ok := s.hosts[m.Name]; ok {
-				m.Stint, m.Images = h.Stint, h.Images
-				m.Open = rec.Phase == fleet.In && h.Proven && !h.Silent && h.Warning < 0 && !h.Suspect
+				m.Session, m.Images = h.Session, h.Images
+				m.Open = rec.Phase == fleet.In && h.Proven && !h.Silent && h.Notice < 0 && !h.Suspect
 			}
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -137,9 +137,9 @@
 	// ImagesKept bounds the images that a node remembers per machine; how many
 	// the machine holds follows from its disk.
 	ImagesKept = 64
-	// WarningKillFactor is the share of a spot notice that a task must be
+	// NoticeKillFactor is the share of a spot notice that a task must be
 	// expected to fit in to be left running; notices run up to half short.
-	WarningKillFactor = 0.5
+	NoticeKillFactor = 0.5
 )
 
 // Placement.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -88,25 +88,25 @@
 	StateCancelled = "cancelled"
 )
 
-// Shard phases in reports (StateRunning is shared with jobs).
+// States of tasks in reports (StateRunning is shared with jobs).
 const (
-	ShardPulling  = "pulling"
-	ShardRunning  = "running"
-	ShardFlushing = "flushing"
-	ShardExited   = "exited"
+	TaskPulling  = "pulling"
+	TaskRunning  = "running"
+	TaskFlushing = "flushing"
+	TaskExited   = "exited"
 )
 
-// Causes of an exited shard.
+// Causes of the exit of a task.
 const (
-	CauseDone    = "done"
-	CauseStopped = "stopped"
-	CauseError   = "error"
-	CauseNoRoom  = "no_room"
-	CauseInUse   = "in_use"
-	CauseUnknown = "unknown"
+	ExitCauseDone    = "done"
+	ExitCauseStopped = "stopped"
+	ExitCauseError   = "error"
+	ExitCauseNoRoom  = "no_room"
+	ExitCauseInUse   = "in_use"
+	ExitCauseUnknown = "unknown"
 )
 
-// Order verbs.
+// Verbs of commands.
 const (
 	VerbStart = "start"
 	VerbKill  = "kill"
@@ -248,53 +248,53 @@
 	Error string `cbor:"error"`
 }
 
-// Shard is one task in a worker's report.
-type Shard struct {
-	Shard string `cbor:"shard"`
-	Try   uint64 `cbor:"try"`
-	Phase string `cbor:"phase"`
-	Cause string `cbor:"cause,omitempty"`
-	Saved bool   `cbor:"saved,omitempty"`
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task      string `cbor:"shard"`
+	Attempt   uint64 `cbor:"try"`
+	State     string `cbor:"phase"`
+	ExitCause string `cbor:"cause,omitempty"`
+	Saved     bool   `cbor:"saved,omitempty"`
 }
 
-// Checkin is a worker's report.
-type Checkin struct {
-	Host     string   `cbor:"host"`
-	Address  string   `cbor:"address"`
-	Rig      string   `cbor:"rig"`
-	Plot     string   `cbor:"plot"`
-	Windfall bool     `cbor:"windfall"`
-	Stint    uint64   `cbor:"stint"`
-	Tally    uint64   `cbor:"tally"`
-	Baton    uint64   `cbor:"baton"`
-	WarningS *float64 `cbor:"warning_s"`
-	Shards   []Shard  `cbor:"shards"`
+// Report is a worker's report.
+type Report struct {
+	Host        string       `cbor:"host"`
+	Address     string       `cbor:"address"`
+	MachineType string       `cbor:"rig"`
+	Zone        string       `cbor:"plot"`
+	Spot        bool         `cbor:"windfall"`
+	Session     uint64       `cbor:"stint"`
+	Sequence    uint64       `cbor:"tally"`
+	Token       uint64       `cbor:"baton"`
+	NoticeS     *float64     `cbor:"warning_s"`
+	Tasks       []TaskReport `cbor:"shards"`
 }
 
-// Order is one command to a worker.
-type Order struct {
-	Verb    string   `cbor:"verb"`
-	Shard   string   `cbor:"shard"`
-	Try     uint64   `cbor:"try"`
-	LeewayS *float64 `cbor:"leeway_s,omitempty"`
+// Command is one command to a worker.
+type Command struct {
+	Verb         string   `cbor:"verb"`
+	Task         string   `cbor:"shard"`
+	Attempt      uint64   `cbor:"try"`
+	GracePeriodS *float64 `cbor:"leeway_s,omitempty"`
 }
 
-// Orders answers a report.
-type Orders struct {
-	Baton  uint64  `cbor:"baton"`
-	Orders []Order `cbor:"orders"`
+// ReportResponse answers a report.
+type ReportResponse struct {
+	Token    uint64    `cbor:"baton"`
+	Commands []Command `cbor:"orders"`
 }
 
-// Commands is the body of POST /commands at a worker.
-type Commands struct {
-	Baton  uint64  `cbor:"baton"`
-	Stint  uint64  `cbor:"stint"`
-	Orders []Order `cbor:"orders"`
+// CommandRequest is the body of POST /commands at a worker.
+type CommandRequest struct {
+	Token    uint64    `cbor:"baton"`
+	Session  uint64    `cbor:"stint"`
+	Commands []Command `cbor:"orders"`
 }
 
 // Redirect answers a report that another node should handle.
 type Redirect struct {
-	Foreman string `cbor:"foreman,omitempty"`
+	Node string `cbor:"foreman,omitempty"`
 }
 
 // Rig is a machine type.
