--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -74,7 +74,7 @@
 	Deadline int64  // when it should be done, for itself and those that depend on it, Unix milliseconds; 0: no deadline
 
 	own    bool   // its own record is stored
-	intake uint64 // else the stamp of the intake record that holds it
+	intake uint64 // else the version of the intake record that holds it
 }
 
 // Service reports whether the job's tasks run until it is cancelled.
@@ -178,7 +178,7 @@
 // ApplyIntake enters a record of several new jobs, or its absence. A job's own
 // record stands before it; of two intake records that hold the same job, after
 // a user's repeat, the older counts, whatever the order in which they are read.
-func (t *Table) ApplyIntake(key string, raw wire.Raw, stamp uint64) error {
+func (t *Table) ApplyIntake(key string, raw wire.Raw, version uint64) error {
 	if raw == nil {
 		delete(t.Intakes, key)
 		return nil
@@ -190,8 +190,8 @@
 	refs := make([]string, 0, len(v.Jobs))
 	for ref, r := range v.Jobs {
 		refs = append(refs, ref)
-		if j := t.Jobs[ref]; j == nil || !j.own && stamp < j.intake {
-			t.put(ref, r).intake = stamp
+		if j := t.Jobs[ref]; j == nil || !j.own && version < j.intake {
+			t.put(ref, r).intake = version
 		}
 	}
 	t.Intakes[key] = refs
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -292,7 +292,7 @@
 	Incarnation uint64    // of the sibling; 0: nothing that counts
 	Since       time.Time // when this incarnation was first heard
 	Asked       time.Time // when the last asking that was answered was sent
-	Cancelled   uint64    // stamp of the last cancellation that the sibling knew then
+	Cancelled   uint64    // version of the last cancellation that the sibling knew then
 }
 
 // Heard is the witness after an answer that came now to an asking sent before.
@@ -309,17 +309,17 @@
 
 // KnownUntil is the time up to which a node knows every cancellation that any
 // user was told of: the sending of its last answered read, or the least of the
-// times at which it asked its siblings, if each of them vouches. rev is the
-// epoch to which its cache is complete. The argument is in
+// times at which it asked its siblings, if each of them vouches. revision is the
+// revision to which its cache is complete. The argument is in
 // docs/protocol-notes.md; a sibling that is new since the read may follow on a
 // process that confirmed what nobody here has read.
-func KnownUntil(read time.Time, rev uint64, siblings []Witness) time.Time {
+func KnownUntil(read time.Time, revision uint64, siblings []Witness) time.Time {
 	if len(siblings) == 0 {
 		return read
 	}
 	until := siblings[0].Asked
 	for _, w := range siblings {
-		if w.Incarnation == 0 || !w.Since.Before(read) || w.Cancelled > rev {
+		if w.Incarnation == 0 || !w.Since.Before(read) || w.Cancelled > revision {
 			return read
 		}
 		if w.Asked.Before(until) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,14 +44,14 @@
 	Label       string
 	Incarnation uint64
 	Token       uint64
-	Epoch       uint64
+	Revision    uint64
 	HasState    bool
 	Want        uint32 // changes of the state service that wait for its budget
 	View        uint64 // number of the sender's view of its machines
 	Whole       bool   // Hosts are all machines, not those that changed
 	Seen        Seen   // what the sender has of the receiver
 	Hosts       []Host
-	// Cancelled is the stamp of the last cancellation that the sender knows, if
+	// Cancelled is the version of the last cancellation that the sender knows, if
 	// it Counts them: earlier versions don't.
 	Counts    bool
 	Cancelled uint64
@@ -88,7 +88,7 @@
 	fb.StatusAddLabel(b, label)
 	fb.StatusAddIncarnation(b, s.Incarnation)
 	fb.StatusAddBaton(b, s.Token)
-	fb.StatusAddEpoch(b, s.Epoch)
+	fb.StatusAddEpoch(b, s.Revision)
 	fb.StatusAddHasState(b, s.HasState)
 	fb.StatusAddWant(b, s.Want)
 	fb.StatusAddView(b, s.View)
@@ -135,7 +135,7 @@
 		return s, ErrMalformed
 	}
 	f := fb.GetRootAsStatus(b, 0)
-	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
+	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Revision: f.Epoch(), HasState: f.HasState(),
 		Counts: f.Counts(), Cancelled: f.Cancelled(), Want: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -31,8 +31,8 @@
 func (n *Node) teams() map[string]*place.Team {
 	for i := 0; i < len(n.doubts); {
 		dead := false
-		for key, stamp := range n.doubts[i].guards {
-			dead = dead || n.cache.Stamp(key) != stamp
+		for key, version := range n.doubts[i].guards {
+			dead = dead || n.cache.Version(key) != version
 		}
 		if dead {
 			n.doubts = append(n.doubts[:i], n.doubts[i+1:]...)
@@ -96,7 +96,7 @@
 	if rec.Token != n.member.Token || rec.Frozen {
 		return false
 	}
-	t.guards[key] = n.cache.Stamp(key)
+	t.guards[key] = n.cache.Version(key)
 	t.claims = team
 	if len(moved) > 0 {
 		next := jobs.TeamRecord{Token: rec.Token, Grants: map[string]jobs.Grant{}}
@@ -149,7 +149,7 @@
 		}
 		next := jobs.TeamRecord{Token: n.member.Token}
 		switch {
-		case fresh, rec.Frozen && n.cache.Rev() >= n.cache.Stamp(key):
+		case fresh, rec.Frozen && n.cache.Revision() >= n.cache.Version(key):
 			// Nobody claims before this is stored, and every claim before is
 			// in the cache.
 			if held == nil {
@@ -168,7 +168,7 @@
 		if fresh {
 			t.class = store.ClassCancel // all claims wait for it
 		}
-		t.guards[key] = n.cache.Stamp(key)
+		t.guards[key] = n.cache.Version(key)
 		t.set(key, next)
 		t.team = cfg.Name
 		n.busyTeam[cfg.Name] = true
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -120,7 +120,7 @@
 // storeOne stores a job's own record.
 func (n *Node) storeOne(ctx context.Context, s *submission) error {
 	key := jobs.JobKey(s.work.ID)
-	return n.storeNew(ctx, []wire.Guard{{Key: key}}, wire.Change{Set: key, V: wire.MustMarshal(s.rec)})
+	return n.storeNew(ctx, []wire.Guard{{Key: key}}, wire.Change{Set: key, Value: wire.MustMarshal(s.rec)})
 }
 
 // storeGroup stores several jobs in one intake record, guarded by the absence
@@ -142,7 +142,7 @@
 	}
 	gctx, stop := context.WithDeadline(ctx, last)
 	defer stop()
-	err := n.storeNew(gctx, guards, wire.Change{Set: key, V: wire.MustMarshal(v)})
+	err := n.storeNew(gctx, guards, wire.Change{Set: key, Value: wire.MustMarshal(v)})
 	if errors.Is(err, store.ErrConflict) {
 		// One of them is known; which, each finds out by itself.
 		err = errAlone
@@ -154,10 +154,10 @@
 
 func (n *Node) storeNew(ctx context.Context, guards []wire.Guard, change wire.Change) error {
 	then := []wire.Change{change}
-	epoch, err := n.svc.Multi(ctx, store.ClassIntake, guards, then)
+	revision, err := n.svc.Multi(ctx, store.ClassIntake, guards, then)
 	if err != nil {
 		return err
 	}
-	n.answered(then, epoch)
+	n.answered(then, revision)
 	return nil
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -49,22 +49,22 @@
 func (n *Node) write(ctx context.Context, guards []wire.Guard, then []wire.Change) error {
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
 	defer stop()
-	epoch, err := n.svc.Multi(cctx, store.ClassRecords, guards, then)
+	revision, err := n.svc.Multi(cctx, store.ClassRecords, guards, then)
 	if err != nil {
 		if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLost) {
 			_ = n.sync.Barrier(tuning.BarrierWait)
 		}
 		return err
 	}
-	n.answered(then, epoch)
+	n.answered(then, revision)
 	return nil
 }
 
 // answered enters a write of this node.
-func (n *Node) answered(then []wire.Change, epoch uint64) {
+func (n *Node) answered(then []wire.Change, revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cache.Own(then, epoch)
+	n.cache.Own(then, revision)
 	wake(n.kick)
 }
 
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -73,10 +73,10 @@
 	if same {
 		return nil
 	}
-	return n.write(ctx, guards, []wire.Change{{Set: typesKey, V: wire.MustMarshal(wire.MachineTypes{Types: list})}})
+	return n.write(ctx, guards, []wire.Change{{Set: typesKey, Value: wire.MustMarshal(wire.MachineTypes{Types: list})}})
 }
 
-// writeHosts stores changes of machine records, each guarded by the stamp of
+// writeHosts stores changes of machine records, each guarded by the version of
 // its group's key. Several go in one change, and one call at a time, so that
 // the leader's own writes don't race for a group.
 func (n *Node) writeHosts(ctx context.Context, list []fleet.Change, cut ...string) {
@@ -99,7 +99,7 @@
 	if len(writes) > most && !slices.ContainsFunc(writes, func(w fleet.Write) bool { return strings.HasPrefix(w.Key, fleet.HostPrefix) }) {
 		writes = writes[:most]
 	}
-	// The stamps of what the writes were computed from. Guards against a node
+	// The versions of what the writes were computed from. Guards against a node
 	// that has lost the lead and got it back, or not, and stores over what
 	// another leader has changed meanwhile.
 	seen := n.cache.Guard(member.Key)
@@ -125,7 +125,7 @@
 	for i, w := range writes {
 		n.mu.Lock()
 		n.storing = len(writes) - i
-		if n.cache.Stamp(member.Key) != seen.Stamp {
+		if n.cache.Version(member.Key) != seen.Version {
 			n.mu.Unlock()
 			return // the rest would fail, and count as changes
 		}
@@ -135,10 +135,10 @@
 		}
 		then := []wire.Change{{Drop: w.Key}}
 		if w.V != nil {
-			then = []wire.Change{{Set: w.Key, V: wire.MustMarshal(w.V)}}
+			then = []wire.Change{{Set: w.Key, Value: wire.MustMarshal(w.V)}}
 		}
 		for key, part := range w.Cut {
-			then = append(then, wire.Change{Set: key, V: wire.MustMarshal(part)})
+			then = append(then, wire.Change{Set: key, Value: wire.MustMarshal(part)})
 		}
 		n.mu.Unlock()
 		if err := n.write(ctx, guards[i], then); err != nil {
@@ -309,7 +309,7 @@
 	for host, rec := range n.reg.Hosts {
 		switch rec.Phase {
 		case fleet.Draining:
-			if n.cache.Rev() < n.cache.Stamp(n.reg.Key(host)) {
+			if n.cache.Revision() < n.cache.Version(n.reg.Key(host)) {
 				continue // claims stored before the drain may not be seen yet
 			}
 			open := 0
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -108,7 +108,7 @@
 	why          map[string]string
 	unmetAt      map[string]time.Time
 	raisedAt     time.Time // when our membership last changed
-	// The stamp of the last cancellation that is known here, and the time up to
+	// The version of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
 	certain   time.Time
@@ -279,23 +279,23 @@
 }
 
 // sink takes changed values from the cache; mu is held.
-func (n *Node) sink(key string, v wire.Raw, stamp uint64) {
-	if err := n.enter(key, v, stamp); err != nil {
-		n.log.Error("stored record can't be read", "key", key, "stamp", stamp, "err", err)
+func (n *Node) sink(key string, v wire.Raw, version uint64) {
+	if err := n.enter(key, v, version); err != nil {
+		n.log.Error("stored record can't be read", "key", key, "stamp", version, "err", err)
 	}
 }
 
-func (n *Node) enter(key string, v wire.Raw, stamp uint64) error {
+func (n *Node) enter(key string, v wire.Raw, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
 		ref := strings.TrimPrefix(key, jobs.JobPrefix)
 		err := n.table.ApplyJob(ref, v)
 		if j := n.table.Jobs[ref]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
-			n.cancelled = max(n.cancelled, stamp)
+			n.cancelled = max(n.cancelled, version)
 		}
 		return err
 	case strings.HasPrefix(key, jobs.IntakePrefix):
-		return n.table.ApplyIntake(key, v, stamp)
+		return n.table.ApplyIntake(key, v, version)
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
@@ -509,7 +509,7 @@
 	var touched time.Time
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		state, tenure, settled := n.session, n.self.Incarnation, n.cache.Settled()
+		state, leaseID, settled := n.session, n.self.Incarnation, n.cache.Settled()
 		n.mu.Unlock()
 		switch {
 		case state == member.NoLease:
@@ -527,7 +527,7 @@
 			continue
 		case n.now().Sub(touched) >= tuning.SessionTouch:
 			touched = n.now()
-			if err := n.svc.Touch(ctx, tenure); errors.Is(err, store.ErrNoLease) {
+			if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
 				n.endSession()
 				continue
 			} else if err != nil {
@@ -581,7 +581,7 @@
 	if n.session == member.Leased {
 		guards = []wire.Guard{n.cache.Guard(key)}
 		session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
-		change = wire.Change{Set: key, V: wire.MustMarshal(session), Tenure: n.self.Incarnation}
+		change = wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation}
 	} else {
 		now := n.now()
 		deaf := n.ears(now).Next()
@@ -591,16 +591,16 @@
 			guards = []wire.Guard{n.cache.Guard(key)}
 			change = wire.Change{Drop: member.DeafKey(n.self.Label)}
 			if deaf {
-				change = wire.Change{Set: member.DeafKey(n.self.Label), V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+				change = wire.Change{Set: member.DeafKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
 				n.startProbing(now)
 			}
 			hearing = true
 		case a.TakeLead:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
-			change = wire.Change{Set: member.LeadKey, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+			change = wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
 		case a.Write != nil:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)}
-			change = wire.Change{Set: member.Key, V: wire.MustMarshal(a.Write)}
+			change = wire.Change{Set: member.Key, Value: wire.MustMarshal(a.Write)}
 		default:
 			n.mu.Unlock()
 			return nil
@@ -608,7 +608,7 @@
 	}
 	n.mu.Unlock()
 	then := []wire.Change{change}
-	epoch, err := n.svc.Multi(ctx, store.ClassLease, guards, then)
+	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, then)
 	if err != nil {
 		return err
 	}
@@ -621,7 +621,7 @@
 	if change.Set != member.Key {
 		// The membership comes by watch only: everything stored before it must
 		// be in the cache before it counts.
-		n.cache.Own(then, epoch)
+		n.cache.Own(then, revision)
 	}
 	if change.Set == key {
 		n.session = n.session.Next(member.Stored)
@@ -780,7 +780,7 @@
 	for _, o := range n.siblings {
 		all = append(all, o.witness)
 	}
-	if at := member.KnownUntil(n.sync.Fresh(), n.cache.Rev(), all); at.After(n.certain) {
+	if at := member.KnownUntil(n.sync.Fresh(), n.cache.Revision(), all); at.After(n.certain) {
 		n.certain = at
 	}
 }
@@ -798,7 +798,7 @@
 // the view that a sibling has; mu is held.
 func (n *Node) ownStatus(seen peer.Seen) peer.Status {
 	now := n.now()
-	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
+	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Revision: n.cache.Revision(), HasState: n.hasState() && n.cache.Settled()}
 	if n.member != nil {
 		st.Token = n.member.Token
 	}
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -32,7 +32,7 @@
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
 
 func (n *Node) newTxn(what string) *txn {
-	return &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Stamp(member.Key)}}
+	return &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Version(member.Key)}}
 }
 
 // room reports whether n more changes of the given size fit.
@@ -43,7 +43,7 @@
 
 func (t *txn) set(key string, v any) {
 	raw := wire.MustMarshal(v)
-	t.then = append(t.then, wire.Change{Set: key, V: raw})
+	t.then = append(t.then, wire.Change{Set: key, Value: raw})
 	t.bytes += 2*len(raw) + len(key) // JSON is at most about twice the CBOR
 }
 
@@ -406,8 +406,8 @@
 		return txns
 	}
 	t := n.newTxn("release")
-	t.guards[d.key] = n.cache.Stamp(d.key)
-	t.guards[jobs.JobKey(d.job.Ref)] = n.cache.Stamp(jobs.JobKey(d.job.Ref))
+	t.guards[d.key] = n.cache.Version(d.key)
+	t.guards[jobs.JobKey(d.job.Ref)] = n.cache.Version(jobs.JobKey(d.job.Ref))
 	n.putChunk(t, d.chunkChange, d.key, tasks)
 	for id, e := range d.events {
 		t.note("task released", "task", jobs.ID{Ref: d.job.Ref, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
@@ -473,7 +473,7 @@
 			continue
 		}
 		t := n.newTxn("finish")
-		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
+		t.guards[jobs.JobKey(ref)] = n.cache.Version(jobs.JobKey(ref))
 		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted, n.now()))
 		txns = n.under(txns, t, ref, most)
 	}
@@ -483,7 +483,7 @@
 			continue
 		}
 		t := n.newTxn("cancelled with another")
-		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
+		t.guards[jobs.JobKey(ref)] = n.cache.Version(jobs.JobKey(ref))
 		t.set(jobs.JobKey(ref), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
 		txns = n.under(txns, t, ref, most)
 	}
@@ -491,7 +491,7 @@
 		// Nothing needs it any more: guards against reading it for ever.
 		if *most >= 1 && !n.busyJob[key] && n.table.Over(key) && n.member.Order(key)[0] == n.self.Label {
 			t := n.newTxn("intake over")
-			t.guards[key] = n.cache.Stamp(key)
+			t.guards[key] = n.cache.Version(key)
 			t.drop(key)
 			txns = n.under(txns, t, key, most)
 		}
@@ -548,14 +548,14 @@
 			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Session: cl.Session}, int(n.limits.ValueKB*1024)) {
 				continue // its turn comes when others of the chunk are over
 			}
-			t.guards[hkey] = n.cache.Stamp(hkey)
+			t.guards[hkey] = n.cache.Version(hkey)
 			t.need = t.need.Add(j.Need)
 			if owner := n.ownerOf(cl.Host); owner != n.self.Label {
 				moved[owner] = moved[owner].Add(j.Need)
 			}
 		}
 		jkey := jobs.JobKey(j.Ref)
-		t.guards[jkey] = n.cache.Stamp(jkey)
+		t.guards[jkey] = n.cache.Version(jkey)
 		claimed := 0
 		for key, c := range changes {
 			if len(c.events) == 0 {
@@ -569,7 +569,7 @@
 			if ok = ok && due; !ok {
 				break
 			}
-			t.guards[key] = n.cache.Stamp(key)
+			t.guards[key] = n.cache.Version(key)
 			t.set(key, jobs.ChunkRecord{Tasks: tasks})
 			for id, e := range c.events {
 				t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
@@ -592,11 +592,11 @@
 func (n *Node) commit(ctx context.Context, t *txn) {
 	guards := make([]wire.Guard, 0, len(t.guards))
 	for k, s := range t.guards {
-		guards = append(guards, wire.Guard{Key: k, Stamp: s})
+		guards = append(guards, wire.Guard{Key: k, Version: s})
 	}
 	sort.Slice(guards, func(a, b int) bool { return guards[a].Key < guards[b].Key })
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
-	epoch, err := n.svc.Multi(cctx, t.class, guards, t.then)
+	revision, err := n.svc.Multi(cctx, t.class, guards, t.then)
 	stop()
 	if err != nil {
 		n.log.Debug("write failed", "what", t.what, "jobs", t.jobs, "err", err)
@@ -609,7 +609,7 @@
 	defer n.mu.Unlock()
 	n.metrics.wrote(t.what, err)
 	if err == nil {
-		n.cache.Own(t.then, epoch)
+		n.cache.Own(t.then, revision)
 		for _, l := range t.notes {
 			n.log.Debug(l[0].(string), l[1:]...)
 		}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -406,10 +406,10 @@
 		if err != nil {
 			continue
 		}
-		then := []wire.Change{{Set: jobs.JobKey(ref), V: wire.MustMarshal(rec)}}
-		epoch, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
+		then := []wire.Change{{Set: jobs.JobKey(ref), Value: wire.MustMarshal(rec)}}
+		revision, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
 		if err == nil {
-			n.answered(then, epoch)
+			n.answered(then, revision)
 			n.log.Debug("job cancelled", "job", ref)
 			continue
 		}
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -11,104 +11,104 @@
 	"wheatspur/wire"
 )
 
-// Cache holds the stamp of every key below the prefix and hands changed values
+// Cache holds the version of every key below the prefix and hands changed values
 // to its sink. It is pure: the Syncer feeds it.
 //
-// A key may be ahead of Rev: the node's own transactions are entered as soon
-// as they are answered. A guard on a key at the cache's stamp then still
+// A key may be ahead of Revision: the node's own transactions are entered as soon
+// as they are answered. A guard on a key at the cache's version then still
 // implies that the cache holds every earlier change that wrote that key.
 type Cache struct {
-	rev    uint64 // every change up to it is in the cache
-	settle uint64 // decisions wait until rev has reached it
-	ready  bool
-	stamps map[string]uint64
-	drops  map[string]uint64 // keys dropped ahead of rev
-	sink   Sink
+	revision uint64 // every change up to it is in the cache
+	settle   uint64 // decisions wait until revision has reached it
+	ready    bool
+	versions map[string]uint64
+	drops    map[string]uint64 // keys dropped ahead of revision
+	sink     Sink
 }
 
 // Sink takes changed values; v is nil when the key is gone.
-type Sink func(key string, v wire.Raw, stamp uint64)
+type Sink func(key string, v wire.Raw, version uint64)
 
 // NewCache returns an empty cache.
 func NewCache(sink Sink) *Cache {
-	return &Cache{stamps: map[string]uint64{}, drops: map[string]uint64{}, sink: sink}
+	return &Cache{versions: map[string]uint64{}, drops: map[string]uint64{}, sink: sink}
 }
 
-// Rev is the epoch up to which the cache is complete.
-func (c *Cache) Rev() uint64 { return c.rev }
+// Revision is the revision up to which the cache is complete.
+func (c *Cache) Revision() uint64 { return c.revision }
 
-// Settled reports whether the cache is a consistent picture of some epoch.
-func (c *Cache) Settled() bool { return c.ready && c.rev >= c.settle }
+// Settled reports whether the cache is a consistent picture of some revision.
+func (c *Cache) Settled() bool { return c.ready && c.revision >= c.settle }
 
-// Stamp returns the stamp of a key, 0 if it does not exist.
-func (c *Cache) Stamp(key string) uint64 { return c.stamps[key] }
+// Version returns the version of a key, 0 if it does not exist.
+func (c *Cache) Version(key string) uint64 { return c.versions[key] }
 
-// Guard returns a guard on the key at the cache's stamp.
+// Guard returns a guard on the key at the cache's version.
 func (c *Cache) Guard(key string) wire.Guard {
-	return wire.Guard{Key: key, Stamp: c.stamps[key]}
+	return wire.Guard{Key: key, Version: c.versions[key]}
 }
 
-func (c *Cache) set(key string, v wire.Raw, stamp uint64) {
-	if stamp <= c.stamps[key] || stamp <= c.drops[key] {
+func (c *Cache) set(key string, v wire.Raw, version uint64) {
+	if version <= c.versions[key] || version <= c.drops[key] {
 		return
 	}
 	delete(c.drops, key)
-	c.stamps[key] = stamp
-	c.sink(key, v, stamp)
+	c.versions[key] = version
+	c.sink(key, v, version)
 }
 
-func (c *Cache) drop(key string, stamp uint64) {
-	if stamp <= c.stamps[key] || stamp <= c.drops[key] {
+func (c *Cache) drop(key string, version uint64) {
+	if version <= c.versions[key] || version <= c.drops[key] {
 		return
 	}
-	if stamp > c.rev {
-		c.drops[key] = stamp
+	if version > c.revision {
+		c.drops[key] = version
 	}
-	if _, ok := c.stamps[key]; ok {
-		delete(c.stamps, key)
-		c.sink(key, nil, stamp)
+	if _, ok := c.versions[key]; ok {
+		delete(c.versions, key)
+		c.sink(key, nil, version)
 	}
 }
 
 // Apply enters a watch response; false if it held nothing new.
 func (c *Cache) Apply(ev wire.Events) bool {
-	if !c.ready || ev.Epoch <= c.rev {
+	if !c.ready || ev.Revision <= c.revision {
 		return false
 	}
 	changed := false
 	for _, e := range ev.Events {
-		if e.Stamp <= c.rev {
+		if e.Version <= c.revision {
 			continue
 		}
 		changed = true
 		if e.Drop != "" {
-			c.drop(e.Drop, e.Stamp)
+			c.drop(e.Drop, e.Version)
 		} else {
-			c.set(e.Set, e.V, e.Stamp)
+			c.set(e.Set, e.Value, e.Version)
 		}
 	}
-	c.rev = ev.Epoch
+	c.revision = ev.Revision
 	for k, s := range c.drops {
-		if s <= c.rev {
+		if s <= c.revision {
 			delete(c.drops, k)
 		}
 	}
 	return changed
 }
 
-// Own enters the node's own transaction, answered with the given epoch. An
+// Own enters the node's own transaction, answered with the given revision. An
 // answer that the watch has overtaken brings nothing new. Guards against a key
 // that another node has dropped since: it came back, with claims that nothing
 // ever released, and every write about it failed.
-func (c *Cache) Own(then []wire.Change, epoch uint64) {
-	if epoch <= c.rev {
+func (c *Cache) Own(changes []wire.Change, revision uint64) {
+	if revision <= c.revision {
 		return
 	}
-	for _, ch := range then {
+	for _, ch := range changes {
 		if ch.Drop != "" {
-			c.drop(ch.Drop, epoch)
+			c.drop(ch.Drop, revision)
 		} else {
-			c.set(ch.Set, ch.V, epoch)
+			c.set(ch.Set, ch.Value, revision)
 		}
 	}
 }
@@ -120,15 +120,15 @@
 	listed := make(map[string]bool, len(pairs))
 	for _, p := range pairs {
 		listed[p.Key] = true
-		c.set(p.Key, p.V, p.Stamp)
+		c.set(p.Key, p.Value, p.Version)
 	}
-	for k, s := range c.stamps {
+	for k, s := range c.versions {
 		if !listed[k] && s <= base {
-			delete(c.stamps, k)
+			delete(c.versions, k)
 			c.sink(k, nil, base)
 		}
 	}
-	c.rev = max(c.rev, base)
+	c.revision = max(c.revision, base)
 	c.settle = max(c.settle, last)
 	c.ready = true
 }
@@ -258,10 +258,10 @@
 
 func (s *Syncer) watch(ctx context.Context, hold time.Duration) error {
 	s.mu.Lock()
-	rev := s.cache.Rev()
+	revision := s.cache.Revision()
 	s.mu.Unlock()
 	sent := s.now()
-	ev, err := s.svc.Watch(ctx, s.prefix, rev, hold)
+	ev, err := s.svc.Watch(ctx, s.prefix, revision, hold)
 	if err != nil {
 		return err
 	}
@@ -284,9 +284,9 @@
 			return err
 		}
 		if after == "" {
-			base = page.Epoch
+			base = page.Revision
 		}
-		last = page.Epoch
+		last = page.Revision
 		all = append(all, page.Pairs...)
 		if !page.Truncated || len(page.Pairs) == 0 {
 			break
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3,8 +3,8 @@
 // controllers. Clients may import it; nothing in it depends on the rest of
 // the program.
 //
-// The protocol's own vocabulary (shards, rigs, plots, batons, ...) stays in
-// this package. The rest of the program uses the field's standard terms.
+// Names in Go are the field's terms. The protocol's own words (shard, rig,
+// plot, baton, ...) stand in the cbor tags and in the values of constants.
 package wire
 
 import (
@@ -349,43 +349,43 @@
 
 // Pair is one key of the state service.
 type Pair struct {
-	Key   string `cbor:"key"`
-	V     Raw    `cbor:"v"`
-	Stamp uint64 `cbor:"stamp"`
+	Key     string `cbor:"key"`
+	Value   Raw    `cbor:"v"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Pairs answers GET /keys.
 type Pairs struct {
 	Pairs     []Pair `cbor:"pairs"`
 	Truncated bool   `cbor:"truncated"`
-	Epoch     uint64 `cbor:"epoch"`
+	Revision  uint64 `cbor:"epoch"`
 }
 
 // Guard is one condition of a transaction.
 type Guard struct {
-	Key   string `cbor:"key"`
-	Stamp uint64 `cbor:"stamp"`
+	Key     string `cbor:"key"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Change is one change of a transaction: a set or a drop.
 type Change struct {
-	Set    string `cbor:"set,omitempty"`
-	V      Raw    `cbor:"v,omitempty"`
-	Tenure uint64 `cbor:"tenure,omitempty"`
-	Drop   string `cbor:"drop,omitempty"`
+	Set     string `cbor:"set,omitempty"`
+	Value   Raw    `cbor:"v,omitempty"`
+	LeaseID uint64 `cbor:"tenure,omitempty"`
+	Drop    string `cbor:"drop,omitempty"`
 }
 
-// Multi is a transaction.
-type Multi struct {
-	Guards []Guard  `cbor:"guards"`
-	Then   []Change `cbor:"then"`
+// Transaction is a transaction.
+type Transaction struct {
+	Guards  []Guard  `cbor:"guards"`
+	Changes []Change `cbor:"then"`
 }
 
-// MultiResult answers a transaction.
-type MultiResult struct {
-	Epoch  uint64   `cbor:"epoch"`
-	Failed []string `cbor:"failed"`
-	Error  string   `cbor:"error"`
+// TransactionResult answers a transaction.
+type TransactionResult struct {
+	Revision uint64   `cbor:"epoch"`
+	Failed   []string `cbor:"failed"`
+	Error    string   `cbor:"error"`
 }
 
 // LeaseRequest asks for a lease.
@@ -395,19 +395,19 @@
 
 // Lease answers it.
 type Lease struct {
-	Tenure uint64 `cbor:"tenure"`
+	ID uint64 `cbor:"tenure"`
 }
 
 // Event is one change in a watch response.
 type Event struct {
-	Set   string `cbor:"set"`
-	V     Raw    `cbor:"v"`
-	Drop  string `cbor:"drop"`
-	Stamp uint64 `cbor:"stamp"`
+	Set     string `cbor:"set"`
+	Value   Raw    `cbor:"v"`
+	Drop    string `cbor:"drop"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Events answers GET /watch.
 type Events struct {
-	Epoch  uint64  `cbor:"epoch"`
-	Events []Event `cbor:"events"`
+	Revision uint64  `cbor:"epoch"`
+	Events   []Event `cbor:"events"`
 }
