--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -59,7 +59,7 @@
 
 // Attempt is one try of a task.
 type Attempt struct {
-	ID     jobs.ID
+	ID     jobs.TaskID
 	Number uint64
 }
 
@@ -81,13 +81,13 @@
 	Sequence    uint64 // of the newest message
 	Reported    uint64 // of the newest report; answers to direct calls come between
 	ShownToken  uint64 // highest that the worker has shown
-	Tasks       map[jobs.ID]wire.TaskReport
-	Heard       time.Time        // arrival of the last message
-	First       time.Time        // arrival of the first message
-	Answered    time.Time        // arrival of the last report that we answered with 200
-	ProvenAt    time.Time        // arrival of the message that proved the session
-	TakenAt     time.Time        // when the cloud takes the machine; zero: no notice
-	Stopping    map[jobs.ID]bool // tasks that we want off this machine
+	Tasks       map[jobs.TaskID]wire.TaskReport
+	Heard       time.Time            // arrival of the last message
+	First       time.Time            // arrival of the first message
+	Answered    time.Time            // arrival of the last report that we answered with 200
+	ProvenAt    time.Time            // arrival of the message that proved the session
+	TakenAt     time.Time            // when the cloud takes the machine; zero: no notice
+	Stopping    map[jobs.TaskID]bool // tasks that we want off this machine
 
 	// Token of our commands to this worker; the membership's, or above it once
 	// starts had to be made void (Void).
@@ -170,7 +170,7 @@
 
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
-	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.ID]wire.TaskReport{}, Stopping: map[jobs.ID]bool{},
+	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.TaskID]wire.TaskReport{}, Stopping: map[jobs.TaskID]bool{},
 		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[CommandKey]time.Time{}}
 }
 
@@ -179,7 +179,7 @@
 func (w *Worker) RaiseToken() { w.State, w.Quiet = w.State.Next(TokenRaised), false }
 
 // Stop notes that a task is wanted off the machine.
-func (w *Worker) Stop(id jobs.ID) { w.Stopping[id], w.Quiet = true, false }
+func (w *Worker) Stop(id jobs.TaskID) { w.Stopping[id], w.Quiet = true, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
 // token is the one of our membership; a worker that has shown it or one that
@@ -227,11 +227,11 @@
 	}
 	clear(w.Tasks)
 	for _, s := range r.Tasks {
-		ref, n, ok := jobs.ParseTaskName(s.Task)
+		jobID, n, ok := jobs.ParseTaskName(s.Task)
 		if !ok {
 			continue
 		}
-		id := jobs.ID{Ref: ref, Task: n}
+		id := jobs.TaskID{Job: jobID, Task: n}
 		// The task may be listed with an older, exited attempt too: the newest
 		// attempt counts, and an older one is still to be reaped.
 		if old, dup := w.Tasks[id]; dup && old.Attempt > s.Attempt {
@@ -245,7 +245,7 @@
 // KeepStopping forgets the wish to stop tasks whose claim is released. Until
 // then it stands, also for an exited task: its room is about to be free, and
 // stopping others for the same room would be in vain.
-func (w *Worker) KeepStopping(claims map[jobs.ID]*jobs.Job) {
+func (w *Worker) KeepStopping(claims map[jobs.TaskID]*jobs.Job) {
 	for id := range w.Stopping {
 		if claims[id] == nil {
 			delete(w.Stopping, id)
@@ -254,7 +254,7 @@
 }
 
 // Leaves reports whether a claimed task is on its way off the machine.
-func (w *Worker) Leaves(id jobs.ID) bool {
+func (w *Worker) Leaves(id jobs.TaskID) bool {
 	s, on := w.Tasks[id]
 	return w.Stopping[id] || on && s.State == wire.TaskExited
 }
@@ -291,7 +291,7 @@
 
 // Held lists the claims of cancelled jobs that a start, which may yet arrive,
 // keeps from being released.
-func (w *Worker) Held(claims map[jobs.ID]*jobs.Job) []Attempt {
+func (w *Worker) Held(claims map[jobs.TaskID]*jobs.Job) []Attempt {
 	if len(w.unanswered) == 0 {
 		return nil
 	}
@@ -381,14 +381,14 @@
 
 // Release is a claim whose end is proven.
 type Release struct {
-	ID    jobs.ID
+	ID    jobs.TaskID
 	Kind  jobs.TaskEventKind
 	Cause string
 }
 
 // Proofs returns the claims on the machine whose attempts have surely ended.
 // claims are those stored for this machine.
-func (w *Worker) Proofs(claims map[jobs.ID]*jobs.Job, now time.Time, lease time.Duration) []Release {
+func (w *Worker) Proofs(claims map[jobs.TaskID]*jobs.Job, now time.Time, lease time.Duration) []Release {
 	over := w.LeaseOver(now, lease)
 	var out []Release
 	for id, j := range claims {
@@ -417,8 +417,8 @@
 		}
 	}
 	sort.Slice(out, func(a, b int) bool {
-		if out[a].ID.Ref != out[b].ID.Ref {
-			return out[a].ID.Ref < out[b].ID.Ref
+		if out[a].ID.Job != out[b].ID.Job {
+			return out[a].ID.Job < out[b].ID.Job
 		}
 		return out[a].ID.Task < out[b].ID.Task
 	})
@@ -429,12 +429,12 @@
 // false while the state service can't be read. Reaps in it may travel in
 // report responses only: a start in the response to an earlier report is then
 // surely over, while a direct reap could overtake it.
-func (w *Worker) Commands(claims map[jobs.ID]*jobs.Job, mayStart bool) []wire.Command {
+func (w *Worker) Commands(claims map[jobs.TaskID]*jobs.Job, mayStart bool) []wire.Command {
 	if w.State == Expired {
 		return nil
 	}
 	var out []wire.Command
-	ids := make([]jobs.ID, 0, len(claims)+len(w.Tasks))
+	ids := make([]jobs.TaskID, 0, len(claims)+len(w.Tasks))
 	for id := range claims {
 		if _, on := w.Tasks[id]; !on {
 			ids = append(ids, id)
@@ -444,8 +444,8 @@
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(a, b int) bool {
-		if ids[a].Ref != ids[b].Ref {
-			return ids[a].Ref < ids[b].Ref
+		if ids[a].Job != ids[b].Job {
+			return ids[a].Job < ids[b].Job
 		}
 		return ids[a].Task < ids[b].Task
 	})
@@ -500,8 +500,8 @@
 		if o.Verb != wire.VerbStart {
 			continue
 		}
-		if ref, n, ok := jobs.ParseTaskName(o.Task); ok {
-			out = append(out, Attempt{jobs.ID{Ref: ref, Task: n}, o.Attempt})
+		if jobID, n, ok := jobs.ParseTaskName(o.Task); ok {
+			out = append(out, Attempt{jobs.TaskID{Job: jobID, Task: n}, o.Attempt})
 		}
 	}
 	return out
--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -14,19 +14,19 @@
 
 // CheckDependencies refuses a list that names what can't be depended on; accepted tells of a job whether it is known,
 // and whether it is a service.
-func CheckDependencies(w *wire.JobSpec, accepted func(ref string) (known, service bool)) error {
-	for _, ref := range w.DependsOn {
-		if !wire.ValidJobID(ref) {
-			return Refusal("awaits names no job: " + ref[:min(len(ref), 40)])
+func CheckDependencies(w *wire.JobSpec, accepted func(jobID string) (known, service bool)) error {
+	for _, jobID := range w.DependsOn {
+		if !wire.ValidJobID(jobID) {
+			return Refusal("awaits names no job: " + jobID[:min(len(jobID), 40)])
 		}
-		if ref == w.ID {
+		if jobID == w.ID {
 			return Refusal("a job can't await itself")
 		}
-		switch known, service := accepted(ref); {
+		switch known, service := accepted(jobID); {
 		case !known:
-			return Refusal("awaits names a job that was never accepted: " + ref)
+			return Refusal("awaits names a job that was never accepted: " + jobID)
 		case service:
-			return Refusal("awaits names a service, which never ends: " + ref)
+			return Refusal("awaits names a service, which never ends: " + jobID)
 		}
 	}
 	return nil
@@ -41,19 +41,19 @@
 }
 
 func (t *Table) link(j *Job) {
-	for _, ref := range j.dependencies() {
-		if t.after[ref] == nil {
-			t.after[ref] = map[string]bool{}
+	for _, jobID := range j.dependencies() {
+		if t.after[jobID] == nil {
+			t.after[jobID] = map[string]bool{}
 		}
-		t.after[ref][j.Ref] = true
+		t.after[jobID][j.ID] = true
 	}
 }
 
 func (t *Table) unlink(j *Job) {
-	for _, ref := range j.dependencies() {
-		delete(t.after[ref], j.Ref)
-		if len(t.after[ref]) == 0 {
-			delete(t.after, ref)
+	for _, jobID := range j.dependencies() {
+		delete(t.after[jobID], j.ID)
+		if len(t.after[jobID]) == 0 {
+			delete(t.after, jobID)
 		}
 	}
 }
@@ -66,11 +66,11 @@
 		return j.Record.Phase, j.Record.Via
 	}
 	event := JobReleased
-	for _, ref := range j.dependencies() {
-		a := t.Jobs[ref]
+	for _, jobID := range j.dependencies() {
+		a := t.Jobs[jobID]
 		switch {
 		case a != nil && a.Phase == Cancelled:
-			event, via = JobCancel, ref
+			event, via = JobCancel, jobID
 		case event == JobReleased && (a == nil || a.Phase != Done):
 			event = ""
 		}
@@ -87,18 +87,18 @@
 
 // derive brings up to date what follows from a job's record, for itself and
 // for all that it reaches; before is what it depended on by its former record.
-func (t *Table) derive(ref string, before []string) {
-	up := append([]string{ref}, before...) // whose hints may change
-	for list := []string{ref}; len(list) > 0; {
+func (t *Table) derive(jobID string, before []string) {
+	up := append([]string{jobID}, before...) // whose hints may change
+	for list := []string{jobID}; len(list) > 0; {
 		j := t.Jobs[list[0]]
 		list = list[1:]
-		was, first := j.Phase, j.Ref == ref
+		was, first := j.Phase, j.ID == jobID
 		j.Phase, j.Via = t.phase(j)
 		if was == j.Phase && !first {
 			continue
 		}
 		t.file(j)
-		for next := range t.after[j.Ref] {
+		for next := range t.after[j.ID] {
 			if t.Jobs[next] != nil {
 				list = append(list, next)
 			}
@@ -112,23 +112,23 @@
 
 // file enters a job in the index of its phase.
 func (t *Table) file(j *Job) {
-	delete(t.Open, j.Ref)
-	delete(t.Waiting, j.Ref)
-	delete(t.Unsaid, j.Ref)
+	delete(t.Open, j.ID)
+	delete(t.Waiting, j.ID)
+	delete(t.Unsaid, j.ID)
 	j.Ready = j.Record.At
 	switch {
 	case j.Phase == Open:
-		t.Open[j.Ref] = j
-		for _, ref := range j.dependencies() {
-			if a := t.Jobs[ref]; a != nil {
+		t.Open[j.ID] = j
+		for _, jobID := range j.dependencies() {
+			if a := t.Jobs[jobID]; a != nil {
 				j.Ready = max(j.Ready, a.Record.End)
 			}
 		}
 		return
 	case j.Phase == Waiting:
-		t.Waiting[j.Ref] = j
+		t.Waiting[j.ID] = j
 	case !j.Record.Phase.Final():
-		t.Unsaid[j.Ref] = j
+		t.Unsaid[j.ID] = j
 	}
 	for _, task := range j.Live {
 		t.Moved(task.Host)
@@ -149,8 +149,8 @@
 		if w.DeadlineS != nil {
 			deadline = j.Record.At + int64(*w.DeadlineS*1000)
 		}
-		for ref := range t.after[j.Ref] {
-			n := t.Jobs[ref]
+		for jobID := range t.after[j.ID] {
+			n := t.Jobs[jobID]
 			if n == nil || n.Phase.Final() || n.Record.Spec == nil {
 				continue
 			}
@@ -173,8 +173,8 @@
 
 // Unfinished lists the jobs that a waiting job waits for, as they were named.
 func (t *Table) Unfinished(j *Job) []string {
-	return slices.DeleteFunc(slices.Clone(j.dependencies()), func(ref string) bool {
-		a := t.Jobs[ref]
+	return slices.DeleteFunc(slices.Clone(j.dependencies()), func(jobID string) bool {
+		a := t.Jobs[jobID]
 		return a != nil && a.Phase == Done
 	})
 }
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -24,24 +24,24 @@
 )
 
 // JobKey is the key of a job's record.
-func JobKey(ref string) string { return JobPrefix + ref }
+func JobKey(jobID string) string { return JobPrefix + jobID }
 
 // ChunkKey is the key of one chunk of a job's tasks.
-func ChunkKey(ref string, chunk int) string {
-	return ChunkPrefix + ref + "/" + strconv.Itoa(chunk)
+func ChunkKey(jobID string, chunk int) string {
+	return ChunkPrefix + jobID + "/" + strconv.Itoa(chunk)
 }
 
 // TeamKey is the key that every claim of a team writes.
 func TeamKey(team string) string { return TeamPrefix + team }
 
 // ParseChunkKey splits a chunk key.
-func ParseChunkKey(key string) (ref string, chunk int, ok bool) {
-	ref, c, ok := strings.Cut(strings.TrimPrefix(key, ChunkPrefix), "/")
+func ParseChunkKey(key string) (jobID string, chunk int, ok bool) {
+	jobID, c, ok := strings.Cut(strings.TrimPrefix(key, ChunkPrefix), "/")
 	if !ok {
 		return "", 0, false
 	}
 	chunk, err := strconv.Atoi(c)
-	return ref, chunk, err == nil
+	return jobID, chunk, err == nil
 }
 
 // Record is the stored form of a job. Final records drop what is no longer
@@ -178,22 +178,22 @@
 }
 
 // TaskName names a task the way workers do.
-func TaskName(ref string, task int) string { return ref + "/" + strconv.Itoa(task) }
+func TaskName(jobID string, task int) string { return jobID + "/" + strconv.Itoa(task) }
 
 // ParseTaskName splits a worker's task name.
-func ParseTaskName(s string) (ref string, task int, ok bool) {
-	ref, t, ok := strings.Cut(s, "/")
+func ParseTaskName(s string) (jobID string, task int, ok bool) {
+	jobID, t, ok := strings.Cut(s, "/")
 	if !ok {
 		return "", 0, false
 	}
 	task, err := strconv.Atoi(t)
-	return ref, task, err == nil && task >= 0
+	return jobID, task, err == nil && task >= 0
 }
 
-// ID names a task.
-type ID struct {
-	Ref  string
+// TaskID names a task.
+type TaskID struct {
+	Job  string
 	Task int
 }
 
-func (id ID) String() string { return fmt.Sprintf("%s/%d", id.Ref, id.Task) }
+func (id TaskID) String() string { return fmt.Sprintf("%s/%d", id.Job, id.Task) }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -107,10 +107,10 @@
 }
 
 // Order returns the members in the order in which they take a job's tasks.
-func (r *Record) Order(ref string) []string {
+func (r *Record) Order(jobID string) []string {
 	nodes := append([]Node(nil), r.Nodes...)
 	sort.Slice(nodes, func(a, b int) bool {
-		wa, wb := weight(ref, nodes[a].Label), weight(ref, nodes[b].Label)
+		wa, wb := weight(jobID, nodes[a].Label), weight(jobID, nodes[b].Label)
 		if wa != wb {
 			return wa > wb
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -27,7 +27,7 @@
 
 // Resident is a claimed task on a machine.
 type Resident struct {
-	ID       jobs.ID
+	ID       jobs.TaskID
 	Job      *jobs.Job
 	Stopping bool
 }
@@ -174,7 +174,7 @@
 // Input of a pass.
 type Input struct {
 	Me, Leader string
-	Order      func(ref string) []string // nodes in the job's hashed order
+	Order      func(jobID string) []string // nodes in the job's hashed order
 	Fleet      *Fleet
 	Demands    []*Demand
 	Teams      map[string]*Team
@@ -238,7 +238,7 @@
 	if a.latest != b.latest {
 		return a.latest < b.latest
 	}
-	return a.Job.Ref < b.Job.Ref
+	return a.Job.ID < b.Job.ID
 }
 
 // latest is when a job's tasks must start to keep its deadline, and those of
@@ -294,7 +294,7 @@
 
 func (in *Input) one(d *Demand, out *Output) {
 	w := d.Job.Record.Spec
-	wait := func(n int, why string) { out.Unmet[d.Job.Ref], out.Why[d.Job.Ref] = n, why }
+	wait := func(n int, why string) { out.Unmet[d.Job.ID], out.Why[d.Job.ID] = n, why }
 	team := in.Teams[w.Team]
 	if team == nil {
 		wait(len(d.Tasks), "its team is not in the settings")
@@ -326,7 +326,7 @@
 			wait(len(tasks), NoTurn)
 			return
 		}
-		for _, node := range in.Order(d.Job.Ref) {
+		for _, node := range in.Order(d.Job.ID) {
 			if team.grant(node, d.Job.Need, len(tasks)) < len(tasks) {
 				continue
 			}
@@ -401,7 +401,7 @@
 		return in.fit(d, tasks, "") // zones count across owners
 	}
 	var parts [][]*Machine
-	for _, node := range in.Order(d.Job.Ref) {
+	for _, node := range in.Order(d.Job.ID) {
 		if p := in.fit(d, tasks, node); len(p) > 0 {
 			parts = append(parts, p)
 		}
@@ -637,7 +637,7 @@
 		}
 		best.Freeing = best.Freeing.Add(v.Job.Need)
 		if best.Owner == in.Me {
-			out.Evict = append(out.Evict, Eviction{v, d.Job.Ref})
+			out.Evict = append(out.Evict, Eviction{v, d.Job.ID})
 		}
 	}
 	best.Freeing = best.Freeing.Sub(d.Job.Need)
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -95,16 +95,16 @@
 func (n *Node) gather(first *submission) (group []*submission, next *submission) {
 	room := n.groupLimit()
 	most := min(tuning.IntakeGroup, 4*n.limits.TxnOps-1)
-	refs := map[string]bool{}
+	jobIDs := map[string]bool{}
 	for s := first; ; {
 		// Whose user has been told to come back is left out.
 		if time.Now().Before(s.before) {
 			room -= jobs.IntakeBytes(s.work)
-			if len(group) > 0 && (room < 0 || refs[s.work.ID]) {
+			if len(group) > 0 && (room < 0 || jobIDs[s.work.ID]) {
 				return group, s
 			}
 			group = append(group, s)
-			refs[s.work.ID] = true
+			jobIDs[s.work.ID] = true
 		}
 		if len(group) == most {
 			return group, nil
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -137,11 +137,11 @@
 			l.control[t.Label] = roles.New(n.set.Operator, now)
 		}
 	}
-	for ref, j := range n.table.Open {
-		if l.seenJobs[ref] {
+	for jobID, j := range n.table.Open {
+		if l.seenJobs[jobID] {
 			continue
 		}
-		l.seenJobs[ref] = true
+		l.seenJobs[jobID] = true
 		if !j.Service() {
 			if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
 				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
@@ -162,9 +162,9 @@
 			}
 		}
 	}
-	for ref := range l.seenJobs {
-		if n.table.Open[ref] == nil {
-			delete(l.seenJobs, ref)
+	for jobID := range l.seenJobs {
+		if n.table.Open[jobID] == nil {
+			delete(l.seenJobs, jobID)
 		}
 	}
 }
@@ -218,8 +218,8 @@
 		}
 	}
 	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
-	for ref, k := range n.unmet {
-		j := n.table.Jobs[ref]
+	for jobID, k := range n.unmet {
+		j := n.table.Jobs[jobID]
 		if j == nil || j.Record.Spec == nil || !jobs.Allowed(j.Record.Spec, t.Label) {
 			continue
 		}
@@ -461,35 +461,35 @@
 	// What has a place that is not stored yet, and what had no turn in the
 	// pass, takes its room first. Guards against renting only when the last
 	// free machine is taken: with hundreds of jobs that took half a minute.
-	for ref, j := range n.table.Open {
+	for jobID, j := range n.table.Open {
 		rest := j.Counts[jobs.Pending]
-		if n.why[ref] != place.NoTurn {
-			rest -= n.unmet[ref]
+		if n.why[jobID] != place.NoTurn {
+			rest -= n.unmet[jobID]
 		}
-		if rest > 0 && (n.why[ref] == "" || n.why[ref] == place.NoTurn || n.why[ref] == place.NoRoom) {
+		if rest > 0 && (n.why[jobID] == "" || n.why[jobID] == place.NoTurn || n.why[jobID] == place.NoRoom) {
 			in.Wants = append(in.Wants, fleet.Want{Job: j, Count: rest, Untried: true})
 		}
 	}
-	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.Ref < in.Wants[b].Job.Ref })
+	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.ID < in.Wants[b].Job.ID })
 	in.Groups = n.groupsNow()
 	in.Wants = append(in.Wants, n.endangered(machines, up, now)...)
-	refs := make([]string, 0, len(n.unmet))
-	for ref := range n.unmet {
-		refs = append(refs, ref)
-	}
-	sort.Slice(refs, func(a, b int) bool { return n.unmetAt[refs[a]].Before(n.unmetAt[refs[b]]) })
-	for _, ref := range refs {
-		j := n.table.Open[ref]
-		if j == nil || n.why[ref] != place.NoRoom {
+	jobIDs := make([]string, 0, len(n.unmet))
+	for jobID := range n.unmet {
+		jobIDs = append(jobIDs, jobID)
+	}
+	sort.Slice(jobIDs, func(a, b int) bool { return n.unmetAt[jobIDs[a]].Before(n.unmetAt[jobIDs[b]]) })
+	for _, jobID := range jobIDs {
+		j := n.table.Open[jobID]
+		if j == nil || n.why[jobID] != place.NoRoom {
 			continue
 		}
 		if j.Service() {
 			// The headroom is for what will run too.
-			in.Service.Tasks += float64(n.unmet[ref])
-			in.Service.Wait += float64(n.unmet[ref])
+			in.Service.Tasks += float64(n.unmet[jobID])
+			in.Service.Wait += float64(n.unmet[jobID])
 			in.Service.Need, in.Service.Spec = j.Need, j.Record.Spec
 		}
-		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
+		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[jobID], Waiting: now.Sub(n.unmetAt[jobID])})
 	}
 	return in
 }
@@ -507,7 +507,7 @@
 			}
 			arrays++
 			tasks += min(float64(j.Record.Tasks), tuning.TasksPerJob)
-			if typical == nil || j.Need.CPUs > typical.Need.CPUs || j.Need.CPUs == typical.Need.CPUs && j.Ref < typical.Ref {
+			if typical == nil || j.Need.CPUs > typical.Need.CPUs || j.Need.CPUs == typical.Need.CPUs && j.ID < typical.ID {
 				typical = j
 			}
 		}
@@ -531,7 +531,7 @@
 func (h *heldBatch) add(j *jobs.Job, machine jobs.Resources) {
 	h.share += j.Need.Share(machine)
 	h.tasks++
-	if h.job == nil || j.Ref < h.job.Ref {
+	if h.job == nil || j.ID < h.job.ID {
 		h.job = j
 	}
 }
@@ -591,7 +591,7 @@
 	for j, k := range count {
 		out = append(out, fleet.Want{Job: j, Count: k, Untried: true})
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].Job.Ref < out[b].Job.Ref })
+	sort.Slice(out, func(a, b int) bool { return out[a].Job.ID < out[b].Job.ID })
 	return out
 }
 
--- a/internal/server/machines.go
+++ b/internal/server/machines.go
@@ -259,8 +259,8 @@
 		add(*c.Now)
 	}
 	services, arrays := false, false
-	for ref := range n.unmet {
-		if j := n.table.Open[ref]; j != nil && j.Service() {
+	for jobID := range n.unmet {
+		if j := n.table.Open[jobID]; j != nil && j.Service() {
 			services = true
 		} else if j != nil {
 			arrays = true
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -288,9 +288,9 @@
 func (n *Node) enter(key string, v wire.Raw, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		ref := strings.TrimPrefix(key, jobs.JobPrefix)
-		err := n.table.ApplyJob(ref, v)
-		if j := n.table.Jobs[ref]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
+		jobID := strings.TrimPrefix(key, jobs.JobPrefix)
+		err := n.table.ApplyJob(jobID, v)
+		if j := n.table.Jobs[jobID]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
 			n.cancelled = max(n.cancelled, version)
 		}
 		return err
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -84,14 +84,14 @@
 	for host, w := range n.workers {
 		w.KeepStopping(n.table.Hosts[host])
 	}
-	for ref, at := range n.served {
+	for jobID, at := range n.served {
 		if now.Sub(at) > tuning.PreemptPause {
-			delete(n.served, ref)
+			delete(n.served, jobID)
 		}
 	}
-	for ref, at := range n.notUntil {
+	for jobID, at := range n.notUntil {
 		if now.After(at) {
-			delete(n.notUntil, ref)
+			delete(n.notUntil, jobID)
 		}
 	}
 	// What can't be written now is not decided now: it would wait in the
@@ -136,7 +136,7 @@
 	txns = n.finished(txns, &most)
 	jobsToClaim := map[string]bool{}
 	for _, c := range out.Claims {
-		jobsToClaim[c.Job.Ref] = true
+		jobsToClaim[c.Job.ID] = true
 	}
 	waits := n.lim.Waiting() + float64(n.storing+max(0, len(due)+len(jobsToClaim)-len(txns)))
 	n.want += (waits - n.want) / 2
@@ -157,14 +157,14 @@
 func (n *Node) noteUnmet(out place.Output, now time.Time) {
 	n.unmet, n.why = out.Unmet, out.Why
 	n.noteShort(out.Short, now)
-	for ref := range n.unmetAt {
-		if out.Unmet[ref] == 0 {
-			delete(n.unmetAt, ref)
+	for jobID := range n.unmetAt {
+		if out.Unmet[jobID] == 0 {
+			delete(n.unmetAt, jobID)
 		}
 	}
-	for ref := range out.Unmet {
-		if _, ok := n.unmetAt[ref]; !ok {
-			n.unmetAt[ref] = now
+	for jobID := range out.Unmet {
+		if _, ok := n.unmetAt[jobID]; !ok {
+			n.unmetAt[jobID] = now
 		}
 	}
 }
@@ -175,28 +175,28 @@
 		Fleet: fleet, Teams: n.teams(), Now: now, MostJobs: tuning.JobsPerPass}
 	avoid := map[string]map[string]bool{}
 	for host, w := range n.workers {
-		for ref := range w.Errors {
-			if avoid[ref] == nil {
-				avoid[ref] = map[string]bool{}
+		for jobID := range w.Errors {
+			if avoid[jobID] == nil {
+				avoid[jobID] = map[string]bool{}
 			}
-			avoid[ref][host] = true
+			avoid[jobID][host] = true
 		}
 	}
 	pipelines := n.pipelines()
-	for ref, j := range n.table.Open {
+	for jobID, j := range n.table.Open {
 		if j.Counts[jobs.Pending] == 0 || j.Record.Phase == jobs.Waiting && !pipelines {
 			continue // an old member would stop what starts on its machines
 		}
-		d := &place.Demand{Job: j, Avoid: avoid[ref]}
+		d := &place.Demand{Job: j, Avoid: avoid[jobID]}
 		d.Tasks = n.pending(j, tuning.TasksPerJob, now)
 		// The cloud may still bring room for a guarantee; work that is stopped
 		// for it is lost.
-		if at, ok := n.unmetAt[ref]; ok {
+		if at, ok := n.unmetAt[jobID]; ok {
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
 		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Ready > tuning.AgedAfter.Milliseconds()
-		d.Served = now.Sub(n.served[ref]) < tuning.PreemptPause
-		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
+		d.Served = now.Sub(n.served[jobID]) < tuning.PreemptPause
+		d.Blocked = n.busyJob[jobID] || now.Before(n.notUntil[jobID])
 		if len(d.Tasks) > 0 {
 			in.Demands = append(in.Demands, d)
 		}
@@ -220,7 +220,7 @@
 			}
 			if errs := tasks[k].Errs; errs > 0 {
 				pause := min(tuning.RetryBase<<min(errs-1, 10), tuning.RetryCap)
-				if now.Sub(n.table.FailedAt[jobs.ID{Ref: j.Ref, Task: i}]) < pause {
+				if now.Sub(n.table.FailedAt[jobs.TaskID{Job: j.ID, Task: i}]) < pause {
 					continue
 				}
 			}
@@ -287,10 +287,10 @@
 // by chunk; what matters most comes first.
 func (n *Node) releases(now time.Time) []ends {
 	changes := map[string]*chunkChange{}
-	add := func(id jobs.ID, kind jobs.TaskEventKind) {
-		j := n.table.Jobs[id.Ref]
+	add := func(id jobs.TaskID, kind jobs.TaskEventKind) {
+		j := n.table.Jobs[id.Job]
 		chunk := id.Task / j.Record.Chunk
-		key := jobs.ChunkKey(id.Ref, chunk)
+		key := jobs.ChunkKey(id.Job, chunk)
 		if changes[key] == nil {
 			changes[key] = &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
 		}
@@ -302,10 +302,10 @@
 			// The proof is stored, so any node may release: the job's first
 			// does, in one write for the machines of all owners.
 			for id := range claims {
-				mine, ok := first[id.Ref]
+				mine, ok := first[id.Job]
 				if !ok {
-					mine = n.member.Order(id.Ref)[0] == n.self.Label
-					first[id.Ref] = mine
+					mine = n.member.Order(id.Job)[0] == n.self.Label
+					first[id.Job] = mine
 				}
 				if mine {
 					add(id, jobs.Release)
@@ -345,7 +345,7 @@
 		j := c.job
 		last := j.Counts[jobs.Completed]+over == j.Record.Tasks
 		wait := now.Sub(since)
-		if n.busyJob[j.Ref] || now.Before(n.notUntil[j.Ref]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
+		if n.busyJob[j.ID] || now.Before(n.notUntil[j.ID]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
 			continue
 		}
 		e := ends{c, key, since, freesRoom}
@@ -385,7 +385,7 @@
 		if n.ownerOf(t.Host) != n.self.Label {
 			continue
 		}
-		c := due[jobs.ChunkKey(j.Ref, i/j.Record.Chunk)]
+		c := due[jobs.ChunkKey(j.ID, i/j.Record.Chunk)]
 		if c == nil {
 			return false
 		}
@@ -398,7 +398,7 @@
 
 // release adds the write of one chunk's ends, if the budget has room for it.
 func (n *Node) release(txns []*txn, d ends, most *float64) []*txn {
-	if *most < 1 || n.busyJob[d.job.Ref] {
+	if *most < 1 || n.busyJob[d.job.ID] {
 		return txns
 	}
 	tasks, ok := d.apply()
@@ -407,18 +407,18 @@
 	}
 	t := n.newTxn("release")
 	t.guards[d.key] = n.cache.Version(d.key)
-	t.guards[jobs.JobKey(d.job.Ref)] = n.cache.Version(jobs.JobKey(d.job.Ref))
+	t.guards[jobs.JobKey(d.job.ID)] = n.cache.Version(jobs.JobKey(d.job.ID))
 	n.putChunk(t, d.chunkChange, d.key, tasks)
 	for id, e := range d.events {
-		t.note("task released", "task", jobs.ID{Ref: d.job.Ref, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
+		t.note("task released", "task", jobs.TaskID{Job: d.job.ID, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
 	}
-	return n.under(txns, t, d.job.Ref, most)
+	return n.under(txns, t, d.job.ID, most)
 }
 
 // under adds a write about a job, and marks it as under way.
-func (n *Node) under(txns []*txn, t *txn, ref string, most *float64) []*txn {
-	t.jobs = append(t.jobs, ref)
-	n.busyJob[ref] = true
+func (n *Node) under(txns []*txn, t *txn, jobID string, most *float64) []*txn {
+	t.jobs = append(t.jobs, jobID)
+	n.busyJob[jobID] = true
 	*most -= float64(len(t.then))
 	return append(txns, t)
 }
@@ -445,7 +445,7 @@
 		}
 	}
 	if j.Phase == jobs.Open && j.Counts[jobs.Completed]-before+done == j.Record.Tasks {
-		t.set(jobs.JobKey(j.Ref), finalRecord(j, jobs.JobCompleted, n.now()))
+		t.set(jobs.JobKey(j.ID), finalRecord(j, jobs.JobCompleted, n.now()))
 		t.drop(key)
 		return
 	}
@@ -468,24 +468,24 @@
 // finished ends jobs whose chunks were completed by different owners; the
 // job's first node does it.
 func (n *Node) finished(txns []*txn, most *float64) []*txn {
-	for ref, j := range n.table.Open {
-		if *most < 1 || !j.AllDone() || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+	for jobID, j := range n.table.Open {
+		if *most < 1 || !j.AllDone() || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
 			continue
 		}
 		t := n.newTxn("finish")
-		t.guards[jobs.JobKey(ref)] = n.cache.Version(jobs.JobKey(ref))
-		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted, n.now()))
-		txns = n.under(txns, t, ref, most)
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), finalRecord(j, jobs.JobCompleted, n.now()))
+		txns = n.under(txns, t, jobID, most)
 	}
-	for ref, j := range n.table.Unsaid {
+	for jobID, j := range n.table.Unsaid {
 		// It says nothing new: it lets intake records go, and tells old versions.
-		if *most < 2 || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+		if *most < 2 || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
 			continue
 		}
 		t := n.newTxn("cancelled with another")
-		t.guards[jobs.JobKey(ref)] = n.cache.Version(jobs.JobKey(ref))
-		t.set(jobs.JobKey(ref), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
-		txns = n.under(txns, t, ref, most)
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
+		txns = n.under(txns, t, jobID, most)
 	}
 	for key := range n.table.Intakes {
 		// Nothing needs it any more: guards against reading it for ever.
@@ -512,10 +512,10 @@
 	var groups []*group
 	byRef := map[string]*group{}
 	for _, c := range list {
-		g := byRef[c.Job.Ref]
+		g := byRef[c.Job.ID]
 		if g == nil {
 			g = &group{job: c.Job}
-			byRef[c.Job.Ref] = g
+			byRef[c.Job.ID] = g
 			groups = append(groups, g)
 		}
 		g.claims = append(g.claims, c)
@@ -525,7 +525,7 @@
 		if *most < 1 {
 			break
 		}
-		if n.busyJob[j.Ref] || n.busyTeam[team] {
+		if n.busyJob[j.ID] || n.busyTeam[team] {
 			continue
 		}
 		t := n.newTxn("claim")
@@ -533,7 +533,7 @@
 		moved := map[string]jobs.Resources{} // what others' machines get
 		for _, cl := range g.claims {
 			chunk := cl.Task / j.Record.Chunk
-			key, hkey := jobs.ChunkKey(j.Ref, chunk), n.reg.Key(cl.Host)
+			key, hkey := jobs.ChunkKey(j.ID, chunk), n.reg.Key(cl.Host)
 			c := changes[key]
 			if c == nil {
 				if !n.room(t, len(changes)+3, (len(changes)+1)*n.chunkBytes(j), len(changes)+5) {
@@ -554,7 +554,7 @@
 				moved[owner] = moved[owner].Add(j.Need)
 			}
 		}
-		jkey := jobs.JobKey(j.Ref)
+		jkey := jobs.JobKey(j.ID)
 		t.guards[jkey] = n.cache.Version(jkey)
 		claimed := 0
 		for key, c := range changes {
@@ -572,7 +572,7 @@
 			t.guards[key] = n.cache.Version(key)
 			t.set(key, jobs.ChunkRecord{Tasks: tasks})
 			for id, e := range c.events {
-				t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
+				t.note("task claimed", "task", jobs.TaskID{Job: j.ID, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
 			}
 		}
 		if !ok || j.Gang() && claimed < len(g.claims) || !n.charge(t, team, moved) {
@@ -583,7 +583,7 @@
 			rec.Serial++
 			t.set(jkey, rec)
 		}
-		txns = n.under(txns, t, j.Ref, most)
+		txns = n.under(txns, t, j.ID, most)
 	}
 	return txns
 }
@@ -615,16 +615,16 @@
 		}
 	}
 	n.settled(t, err)
-	for _, ref := range t.jobs {
-		delete(n.busyJob, ref)
+	for _, jobID := range t.jobs {
+		delete(n.busyJob, jobID)
 		if errors.Is(err, store.ErrBad) {
 			// It would be refused again: guards against a write every pass.
-			n.notUntil[ref] = n.now().Add(tuning.RetryCap)
-			n.log.Error("write refused as malformed", "what", t.what, "job", ref, "err", err)
+			n.notUntil[jobID] = n.now().Add(tuning.RetryCap)
+			n.log.Error("write refused as malformed", "what", t.what, "job", jobID, "err", err)
 		} else if err != nil {
-			n.notUntil[ref] = n.now().Add(jitter(tuning.ConflictPause))
+			n.notUntil[jobID] = n.now().Add(jitter(tuning.ConflictPause))
 		} else {
-			delete(n.notUntil, ref)
+			delete(n.notUntil, jobID)
 		}
 	}
 	if t.team != "" {
@@ -644,8 +644,8 @@
 			}
 		}
 	}
-	for ref := range n.unmet {
-		if j := n.table.Jobs[ref]; j != nil && j.Service() {
+	for jobID := range n.unmet {
+		if j := n.table.Jobs[jobID]; j != nil && j.Service() {
 			return // those that wait come first
 		}
 	}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -25,8 +25,8 @@
 	defer n.mu.Unlock()
 	var b strings.Builder
 	c.SetContentType("text/plain; charset=utf-8")
-	if ref := string(c.QueryArgs().Peek("job")); ref != "" {
-		n.jobStatus(&b, ref)
+	if jobID := string(c.QueryArgs().Peek("job")); jobID != "" {
+		n.jobStatus(&b, jobID)
 		c.SetBodyString(b.String())
 		return
 	}
@@ -68,14 +68,14 @@
 			}
 		}
 	}
-	rows(&b, "waiting", n.unmet, func(ref string) string {
-		return fmt.Sprintf("waiting %s tasks %d because %s", ref, n.unmet[ref], n.why[ref])
+	rows(&b, "waiting", n.unmet, func(jobID string) string {
+		return fmt.Sprintf("waiting %s tasks %d because %s", jobID, n.unmet[jobID], n.why[jobID])
 	})
-	rows(&b, "awaits", n.table.Waiting, func(ref string) string {
-		return fmt.Sprintf("awaits %s: %s", ref, strings.Join(n.table.Unfinished(n.table.Waiting[ref]), " "))
+	rows(&b, "awaits", n.table.Waiting, func(jobID string) string {
+		return fmt.Sprintf("awaits %s: %s", jobID, strings.Join(n.table.Unfinished(n.table.Waiting[jobID]), " "))
 	})
-	rows(&b, "cancelled with others", n.table.Unsaid, func(ref string) string {
-		return fmt.Sprintf("cancelled %s with %s", ref, n.table.Unsaid[ref].Via)
+	rows(&b, "cancelled with others", n.table.Unsaid, func(jobID string) string {
+		return fmt.Sprintf("cancelled %s with %s", jobID, n.table.Unsaid[jobID].Via)
 	})
 	c.SetBodyString(b.String())
 }
@@ -93,20 +93,20 @@
 
 // jobStatus shows one job: why it waits, or with which job it was cancelled;
 // mu is held.
-func (n *Node) jobStatus(b *strings.Builder, ref string) {
-	j := n.table.Jobs[ref]
+func (n *Node) jobStatus(b *strings.Builder, jobID string) {
+	j := n.table.Jobs[jobID]
 	if j == nil {
-		fmt.Fprintf(b, "job %s is not known here\n", ref)
+		fmt.Fprintf(b, "job %s is not known here\n", jobID)
 		return
 	}
-	fmt.Fprintf(b, "job %s phase %s stored %s tasks %d pending %d claimed %d completed %d\n", ref, j.Phase, j.Record.Phase, j.Record.Tasks,
+	fmt.Fprintf(b, "job %s phase %s stored %s tasks %d pending %d claimed %d completed %d\n", jobID, j.Phase, j.Record.Phase, j.Record.Tasks,
 		j.Counts[jobs.Pending], j.Counts[jobs.Claimed], j.Counts[jobs.Completed])
 	switch {
 	case j.Phase == jobs.Waiting:
 		fmt.Fprintf(b, "awaits %s\n", strings.Join(n.table.Unfinished(j), " "))
 	case j.Phase == jobs.Cancelled && j.Via != "":
 		fmt.Fprintf(b, "cancelled with %s\n", j.Via)
-	case n.unmet[ref] > 0:
-		fmt.Fprintf(b, "waiting tasks %d because %s\n", n.unmet[ref], n.why[ref])
+	case n.unmet[jobID] > 0:
+		fmt.Fprintf(b, "waiting tasks %d because %s\n", n.unmet[jobID], n.why[jobID])
 	}
 }
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -118,11 +118,11 @@
 		n.submit(c)
 		return
 	}
-	ref := strings.TrimPrefix(path, "/work/")
-	if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
+	jobID := strings.TrimPrefix(path, "/work/")
+	if id, ok := strings.CutSuffix(jobID, "/cancel"); ok {
 		n.cancel(c, id)
 	} else {
-		n.poll(c, ref)
+		n.poll(c, jobID)
 	}
 }
 
@@ -200,10 +200,10 @@
 
 // known returns a job's status if it is known; final tells that it can't
 // change any more and needs no barrier.
-func (n *Node) known(ref string) (st wire.Status, known, final bool) {
+func (n *Node) known(jobID string) (st wire.Status, known, final bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	j := n.table.Jobs[ref]
+	j := n.table.Jobs[jobID]
 	if j == nil {
 		return st, false, false
 	}
@@ -211,8 +211,8 @@
 }
 
 // fresh returns a job's status as of now or later, behind a read barrier.
-func (n *Node) fresh(ref string) (st wire.Status, known bool, err error) {
-	if st, known, final := n.known(ref); final {
+func (n *Node) fresh(jobID string) (st wire.Status, known bool, err error) {
+	if st, known, final := n.known(jobID); final {
 		return st, known, nil
 	}
 	if !n.hasState() {
@@ -227,16 +227,16 @@
 	if !settled {
 		return st, false, store.ErrRefused
 	}
-	st, known, _ = n.known(ref)
+	st, known, _ = n.known(jobID)
 	return st, known, nil
 }
 
-func (n *Node) poll(c *fasthttp.RequestCtx, ref string) {
-	if !wire.ValidJobID(ref) {
+func (n *Node) poll(c *fasthttp.RequestCtx, jobID string) {
+	if !wire.ValidJobID(jobID) {
 		refuse(c, 404, "no such job")
 		return
 	}
-	st, known, err := n.fresh(ref)
+	st, known, err := n.fresh(jobID)
 	switch {
 	case err != nil:
 		n.later(c, 503, "the state service can't be read")
@@ -247,24 +247,24 @@
 	}
 }
 
-// peekRef finds the job id of a submission that may be malformed otherwise.
-func peekRef(body []byte) string {
+// peekJobID finds the job id of a submission that may be malformed otherwise.
+func peekJobID(body []byte) string {
 	var p struct {
-		Ref string `cbor:"ref"`
+		ID string `cbor:"ref"`
 	}
-	if wire.Unmarshal(body, &p) != nil || !wire.ValidJobID(p.Ref) {
+	if wire.Unmarshal(body, &p) != nil || !wire.ValidJobID(p.ID) {
 		return ""
 	}
-	return p.Ref
+	return p.ID
 }
 
 func (n *Node) submit(c *fasthttp.RequestCtx) {
 	body := c.PostBody()
-	ref := peekRef(body)
-	if ref != "" {
+	jobID := peekJobID(body)
+	if jobID != "" {
 		// A known job is answered before any check.
-		if _, known, _ := n.known(ref); known {
-			n.resubmitted(c, ref)
+		if _, known, _ := n.known(jobID); known {
+			n.resubmitted(c, jobID)
 			return
 		}
 	}
@@ -287,14 +287,14 @@
 			jobs.ChunkSize(n.limits.ValueKB))
 	}
 	if err != nil {
-		if ref != "" {
+		if jobID != "" {
 			// Another node may have accepted the id; an accepted job is never
 			// answered by 400 or 422.
-			if _, known, ferr := n.fresh(ref); ferr != nil {
+			if _, known, ferr := n.fresh(jobID); ferr != nil {
 				n.later(c, 503, "the state service can't be read")
 				return
 			} else if known {
-				n.resubmitted(c, ref)
+				n.resubmitted(c, jobID)
 				return
 			}
 		}
@@ -339,8 +339,8 @@
 	n.mu.Lock()
 	all := n.pipelines()
 	done := true
-	err := jobs.CheckDependencies(w, func(ref string) (known, service bool) {
-		j := n.table.Jobs[ref]
+	err := jobs.CheckDependencies(w, func(jobID string) (known, service bool) {
+		j := n.table.Jobs[jobID]
 		if j == nil {
 			return false, false
 		}
@@ -363,8 +363,8 @@
 	return "", true
 }
 
-func (n *Node) resubmitted(c *fasthttp.RequestCtx, ref string) {
-	st, known, err := n.fresh(ref)
+func (n *Node) resubmitted(c *fasthttp.RequestCtx, jobID string) {
+	st, known, err := n.fresh(jobID)
 	if err != nil || !known {
 		n.later(c, 503, "the state service can't be read")
 		return
@@ -372,21 +372,21 @@
 	reply(c, 200, st)
 }
 
-func (n *Node) cancel(c *fasthttp.RequestCtx, ref string) {
-	if !wire.ValidJobID(ref) {
+func (n *Node) cancel(c *fasthttp.RequestCtx, jobID string) {
+	if !wire.ValidJobID(jobID) {
 		refuse(c, 404, "no such job")
 		return
 	}
 	ctx, stop := context.WithTimeout(context.Background(), tuning.DecisionWait)
 	defer stop()
 	for try := 0; ctx.Err() == nil; try++ {
-		st, known, final := n.known(ref)
+		st, known, final := n.known(jobID)
 		if final {
 			reply(c, 200, st)
 			return
 		}
 		if !known || try > 0 {
-			fst, ok, err := n.fresh(ref)
+			fst, ok, err := n.fresh(jobID)
 			if err != nil {
 				break
 			}
@@ -399,18 +399,18 @@
 			}
 		}
 		n.mu.Lock()
-		j := n.table.Jobs[ref]
+		j := n.table.Jobs[jobID]
 		rec, err := j.Record.Cancelled(n.now())
-		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(jobs.JobKey(ref))}
+		guards := []wire.Guard{n.cache.Guard(member.Key), n.cache.Guard(jobs.JobKey(jobID))}
 		n.mu.Unlock()
 		if err != nil {
 			continue
 		}
-		then := []wire.Change{{Set: jobs.JobKey(ref), Value: wire.MustMarshal(rec)}}
+		then := []wire.Change{{Set: jobs.JobKey(jobID), Value: wire.MustMarshal(rec)}}
 		revision, err := n.svc.Multi(ctx, store.ClassCancel, guards, then)
 		if err == nil {
 			n.answered(then, revision)
-			n.log.Debug("job cancelled", "job", ref)
+			n.log.Debug("job cancelled", "job", jobID)
 			continue
 		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrLost) {
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -101,7 +101,7 @@
 
 // observe enters a report and what follows from it; mu is held.
 func (n *Node) observe(w *fleet.Worker, r *wire.Report, now time.Time) {
-	before := make(map[jobs.ID]string, len(w.Tasks))
+	before := make(map[jobs.TaskID]string, len(w.Tasks))
 	for id, s := range w.Tasks {
 		before[id] = s.State
 	}
@@ -109,7 +109,7 @@
 		return
 	}
 	for id, s := range w.Tasks {
-		j := n.table.Jobs[id.Ref]
+		j := n.table.Jobs[id.Job]
 		if before[id] != s.State {
 			n.log.Debug("task changes", "task", id, "try", s.Attempt, "phase", s.State, "cause", s.ExitCause, "host", w.Host)
 		}
@@ -129,7 +129,7 @@
 			case wire.ExitCauseDone:
 				clear(w.Errors)
 			case wire.ExitCauseError:
-				w.Errors[id.Ref] = true
+				w.Errors[id.Job] = true
 			case wire.ExitCauseNoRoom:
 				w.Refused = now
 			}
