--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -17,11 +17,11 @@
 
 // States of a worker's session, as its owner sees it.
 const (
-	// Unproven: no report of the current session has shown our baton yet; a
+	// Unproven: no report of the current session has shown our token yet; a
 	// former owner's commands may still be under way.
 	Unproven SessionState = "unproven"
-	// Proven: a report of the current session has shown our baton, so that all
-	// commands under lower batons are dead. It stays proven under the batons
+	// Proven: a report of the current session has shown our token, so that all
+	// commands under lower tokens are dead. It stays proven under the tokens
 	// after it for as long as each membership gives the machine to this node.
 	Proven SessionState = "proven"
 	// Expired: the worker's lease has surely ended; everything in the session
@@ -34,22 +34,22 @@
 
 // Events of a worker's session.
 const (
-	BatonRaised SessionEvent = "baton raised" // our membership has changed, and another node may have owned the machine
-	BatonShown  SessionEvent = "baton shown"  // a newer report shows our baton
-	NewStint    SessionEvent = "new stint"
+	TokenRaised SessionEvent = "token raised" // our membership has changed, and another node may have owned the machine
+	TokenShown  SessionEvent = "token shown"  // a newer report shows our token
+	NewSession  SessionEvent = "new session"
 	LeaseEnded  SessionEvent = "lease ended"
 )
 
 // Next is the one function that changes a worker session's state.
 func (s SessionState) Next(e SessionEvent) SessionState {
 	switch {
-	case e == NewStint:
+	case e == NewSession:
 		return Unproven
 	case s == Expired:
-		return Expired // only a new stint leaves it
-	case e == BatonRaised:
+		return Expired // only a new session leaves it
+	case e == TokenRaised:
 		return Unproven
-	case e == BatonShown:
+	case e == TokenShown:
 		return Proven
 	case e == LeaseEnded && s == Proven:
 		return Expired
@@ -59,8 +59,8 @@
 
 // Attempt is one try of a task.
 type Attempt struct {
-	ID  jobs.ID
-	Try uint64
+	ID     jobs.TaskID
+	Number uint64
 }
 
 // sentStart is a direct start under a token.
@@ -71,157 +71,157 @@
 
 // Worker is the owner's view of one machine's worker.
 type Worker struct {
-	Host     string
-	Address  string
-	Rig      string
-	Plot     string
-	Spot     bool
-	State    SessionState
-	Stint    uint64
-	Tally    uint64 // of the newest message
-	Reported uint64 // of the newest report; answers to direct calls come between
-	Baton    uint64 // highest that the worker has shown
-	Shards   map[jobs.ID]wire.Shard
-	Heard    time.Time        // arrival of the last message
-	First    time.Time        // arrival of the first message
-	Answered time.Time        // arrival of the last report that we answered with 200
-	ProvenAt time.Time        // arrival of the message that proved the session
-	TakenAt  time.Time        // when the cloud takes the machine; zero: no notice
-	Stopping map[jobs.ID]bool // tasks that we want off this machine
+	Host        string
+	Address     string
+	MachineType string
+	Zone        string
+	Spot        bool
+	State       SessionState
+	Session     uint64
+	Sequence    uint64 // of the newest message
+	Reported    uint64 // of the newest report; answers to direct calls come between
+	ShownToken  uint64 // highest that the worker has shown
+	Tasks       map[jobs.TaskID]wire.TaskReport
+	Heard       time.Time            // arrival of the last message
+	First       time.Time            // arrival of the first message
+	Answered    time.Time            // arrival of the last report that we answered with 200
+	ProvenAt    time.Time            // arrival of the message that proved the session
+	TakenAt     time.Time            // when the cloud takes the machine; zero: no notice
+	Stopping    map[jobs.TaskID]bool // tasks that we want off this machine
 
 	// Token of our commands to this worker; the membership's, or above it once
-	// starts had to be made void (Void).
+	// starts had to be made void (InvalidateStarts).
 	Token uint64
 	// Direct starts of this session that were sent and not answered, by the
 	// token that they carry. They may yet be carried out.
 	unanswered map[sentStart]int
 	// Starts of this session that are over, by the message that shows what came
-	// of them: any report with a larger tally.
+	// of them: any report with a larger sequence.
 	started map[Attempt]uint64
 
 	// Commands in answers to reports that no report has shown as carried out,
 	// by when the first of those answers went.
-	told map[Command]time.Time
-
-	Images         []string              // seen here, newest last
-	Errors         map[string]bool       // jobs whose tasks failed here since the last success
-	Refused        time.Time             // last refusal for want of room
-	Sent           map[Command]time.Time // direct starts and kills, by when
-	Called         time.Time             // last direct call
-	Calling        bool                  // a direct call is under way
-	Mute           bool                  // it reports, but nothing that it is told shows
-	Quiet          bool                  // nothing has changed since it last had no orders to send
-	nothingToProve bool                  // nothing has changed since no claim's end could be proven
+	unconfirmed map[CommandKey]time.Time
+
+	Images            []string                 // seen here, newest last
+	Errors            map[string]bool          // jobs whose tasks failed here since the last success
+	Refused           time.Time                // last refusal for want of room
+	Sent              map[CommandKey]time.Time // direct starts and kills, by when
+	Called            time.Time                // last direct call
+	Calling           bool                     // a direct call is under way
+	Unresponsive      bool                     // it reports, but nothing that it is told shows
+	NoPendingCommands bool                     // nothing has changed since it last had no orders to send
+	nothingToProve    bool                     // nothing has changed since no claim's end could be proven
 }
 
-// Command is one command about one attempt. A report must show its effect to
+// CommandKey is one command about one attempt. A report must show its effect to
 // prove that it was carried out.
-type Command struct{ verb, shard string }
+type CommandKey struct{ verb, task string }
 
-// CommandOf names an order's command.
-func CommandOf(o wire.Order) Command {
-	return Command{o.Verb, o.Shard + "#" + strconv.FormatUint(o.Try, 10)}
+// KeyOf returns the key of a command.
+func KeyOf(o wire.Command) CommandKey {
+	return CommandKey{o.Verb, o.Task + "#" + strconv.FormatUint(o.Attempt, 10)}
 }
 
 // Copy reports whether a report is a late copy of one that this node has seen,
 // or older: the network may deliver such copies minutes late. It guards against
 // a dead machine that looks alive and a lease that seems renewed.
-func (w *Worker) Copy(r *wire.Checkin) bool {
-	return r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Reported
+func (w *Worker) Copy(r *wire.Report) bool {
+	return r.Session < w.Session || r.Session == w.Session && r.Sequence <= w.Reported
 }
 
 // Answer notes that a report was answered with 200 and these commands. A
 // command that is due again and again is not heard: the machine's reports get
 // through to us and our answers not to it.
-func (w *Worker) Answer(r *wire.Checkin, orders []wire.Order, now time.Time) {
-	w.Answered, w.Reported = now, r.Tally
+func (w *Worker) Answer(r *wire.Report, commands []wire.Command, now time.Time) {
+	w.Answered, w.Reported = now, r.Sequence
 	w.nothingToProve = false // a start that this report shows the end of may be forgotten
-	for a, tally := range w.started {
-		if tally < r.Tally {
+	for a, sequence := range w.started {
+		if sequence < r.Sequence {
 			delete(w.started, a) // this report shows what came of it
 		}
 	}
-	for _, a := range Starts(orders) {
-		w.started[a] = max(w.started[a], r.Tally)
+	for _, a := range Starts(commands) {
+		w.started[a] = max(w.started[a], r.Sequence)
 	}
-	told := make(map[Command]time.Time, len(orders))
+	unconfirmed := make(map[CommandKey]time.Time, len(commands))
 	late := false
-	for _, o := range orders {
-		c := CommandOf(o)
-		at, before := w.told[c]
+	for _, o := range commands {
+		c := KeyOf(o)
+		at, before := w.unconfirmed[c]
 		if !before {
 			at = now
 		}
-		told[c] = at
+		unconfirmed[c] = at
 		late = late || now.Sub(at) > tuning.ConfirmAfter
 	}
 	switch {
 	case late:
-		w.Mute = true
-	case len(told) < len(w.told):
-		w.Mute = false // something was carried out
+		w.Unresponsive = true
+	case len(unconfirmed) < len(w.unconfirmed):
+		w.Unresponsive = false // something was carried out
 	}
-	w.told = told
+	w.unconfirmed = unconfirmed
 }
 
 // Reached notes that the worker answered a direct call.
 func (w *Worker) Reached() {
-	w.Mute = false
-	clear(w.told)
+	w.Unresponsive = false
+	clear(w.unconfirmed)
 }
 
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
-	return &Worker{Host: host, State: Unproven, Shards: map[jobs.ID]wire.Shard{}, Stopping: map[jobs.ID]bool{},
-		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[Command]time.Time{}}
+	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.TaskID]wire.TaskReport{}, Stopping: map[jobs.TaskID]bool{},
+		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[CommandKey]time.Time{}}
 }
 
-// RaiseBaton notes that our membership has changed, and that another node may
+// RaiseToken notes that our membership has changed, and that another node may
 // have owned the machine meanwhile.
-func (w *Worker) RaiseBaton() {
-	w.State = w.State.Next(BatonRaised)
+func (w *Worker) RaiseToken() {
+	w.State = w.State.Next(TokenRaised)
 	w.Changed()
 }
 
 // Stop notes that a task is wanted off the machine.
-func (w *Worker) Stop(id jobs.ID) {
+func (w *Worker) Stop(id jobs.TaskID) {
 	w.Stopping[id] = true
 	w.Changed()
 }
 
 // Changed notes that something has changed that commands or proofs follow from:
 // the claims on the machine, their jobs, or what is known of its worker.
-func (w *Worker) Changed() { w.Quiet, w.nothingToProve = false, false }
+func (w *Worker) Changed() { w.NoPendingCommands, w.nothingToProve = false, false }
 
 // Observe enters a report that arrived now, if it is newer than what is known.
-// baton is the one of our membership; a worker that has shown it or one that
-// stands above it for this worker alone (Void) has heard us.
-func (w *Worker) Observe(r *wire.Checkin, baton uint64, now time.Time) bool {
+// token is the one of our membership; a worker that has shown it or one that
+// stands above it for this worker alone (InvalidateStarts) has heard us.
+func (w *Worker) Observe(r *wire.Report, token uint64, now time.Time) bool {
 	if w.First.IsZero() {
 		w.First = now
 	}
-	if r.Stint < w.Stint || r.Stint == w.Stint && r.Tally <= w.Tally {
+	if r.Session < w.Session || r.Session == w.Session && r.Sequence <= w.Sequence {
 		return false
 	}
-	if r.Stint > w.Stint {
+	if r.Session > w.Session {
 		// Guards against taking an old session's proof for the new one's, and
 		// against waiting for starts that the worker now refuses.
-		w.State = w.State.Next(NewStint)
+		w.State = w.State.Next(NewSession)
 		clear(w.unanswered)
 		clear(w.started)
 		clear(w.Sent)
 		clear(w.Stopping)
-		clear(w.told)
+		clear(w.unconfirmed)
 		w.Reported = 0
 	}
-	w.Host, w.Address, w.Rig, w.Plot, w.Spot = r.Host, r.Address, r.Rig, r.Plot, r.Windfall
-	w.Stint, w.Tally, w.Heard = r.Stint, r.Tally, now
+	w.Host, w.Address, w.MachineType, w.Zone, w.Spot = r.Host, r.Address, r.MachineType, r.Zone, r.Spot
+	w.Session, w.Sequence, w.Heard = r.Session, r.Sequence, now
 	w.Changed()
-	w.Baton = max(w.Baton, r.Baton)
-	w.Token = max(w.Token, baton)
-	if baton > 0 && r.Baton >= baton {
+	w.ShownToken = max(w.ShownToken, r.Token)
+	w.Token = max(w.Token, token)
+	if token > 0 && r.Token >= token {
 		if w.State == Unproven {
-			w.State = w.State.Next(BatonShown)
+			w.State = w.State.Next(TokenShown)
 			w.ProvenAt = now
 		}
 	}
@@ -229,28 +229,28 @@
 	// and this message shows what came of them. Those under the same are not:
 	// one sent before the proof may still be held somewhere.
 	for k := range w.unanswered {
-		if k.token < r.Baton {
+		if k.token < r.Token {
 			delete(w.unanswered, k)
 		}
 	}
-	if r.WarningS == nil {
+	if r.NoticeS == nil {
 		w.TakenAt = time.Time{}
 	} else {
-		w.TakenAt = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+		w.TakenAt = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	}
-	clear(w.Shards)
-	for _, s := range r.Shards {
-		ref, n, ok := jobs.ParseShard(s.Shard)
+	clear(w.Tasks)
+	for _, s := range r.Tasks {
+		jobID, n, ok := jobs.ParseTaskName(s.Task)
 		if !ok {
 			continue
 		}
-		id := jobs.ID{Ref: ref, Task: n}
+		id := jobs.TaskID{Job: jobID, Task: n}
 		// The task may be listed with an older, exited attempt too: the newest
 		// attempt counts, and an older one is still to be reaped.
-		if old, dup := w.Shards[id]; dup && old.Try > s.Try {
+		if old, dup := w.Tasks[id]; dup && old.Attempt > s.Attempt {
 			continue
 		}
-		w.Shards[id] = s
+		w.Tasks[id] = s
 	}
 	return true
 }
@@ -259,7 +259,7 @@
 // then it stands, also for an exited task: its room is about to be free, and
 // stopping others for the same room would be in vain.
 // It reports whether it forgot any.
-func (w *Worker) KeepStopping(claims map[jobs.ID]*jobs.Job) bool {
+func (w *Worker) KeepStopping(claims map[jobs.TaskID]*jobs.Job) bool {
 	before := len(w.Stopping)
 	for id := range w.Stopping {
 		if claims[id] == nil {
@@ -270,9 +270,9 @@
 }
 
 // Leaves reports whether a claimed task is on its way off the machine.
-func (w *Worker) Leaves(id jobs.ID) bool {
-	s, on := w.Shards[id]
-	return w.Stopping[id] || on && s.Phase == wire.ShardExited
+func (w *Worker) Leaves(id jobs.TaskID) bool {
+	s, on := w.Tasks[id]
+	return w.Stopping[id] || on && s.State == wire.TaskExited
 }
 
 // StartSent notes direct starts that are about to be sent.
@@ -283,16 +283,16 @@
 }
 
 // StartAnswered notes that a direct call with these starts was answered by a
-// report with this session and tally.
-func (w *Worker) StartAnswered(starts []Attempt, token, stint, tally uint64) {
+// report with this session and sequence.
+func (w *Worker) StartAnswered(starts []Attempt, token, session, sequence uint64) {
 	w.nothingToProve = false
 	for _, a := range starts {
 		k := sentStart{a, token}
 		if w.unanswered[k]--; w.unanswered[k] <= 0 {
 			delete(w.unanswered, k)
 		}
-		if stint == w.Stint {
-			w.started[a] = max(w.started[a], tally)
+		if session == w.Session {
+			w.started[a] = max(w.started[a], sequence)
 		}
 	}
 }
@@ -308,34 +308,34 @@
 
 // Held lists the claims of cancelled jobs that a start, which may yet arrive,
 // keeps from being released.
-func (w *Worker) Held(claims map[jobs.ID]*jobs.Job) []Attempt {
+func (w *Worker) Held(claims map[jobs.TaskID]*jobs.Job) []Attempt {
 	if len(w.unanswered) == 0 {
 		return nil
 	}
 	var out []Attempt
 	for id, j := range claims {
-		a := Attempt{id, j.Live[id.Task].Try}
-		if s, on := w.Shards[id]; j.Phase == jobs.Cancelled && !(on && s.Try == a.Try) && w.mayStart(a) {
+		a := Attempt{id, j.Live[id.Task].Attempt}
+		if s, on := w.Tasks[id]; j.Phase == jobs.Cancelled && !(on && s.Attempt == a.Number) && w.mayStart(a) {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// Void makes the starts that are under way void, once the worker shows the
-// token that it returns or answers a call with it. most bounds the tokens of
+// InvalidateStarts makes the starts that are under way void, once the worker
+// shows the token that it returns or answers a call with it. most bounds the tokens of
 // the present membership; false if they are used up. A token that is raised
 // already and not shown yet serves.
-func (w *Worker) Void(most uint64) bool {
+func (w *Worker) InvalidateStarts(most uint64) bool {
 	top := uint64(0)
 	for k := range w.unanswered {
 		top = max(top, k.token)
 	}
 	if w.Token <= top {
-		if w.Token+tuning.VoidStep > most {
+		if w.Token+tuning.InvalidateStep > most {
 			return false
 		}
-		w.Token, w.Quiet = w.Token+tuning.VoidStep, false
+		w.Token, w.NoPendingCommands = w.Token+tuning.InvalidateStep, false
 	}
 	return true
 }
@@ -382,7 +382,7 @@
 }
 
 // LeaseOver reports whether the session's lease has surely ended: the worker
-// showed our baton, so that only our answers renew it, and the last report
+// showed our token, so that only our answers renew it, and the last report
 // that we answered arrived too long ago. A report is sent before it arrives,
 // and the worker counts from the sending.
 func (w *Worker) LeaseOver(now time.Time, lease time.Duration) bool {
@@ -398,7 +398,7 @@
 
 // Release is a claim whose end is proven.
 type Release struct {
-	ID    jobs.ID
+	ID    jobs.TaskID
 	Kind  jobs.TaskEventKind
 	Cause string
 }
@@ -412,34 +412,34 @@
 // Settled reports whether nothing is due for the machine until something
 // changes or time passes: no command, no proof, no start that may yet arrive.
 func (w *Worker) Settled() bool {
-	return w.Quiet && w.nothingToProve && len(w.Stopping) == 0 && len(w.unanswered) == 0
+	return w.NoPendingCommands && w.nothingToProve && len(w.Stopping) == 0 && len(w.unanswered) == 0
 }
 
 // Proofs returns the claims on the machine whose attempts have surely ended.
 // claims are those stored for this machine.
-func (w *Worker) Proofs(claims map[jobs.ID]*jobs.Job, now time.Time, lease time.Duration) []Release {
+func (w *Worker) Proofs(claims map[jobs.TaskID]*jobs.Job, now time.Time, lease time.Duration) []Release {
 	over := w.LeaseOver(now, lease)
 	var out []Release
 	defer func() { w.nothingToProve = len(out) == 0 }()
 	for id, j := range claims {
 		t := j.Live[id.Task]
-		switch s, on := w.Shards[id]; {
-		case over && t.Stint <= w.Stint:
+		switch s, on := w.Tasks[id]; {
+		case over && t.Session <= w.Session:
 			out = append(out, Release{id, jobs.Release, "lease ended"})
 		case w.State != Proven:
 			// A former owner's commands may still be under way.
-		case t.Stint < w.Stint:
+		case t.Session < w.Session:
 			out = append(out, Release{id, jobs.Release, "new session"})
-		case on && s.Try == t.Try && s.Phase == wire.ShardExited:
+		case on && s.Attempt == t.Attempt && s.State == wire.TaskExited:
 			kind := jobs.Release
-			switch s.Cause {
-			case wire.CauseDone:
+			switch s.ExitCause {
+			case wire.ExitCauseDone:
 				kind = jobs.Complete
-			case wire.CauseError, wire.CauseUnknown:
+			case wire.ExitCauseError, wire.ExitCauseUnknown:
 				kind = jobs.Fail
 			}
-			out = append(out, Release{id, kind, s.Cause})
-		case j.Phase == jobs.Cancelled && (!on || s.Try < t.Try) && w.neverRan(Attempt{id, t.Try}):
+			out = append(out, Release{id, kind, s.ExitCause})
+		case j.Phase == jobs.Cancelled && (!on || s.Attempt < t.Attempt) && w.neverRan(Attempt{id, t.Attempt}):
 			// Nobody starts a cancelled job's task any more. Guards against a
 			// claim that counted against its team, and filled its machine, for
 			// as long as the machine's session lasted.
@@ -447,35 +447,35 @@
 		}
 	}
 	sort.Slice(out, func(a, b int) bool {
-		if out[a].ID.Ref != out[b].ID.Ref {
-			return out[a].ID.Ref < out[b].ID.Ref
+		if out[a].ID.Job != out[b].ID.Job {
+			return out[a].ID.Job < out[b].ID.Job
 		}
 		return out[a].ID.Task < out[b].ID.Task
 	})
 	return out
 }
 
-// Orders returns the commands that the stored claims call for. mayStart is
+// Commands returns the commands that the stored claims call for. mayStart is
 // false while the state service can't be read. Reaps in it may travel in
 // report responses only: a start in the response to an earlier report is then
 // surely over, while a direct reap could overtake it.
-func (w *Worker) Orders(claims map[jobs.ID]*jobs.Job, mayStart bool) []wire.Order {
+func (w *Worker) Commands(claims map[jobs.TaskID]*jobs.Job, mayStart bool) []wire.Command {
 	if w.State == Expired {
 		return nil
 	}
-	var out []wire.Order
-	ids := make([]jobs.ID, 0, len(claims)+len(w.Shards))
+	var out []wire.Command
+	ids := make([]jobs.TaskID, 0, len(claims)+len(w.Tasks))
 	for id := range claims {
-		if _, on := w.Shards[id]; !on {
+		if _, on := w.Tasks[id]; !on {
 			ids = append(ids, id)
 		}
 	}
-	for id := range w.Shards {
+	for id := range w.Tasks {
 		ids = append(ids, id)
 	}
 	sort.Slice(ids, func(a, b int) bool {
-		if ids[a].Ref != ids[b].Ref {
-			return ids[a].Ref < ids[b].Ref
+		if ids[a].Job != ids[b].Job {
+			return ids[a].Job < ids[b].Job
 		}
 		return ids[a].Task < ids[b].Task
 	})
@@ -489,49 +489,49 @@
 		if j != nil {
 			t = j.Live[id.Task]
 		}
-		s, on := w.Shards[id]
-		wanted := j != nil && t.Stint == w.Stint && j.Phase == jobs.Open
+		s, on := w.Tasks[id]
+		wanted := j != nil && t.Session == w.Session && j.Phase == jobs.Open
 		switch {
-		case wanted && (!on || s.Try < t.Try):
-			if on && s.Phase != wire.ShardExited {
-				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
-			} else if on && !w.mayStart(Attempt{id, s.Try}) && w.State == Proven {
-				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+		case wanted && (!on || s.Attempt < t.Attempt):
+			if on && s.State != wire.TaskExited {
+				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
+			} else if on && !w.mayStart(Attempt{id, s.Attempt}) && w.State == Proven {
+				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
 			}
 			if mayStart {
-				out = append(out, wire.Order{Verb: wire.VerbStart, Shard: id.String(), Try: t.Try})
+				out = append(out, wire.Command{Verb: wire.VerbStart, Task: id.String(), Attempt: t.Attempt})
 			}
 		case !on:
-		case s.Phase == wire.ShardExited:
+		case s.State == wire.TaskExited:
 			// Reap only once the release is stored: no claim names the attempt.
-			if (j == nil || t.Try != s.Try) && w.State == Proven && !w.mayStart(Attempt{id, s.Try}) {
-				out = append(out, wire.Order{Verb: wire.VerbReap, Shard: s.Shard, Try: s.Try})
+			if (j == nil || t.Attempt != s.Attempt) && w.State == Proven && !w.mayStart(Attempt{id, s.Attempt}) {
+				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
 			}
-		case wanted && s.Try == t.Try:
-			if w.Stopping[id] && s.Phase != wire.ShardFlushing {
+		case wanted && s.Attempt == t.Attempt:
+			if w.Stopping[id] && s.State != wire.TaskFlushing {
 				leeway := 0.0
-				if w := j.Record.Work; w != nil {
-					leeway = w.StashS
+				if w := j.Record.Spec; w != nil {
+					leeway = w.SaveS
 				}
-				out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &leeway})
+				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &leeway})
 			}
 		default:
 			// No stored claim covers it, or its job is over.
-			out = append(out, wire.Order{Verb: wire.VerbKill, Shard: s.Shard, Try: s.Try, LeewayS: &zero})
+			out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
 		}
 	}
 	return out
 }
 
-// Starts lists the attempts that a list of orders starts.
-func Starts(orders []wire.Order) []Attempt {
+// Starts lists the attempts that a list of commands starts.
+func Starts(commands []wire.Command) []Attempt {
 	var out []Attempt
-	for _, o := range orders {
+	for _, o := range commands {
 		if o.Verb != wire.VerbStart {
 			continue
 		}
-		if ref, n, ok := jobs.ParseShard(o.Shard); ok {
-			out = append(out, Attempt{jobs.ID{Ref: ref, Task: n}, o.Try})
+		if jobID, n, ok := jobs.ParseTaskName(o.Task); ok {
+			out = append(out, Attempt{jobs.TaskID{Job: jobID, Task: n}, o.Attempt})
 		}
 	}
 	return out
--- a/internal/jobs/pipeline.go
+++ b/internal/jobs/pipeline.go
@@ -7,70 +7,70 @@
 	"wheatspur/wire"
 )
 
-// Jobs that await others. What a waiting job may do is never stored: it follows
-// from the records of the jobs that it awaits, and is derived again whenever
+// Jobs that depend on others. What a waiting job may do is never stored: it follows
+// from the records of the jobs that it depends on, and is derived again whenever
 // one of them changes, in work lists whose length follows what changes. Done
 // and cancelled are final, so what is derived from them stands for ever.
 
-// CheckAwaits refuses a list that names what can't be awaited; accepted tells of a job whether it is known,
+// CheckDependencies refuses a list that names what can't be depended on; accepted tells of a job whether it is known,
 // and whether it is a service.
-func CheckAwaits(w *wire.Work, accepted func(ref string) (known, service bool)) error {
-	for _, ref := range w.Awaits {
-		if !wire.ValidRef(ref) {
-			return Refusal("awaits names no job: " + ref[:min(len(ref), 40)])
+func CheckDependencies(w *wire.JobSpec, accepted func(jobID string) (known, service bool)) error {
+	for _, jobID := range w.DependsOn {
+		if !wire.ValidJobID(jobID) {
+			return Refusal("awaits names no job: " + jobID[:min(len(jobID), 40)])
 		}
-		if ref == w.Ref {
+		if jobID == w.ID {
 			return Refusal("a job can't await itself")
 		}
-		switch known, service := accepted(ref); {
+		switch known, service := accepted(jobID); {
 		case !known:
-			return Refusal("awaits names a job that was never accepted: " + ref)
+			return Refusal("awaits names a job that was never accepted: " + jobID)
 		case service:
-			return Refusal("awaits names a service, which never ends: " + ref)
+			return Refusal("awaits names a service, which never ends: " + jobID)
 		}
 	}
 	return nil
 }
 
-// awaits lists the jobs that a job still waits for by its own record.
-func (j *Job) awaits() []string {
-	if j.Record.Work == nil || j.Record.Phase.Final() {
+// dependencies lists the jobs that a job still waits for by its own record.
+func (j *Job) dependencies() []string {
+	if j.Record.Spec == nil || j.Record.Phase.Final() {
 		return nil
 	}
-	return j.Record.Work.Awaits
+	return j.Record.Spec.DependsOn
 }
 
 func (t *Table) link(j *Job) {
-	for _, ref := range j.awaits() {
-		if t.after[ref] == nil {
-			t.after[ref] = map[string]bool{}
+	for _, jobID := range j.dependencies() {
+		if t.after[jobID] == nil {
+			t.after[jobID] = map[string]bool{}
 		}
-		t.after[ref][j.Ref] = true
+		t.after[jobID][j.ID] = true
 	}
 }
 
 func (t *Table) unlink(j *Job) {
-	for _, ref := range j.awaits() {
-		delete(t.after[ref], j.Ref)
-		if len(t.after[ref]) == 0 {
-			delete(t.after, ref)
+	for _, jobID := range j.dependencies() {
+		delete(t.after[jobID], j.ID)
+		if len(t.after[jobID]) == 0 {
+			delete(t.after, jobID)
 		}
 	}
 }
 
 // phase is a job's phase as it follows from its own record and the phases of
-// those that it awaits. One that is not known, or whose record can't be read,
+// those that it depends on. One that is not known, or whose record can't be read,
 // is not done.
 func (t *Table) phase(j *Job) (p Phase, via string) {
 	if j.Record.Phase != Waiting {
 		return j.Record.Phase, j.Record.Via
 	}
 	event := JobReleased
-	for _, ref := range j.awaits() {
-		a := t.Jobs[ref]
+	for _, jobID := range j.dependencies() {
+		a := t.Jobs[jobID]
 		switch {
 		case a != nil && a.Phase == Cancelled:
-			event, via = JobCancel, ref
+			event, via = JobCancel, jobID
 		case event == JobReleased && (a == nil || a.Phase != Done):
 			event = ""
 		}
@@ -86,25 +86,25 @@
 }
 
 // derive brings up to date what follows from a job's record, for itself and
-// for all that it reaches; before is what it awaited by its former record.
-func (t *Table) derive(ref string, before []string) {
-	up := append([]string{ref}, before...) // whose hints may change
-	for list := []string{ref}; len(list) > 0; {
+// for all that it reaches; before is what it depended on by its former record.
+func (t *Table) derive(jobID string, before []string) {
+	up := append([]string{jobID}, before...) // whose hints may change
+	for list := []string{jobID}; len(list) > 0; {
 		j := t.Jobs[list[0]]
 		list = list[1:]
-		was, first := j.Phase, j.Ref == ref
+		was, first := j.Phase, j.ID == jobID
 		j.Phase, j.Via = t.phase(j)
 		if was == j.Phase && !first {
 			continue
 		}
 		t.file(j)
-		for next := range t.after[j.Ref] {
+		for next := range t.after[j.ID] {
 			if t.Jobs[next] != nil {
 				list = append(list, next)
 			}
 		}
-		if j.Record.Work != nil {
-			up = append(up, j.awaits()...)
+		if j.Record.Spec != nil {
+			up = append(up, j.dependencies()...)
 		}
 	}
 	t.hint(up)
@@ -112,72 +112,72 @@
 
 // file enters a job in the index of its phase.
 func (t *Table) file(j *Job) {
-	delete(t.Open, j.Ref)
-	delete(t.Waiting, j.Ref)
-	delete(t.Unsaid, j.Ref)
+	delete(t.Open, j.ID)
+	delete(t.Waiting, j.ID)
+	delete(t.Unrecorded, j.ID)
 	j.Ready = j.Record.At
 	switch {
 	case j.Phase == Open:
-		t.Open[j.Ref] = j
-		for _, ref := range j.awaits() {
-			if a := t.Jobs[ref]; a != nil {
+		t.Open[j.ID] = j
+		for _, jobID := range j.dependencies() {
+			if a := t.Jobs[jobID]; a != nil {
 				j.Ready = max(j.Ready, a.Record.End)
 			}
 		}
 		return
 	case j.Phase == Waiting:
-		t.Waiting[j.Ref] = j
+		t.Waiting[j.ID] = j
 	case !j.Record.Phase.Final():
-		t.Unsaid[j.Ref] = j
+		t.Unrecorded[j.ID] = j
 	}
 	for _, task := range j.Live {
 		t.Moved(task.Host)
 	}
 }
 
-// hint works out again the rank and the deadline of jobs, and of those that
-// they await as far as that changes them.
+// hint works out again the priority and the deadline of jobs, and of those that
+// they depend on as far as that changes them.
 func (t *Table) hint(list []string) {
 	for len(list) > 0 {
 		j := t.Jobs[list[0]]
 		list = list[1:]
-		if j == nil || j.Record.Work == nil {
+		if j == nil || j.Record.Spec == nil {
 			continue
 		}
-		w := j.Record.Work
-		rank, due := RankOrder(w.Rank), int64(0)
-		if w.DueS != nil {
-			due = j.Record.At + int64(*w.DueS*1000)
+		w := j.Record.Spec
+		priority, deadline := PriorityOrder(w.Priority), int64(0)
+		if w.DeadlineS != nil {
+			deadline = j.Record.At + int64(*w.DeadlineS*1000)
 		}
-		for ref := range t.after[j.Ref] {
-			n := t.Jobs[ref]
-			if n == nil || n.Phase.Final() || n.Record.Work == nil {
+		for jobID := range t.after[j.ID] {
+			n := t.Jobs[jobID]
+			if n == nil || n.Phase.Final() || n.Record.Spec == nil {
 				continue
 			}
-			rank = min(rank, n.Rank)
-			if n.Due > 0 {
+			priority = min(priority, n.Priority)
+			if n.Deadline > 0 {
 				// What the next step takes by its owner's estimate is not there
 				// for this one.
-				left := n.Due - int64(n.Record.Work.ReckonS*1000) - tuning.StepGap.Milliseconds()
-				if due == 0 || left < due {
-					due = left
+				left := n.Deadline - int64(n.Record.Spec.EstimateS*1000) - tuning.StepGap.Milliseconds()
+				if deadline == 0 || left < deadline {
+					deadline = left
 				}
 			}
 		}
-		if rank != j.Rank || due != j.Due {
-			j.Rank, j.Due = rank, due
+		if priority != j.Priority || deadline != j.Deadline {
+			j.Priority, j.Deadline = priority, deadline
 			for _, task := range j.Live {
 				t.Moved(task.Host)
 			}
-			list = append(list, j.awaits()...)
+			list = append(list, j.dependencies()...)
 		}
 	}
 }
 
 // Unfinished lists the jobs that a waiting job waits for, as they were named.
 func (t *Table) Unfinished(j *Job) []string {
-	return slices.DeleteFunc(slices.Clone(j.awaits()), func(ref string) bool {
-		a := t.Jobs[ref]
+	return slices.DeleteFunc(slices.Clone(j.dependencies()), func(jobID string) bool {
+		a := t.Jobs[jobID]
 		return a != nil && a.Phase == Done
 	})
 }
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -24,37 +24,37 @@
 )
 
 // JobKey is the key of a job's record.
-func JobKey(ref string) string { return JobPrefix + ref }
+func JobKey(jobID string) string { return JobPrefix + jobID }
 
 // ChunkKey is the key of one chunk of a job's tasks.
-func ChunkKey(ref string, chunk int) string {
-	return ChunkPrefix + ref + "/" + strconv.Itoa(chunk)
+func ChunkKey(jobID string, chunk int) string {
+	return ChunkPrefix + jobID + "/" + strconv.Itoa(chunk)
 }
 
 // TeamKey is the key that every claim of a team writes.
 func TeamKey(team string) string { return TeamPrefix + team }
 
 // ParseChunkKey splits a chunk key.
-func ParseChunkKey(key string) (ref string, chunk int, ok bool) {
-	ref, c, ok := strings.Cut(strings.TrimPrefix(key, ChunkPrefix), "/")
+func ParseChunkKey(key string) (jobID string, chunk int, ok bool) {
+	jobID, c, ok := strings.Cut(strings.TrimPrefix(key, ChunkPrefix), "/")
 	if !ok {
 		return "", 0, false
 	}
 	chunk, err := strconv.Atoi(c)
-	return ref, chunk, err == nil
+	return jobID, chunk, err == nil
 }
 
 // Record is the stored form of a job. Final records drop what is no longer
 // needed and are kept forever.
 type Record struct {
-	Phase  Phase      `cbor:"p"`
-	At     int64      `cbor:"at"` // time of acceptance, Unix milliseconds
-	Tasks  int        `cbor:"n"`
-	Chunk  int        `cbor:"cs"`          // tasks per chunk
-	Serial uint64     `cbor:"s,omitempty"` // raised by claims of jobs whose constraint spans chunks
-	Work   *wire.Work `cbor:"w,omitempty"`
-	End    int64      `cbor:"e,omitempty"` // of a final record: time of the end, Unix milliseconds
-	Via    string     `cbor:"v,omitempty"` // the job with which it was cancelled
+	Phase  Phase         `cbor:"p"`
+	At     int64         `cbor:"at"` // time of acceptance, Unix milliseconds
+	Tasks  int           `cbor:"n"`
+	Chunk  int           `cbor:"cs"`          // tasks per chunk
+	Serial uint64        `cbor:"s,omitempty"` // raised by claims of jobs whose constraint spans chunks
+	Spec   *wire.JobSpec `cbor:"w,omitempty"`
+	End    int64         `cbor:"e,omitempty"` // of a final record: time of the end, Unix milliseconds
+	Via    string        `cbor:"v,omitempty"` // the job with which it was cancelled
 }
 
 // Cancelled returns the record of the job after its user has cancelled it. Of
@@ -66,9 +66,9 @@
 		return r, err
 	}
 	r.Phase, r.End = phase, now.UnixMilli()
-	if w := r.Work; w != nil {
-		r.Work = &wire.Work{Ref: w.Ref, Crew: w.Crew, Shape: w.Shape, Rank: w.Rank, Shards: w.Shards,
-			CPUs: w.CPUs, Cards: w.Cards, RAMGB: w.RAMGB}
+	if w := r.Spec; w != nil {
+		r.Spec = &wire.JobSpec{ID: w.ID, Team: w.Team, Kind: w.Kind, Priority: w.Priority, Tasks: w.Tasks,
+			CPUs: w.CPUs, GPUs: w.GPUs, RAMGB: w.RAMGB}
 	}
 	return r, nil
 }
@@ -81,19 +81,19 @@
 }
 
 // recordBytes bounds the JSON of a job's record, all but its description.
-const recordBytes = 96
+const recordBytes = 90
 
 // IntakeBytes bounds the JSON of a job in an intake record.
-func IntakeBytes(w *wire.Work) int { return JSONSize(w) + recordBytes }
+func IntakeBytes(w *wire.JobSpec) int { return JSONSize(w) + recordBytes }
 
 // Task is the stored form of one task.
 type Task struct {
-	_     struct{} `cbor:",toarray"`
-	State State
-	Try   uint64
-	Host  string
-	Stint uint64
-	Errs  uint64
+	_       struct{} `cbor:",toarray"`
+	State   State
+	Attempt uint64
+	Host    string
+	Session uint64
+	Errs    uint64
 }
 
 // ChunkRecord is the stored form of a run of tasks.
@@ -105,7 +105,7 @@
 // a node's machines may hold of the team's claims. The grants never sum to
 // more than the limit, and a node's claims never to more than its grant.
 type TeamRecord struct {
-	Baton  uint64           `cbor:"b"`
+	Token  uint64           `cbor:"b"`
 	Frozen bool             `cbor:"f,omitempty"` // about to be shared out anew: nobody claims
 	Grants map[string]Grant `cbor:"g,omitempty"` // by node
 }
@@ -152,13 +152,13 @@
 func (c ChunkRecord) Bytes() int {
 	n := chunkBase
 	for _, t := range c.Tasks {
-		n += taskBase + len(t.Host) + digits(t.Try) + digits(t.Stint) + digits(t.Errs)
+		n += taskBase + len(t.Host) + digits(t.Attempt) + digits(t.Session) + digits(t.Errs)
 	}
 	return n
 }
 
 // ClaimBytes bounds what a claim adds to the JSON form of its chunk's record.
-func ClaimBytes(e TaskEvent) int { return len(e.Host) + digits(e.Stint) + 1 }
+func ClaimBytes(e TaskEvent) int { return len(e.Host) + digits(e.Session) + 1 }
 
 func digits(v uint64) int {
 	n := 1
@@ -169,7 +169,7 @@
 }
 
 // JSONSize is the size of a submission as the state service counts it.
-func JSONSize(w *wire.Work) int {
+func JSONSize(w *wire.JobSpec) int {
 	b, err := json.Marshal(w)
 	if err != nil {
 		return wire.MaxBody + 1
@@ -177,23 +177,23 @@
 	return len(b)
 }
 
-// Shard names a task the way workers do.
-func Shard(ref string, task int) string { return ref + "/" + strconv.Itoa(task) }
+// TaskName names a task the way workers do.
+func TaskName(jobID string, task int) string { return jobID + "/" + strconv.Itoa(task) }
 
-// ParseShard splits a worker's task name.
-func ParseShard(s string) (ref string, task int, ok bool) {
-	ref, t, ok := strings.Cut(s, "/")
+// ParseTaskName splits a worker's task name.
+func ParseTaskName(s string) (jobID string, task int, ok bool) {
+	jobID, t, ok := strings.Cut(s, "/")
 	if !ok {
 		return "", 0, false
 	}
 	task, err := strconv.Atoi(t)
-	return ref, task, err == nil && task >= 0
+	return jobID, task, err == nil && task >= 0
 }
 
-// ID names a task.
-type ID struct {
-	Ref  string
+// TaskID names a task.
+type TaskID struct {
+	Job  string
 	Task int
 }
 
-func (id ID) String() string { return fmt.Sprintf("%s/%d", id.Ref, id.Task) }
+func (id TaskID) String() string { return fmt.Sprintf("%s/%d", id.Job, id.Task) }
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -55,11 +55,11 @@
 }
 
 // Need is what one task of the submission takes.
-func Need(w *wire.Work) Resources { return Resources{w.CPUs, w.Cards, w.RAMGB} }
+func Need(w *wire.JobSpec) Resources { return Resources{w.CPUs, w.GPUs, w.RAMGB} }
 
 // Job is a job as the cache knows it.
 type Job struct {
-	Ref    string
+	ID     string
 	Record Record
 	Need   Resources
 	Team   string
@@ -68,26 +68,26 @@
 	Live   map[int]Task   // claimed tasks
 	Seen   time.Time      // when this node first saw it
 
-	// What follows from the records of the jobs that it awaits and of those
-	// that await it (see pipeline.go). Phase is open, for a job that is stored
-	// waiting, once all that it awaits is stored done, and cancelled with any of it.
-	Phase Phase
-	Via   string // the job with which it is cancelled
-	Ready int64  // when it might start first, Unix milliseconds
-	Rank  int    // the highest of its own and of those that await it; see RankOrder
-	Due   int64  // when it should be done, for itself and those that await it, Unix milliseconds; 0: no deadline
+	// What follows from the records of the jobs that it depends on and of those
+	// that depend on it (see pipeline.go). Phase is open, for a job that is stored
+	// waiting, once all that it depends on is stored done, and cancelled with any of it.
+	Phase    Phase
+	Via      string // the job with which it is cancelled
+	Ready    int64  // when it might start first, Unix milliseconds
+	Priority int    // the highest of its own and of those that depend on it; see PriorityOrder
+	Deadline int64  // when it should be done, for itself and those that depend on it, Unix milliseconds; 0: no deadline
 
 	own    bool   // its own record is stored
-	intake uint64 // else the stamp of the intake record that holds it
+	intake uint64 // else the version of the intake record that holds it
 }
 
 // Service reports whether the job's tasks run until it is cancelled.
 func (j *Job) Service() bool {
-	return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeStanding
+	return j.Record.Spec != nil && j.Record.Spec.Kind == wire.KindService
 }
 
 // Gang reports whether the job's tasks only run all at once.
-func (j *Job) Gang() bool { return j.Record.Work != nil && j.Record.Work.Shape == wire.ShapeGang }
+func (j *Job) Gang() bool { return j.Record.Spec != nil && j.Record.Spec.Kind == wire.KindGang }
 
 // Task returns a task's state.
 func (j *Job) Task(i int) Task {
@@ -113,8 +113,8 @@
 // more than one chunk: then every claim also writes the job's record, so that
 // a claim guarded by it has seen all others.
 func (j *Job) SpansChunks() bool {
-	w := j.Record.Work
-	return w != nil && (w.Together || w.Apart) && j.Record.Tasks > j.Record.Chunk
+	w := j.Record.Spec
+	return w != nil && (w.SameZone || w.SpreadZones) && j.Record.Tasks > j.Record.Chunk
 }
 
 // AllDone reports whether every task is stored done.
@@ -122,16 +122,16 @@
 
 // Status is what users are told.
 func (j *Job) Status() wire.Status {
-	s := wire.Status{Ref: j.Ref, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
+	s := wire.Status{ID: j.ID, Done: j.Counts[Completed], Running: j.Counts[Claimed]}
 	switch {
 	case j.Phase == Done:
-		s.Phase, s.Done, s.Running = wire.PhaseDone, j.Record.Tasks, 0
+		s.State, s.Done, s.Running = wire.StateDone, j.Record.Tasks, 0
 	case j.Phase == Cancelled:
-		s.Phase, s.Running = wire.PhaseCancelled, 0
+		s.State, s.Running = wire.StateCancelled, 0
 	case s.Running > 0:
-		s.Phase = wire.PhaseRunning
+		s.State = wire.StateRunning
 	default:
-		s.Phase = wire.PhaseQueued
+		s.State = wire.StateQueued
 	}
 	return s
 }
@@ -139,20 +139,20 @@
 // Table is the set of all jobs as stored, with indexes. It is fed by the
 // cache and changed by nothing else.
 type Table struct {
-	Jobs    map[string]*Job
-	Open    map[string]*Job            // jobs whose tasks may run
-	Waiting map[string]*Job            // jobs that wait for others
-	Unsaid  map[string]*Job            // jobs that are cancelled with others, without a final record
-	Used    map[string]Resources       // claims per team
-	Hosts   map[string]map[ID]*Job     // claims per machine
-	Needs   map[string]Resources       // what they take
-	Team    map[string]TeamRecord      // team records
-	Intakes map[string][]string        // jobs of each intake record
-	early   map[string]map[int][]Task  // chunks whose job is not known yet
-	after   map[string]map[string]bool // jobs that await each job
-	now     func() time.Time
-
-	FailedAt map[ID]time.Time // when a task's count of failures last rose
+	Jobs       map[string]*Job
+	Open       map[string]*Job            // jobs whose tasks may run
+	Waiting    map[string]*Job            // jobs that wait for others
+	Unrecorded map[string]*Job            // jobs that are cancelled with others, without a final record
+	Used       map[string]Resources       // claims per team
+	Hosts      map[string]map[TaskID]*Job // claims per machine
+	Needs      map[string]Resources       // what they take
+	Team       map[string]TeamRecord      // team records
+	Intakes    map[string][]string        // jobs of each intake record
+	early      map[string]map[int][]Task  // chunks whose job is not known yet
+	after      map[string]map[string]bool // jobs that depend on each job
+	now        func() time.Time
+
+	FailedAt map[TaskID]time.Time // when a task's count of failures last rose
 
 	// Moved is told of machines whose claims, or whose claims' jobs, changed.
 	Moved func(host string)
@@ -160,14 +160,14 @@
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unsaid: map[string]*Job{},
+	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unrecorded: map[string]*Job{},
 		after: map[string]map[string]bool{}, Used: map[string]Resources{},
-		Hosts: map[string]map[ID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
-		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[ID]time.Time{}, Moved: func(string) {}}
+		Hosts: map[string]map[TaskID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
+		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[TaskID]time.Time{}, Moved: func(string) {}}
 }
 
 // ApplyJob enters a job record. Job records are never dropped.
-func (t *Table) ApplyJob(ref string, raw wire.Raw) error {
+func (t *Table) ApplyJob(jobID string, raw wire.Raw) error {
 	if raw == nil {
 		return nil
 	}
@@ -175,14 +175,14 @@
 	if err := wire.Unmarshal(raw, &r); err != nil {
 		return err
 	}
-	t.put(ref, r).own = true
+	t.put(jobID, r).own = true
 	return nil
 }
 
 // ApplyIntake enters a record of several new jobs, or its absence. A job's own
 // record stands before it; of two intake records that hold the same job, after
 // a user's repeat, the older counts, whatever the order in which they are read.
-func (t *Table) ApplyIntake(key string, raw wire.Raw, stamp uint64) error {
+func (t *Table) ApplyIntake(key string, raw wire.Raw, version uint64) error {
 	if raw == nil {
 		delete(t.Intakes, key)
 		return nil
@@ -191,22 +191,22 @@
 	if err := wire.Unmarshal(raw, &v); err != nil {
 		return err
 	}
-	refs := make([]string, 0, len(v.Jobs))
-	for ref, r := range v.Jobs {
-		refs = append(refs, ref)
-		if j := t.Jobs[ref]; j == nil || !j.own && stamp < j.intake {
-			t.put(ref, r).intake = stamp
+	jobIDs := make([]string, 0, len(v.Jobs))
+	for jobID, r := range v.Jobs {
+		jobIDs = append(jobIDs, jobID)
+		if j := t.Jobs[jobID]; j == nil || !j.own && version < j.intake {
+			t.put(jobID, r).intake = version
 		}
 	}
-	t.Intakes[key] = refs
+	t.Intakes[key] = jobIDs
 	return nil
 }
 
 // Over reports whether every job of an intake record has a final record of its
 // own, so that nothing needs the intake record any more.
 func (t *Table) Over(key string) bool {
-	for _, ref := range t.Intakes[key] {
-		if j := t.Jobs[ref]; j == nil || !j.own || !j.Record.Phase.Final() {
+	for _, jobID := range t.Intakes[key] {
+		if j := t.Jobs[jobID]; j == nil || !j.own || !j.Record.Phase.Final() {
 			return false
 		}
 	}
@@ -214,33 +214,33 @@
 }
 
 // put enters a job's record.
-func (t *Table) put(ref string, r Record) *Job {
-	j := t.Jobs[ref]
+func (t *Table) put(jobID string, r Record) *Job {
+	j := t.Jobs[jobID]
 	if j == nil {
-		j = &Job{Ref: ref, Chunks: map[int][]Task{}, Live: map[int]Task{}, Seen: t.now()}
-		t.Jobs[ref] = j
+		j = &Job{ID: jobID, Chunks: map[int][]Task{}, Live: map[int]Task{}, Seen: t.now()}
+		t.Jobs[jobID] = j
 	}
 	j.Counts[Pending] += r.Tasks - j.Record.Tasks
-	before := j.awaits()
+	before := j.dependencies()
 	t.unlink(j)
 	j.Record = r
 	t.link(j)
-	if r.Work != nil {
+	if r.Spec != nil {
 		// Final records carry no description; what is needed to account for
 		// claims that are released later stays.
-		j.Need, j.Team = Need(r.Work), r.Work.Crew
+		j.Need, j.Team = Need(r.Spec), r.Spec.Team
 	}
-	t.derive(ref, before)
-	for c, tasks := range t.early[ref] {
+	t.derive(jobID, before)
+	for c, tasks := range t.early[jobID] {
 		t.replace(j, c, tasks)
 	}
-	delete(t.early, ref)
+	delete(t.early, jobID)
 	return j
 }
 
 // ApplyChunk enters a chunk record, or its absence.
 func (t *Table) ApplyChunk(key string, raw wire.Raw) error {
-	ref, chunk, ok := ParseChunkKey(key)
+	jobID, chunk, ok := ParseChunkKey(key)
 	if !ok {
 		return nil
 	}
@@ -250,12 +250,12 @@
 			return err
 		}
 	}
-	j := t.Jobs[ref]
+	j := t.Jobs[jobID]
 	if j == nil {
-		if t.early[ref] == nil {
-			t.early[ref] = map[int][]Task{}
+		if t.early[jobID] == nil {
+			t.early[jobID] = map[int][]Task{}
 		}
-		t.early[ref][chunk] = r.Tasks
+		t.early[jobID][chunk] = r.Tasks
 		return nil
 	}
 	t.replace(j, chunk, r.Tasks)
@@ -300,7 +300,7 @@
 	if task.State != Claimed {
 		return
 	}
-	id, host := ID{j.Ref, number}, task.Host
+	id, host := TaskID{j.ID, number}, task.Host
 	delete(j.Live, number)
 	t.Used[j.Team] = t.Used[j.Team].Sub(j.Need)
 	delete(t.Hosts[host], id)
@@ -315,7 +315,7 @@
 // addTask enters a task, which was before, in the counts and the indexes.
 func (t *Table) addTask(j *Job, number int, before, task Task) {
 	j.Counts[task.State]++
-	id, host := ID{j.Ref, number}, task.Host
+	id, host := TaskID{j.ID, number}, task.Host
 	if task.Errs > before.Errs {
 		t.FailedAt[id] = t.now()
 	} else if task.Errs == 0 && before.Errs > 0 {
@@ -327,7 +327,7 @@
 	j.Live[number] = task
 	t.Used[j.Team] = t.Used[j.Team].Add(j.Need)
 	if t.Hosts[host] == nil {
-		t.Hosts[host] = map[ID]*Job{}
+		t.Hosts[host] = map[TaskID]*Job{}
 	}
 	t.Hosts[host][id] = j
 	t.Moved(host)
@@ -356,39 +356,39 @@
 
 // Check refuses a job that can never run: 422 to its user. oneWrite is the
 // number of tasks that one write can claim.
-func Check(w *wire.Work, lim Limits, known bool, rigs []wire.Rig, oneWrite int) error {
+func Check(w *wire.JobSpec, lim Limits, known bool, types []wire.MachineType, oneWrite int) error {
 	if !known {
 		return Refusal("unknown team")
 	}
 	fits := false
-	for _, r := range rigs {
-		if Allowed(w, r.Label) && AnyZone(w, r.Plots) && Need(w).Fits(Resources{r.CPUs, r.Cards, r.RAMGB}) {
+	for _, r := range types {
+		if Allowed(w, r.Label) && AnyZone(w, r.Zones) && Need(w).Fits(Resources{r.CPUs, r.GPUs, r.RAMGB}) {
 			fits = true
 		}
 	}
 	if !fits {
 		return Refusal("no allowed machine type fits a task")
 	}
-	if w.Shape == wire.ShapeGang && w.Shards > oneWrite {
+	if w.Kind == wire.KindGang && w.Tasks > oneWrite {
 		return Refusal("more tasks at once than one write can claim")
 	}
 	n := 1.0
-	if w.Shape != wire.ShapeArray {
-		n = float64(w.Shards)
+	if w.Kind != wire.KindArray {
+		n = float64(w.Tasks)
 	}
-	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.Cards*n > lim.GPUsMax+epsilon {
+	if lim.CPUsMax > 0 && w.CPUs*n > lim.CPUsMax+epsilon || lim.GPUsMax > 0 && w.GPUs*n > lim.GPUsMax+epsilon {
 		return Refusal("more than the team's limit")
 	}
 	return nil
 }
 
 // Allowed reports whether the job may use a machine type.
-func Allowed(w *wire.Work, rig string) bool {
-	if len(w.Rigs) == 0 {
+func Allowed(w *wire.JobSpec, machineType string) bool {
+	if len(w.MachineTypes) == 0 {
 		return true
 	}
-	for _, r := range w.Rigs {
-		if r == rig {
+	for _, r := range w.MachineTypes {
+		if r == machineType {
 			return true
 		}
 	}
@@ -396,26 +396,26 @@
 }
 
 // AnyZone reports whether the job may run in one of the zones.
-func AnyZone(w *wire.Work, zones []string) bool {
-	if w.Plot == nil {
+func AnyZone(w *wire.JobSpec, zones []string) bool {
+	if w.Zone == nil {
 		return len(zones) > 0
 	}
 	for _, z := range zones {
-		if z == *w.Plot {
+		if z == *w.Zone {
 			return true
 		}
 	}
 	return false
 }
 
-// RankOrder orders ranks, most important first.
-func RankOrder(rank string) int {
-	switch rank {
-	case wire.RankCritical:
+// PriorityOrder orders priorities, most important first.
+func PriorityOrder(priority string) int {
+	switch priority {
+	case wire.PriorityCritical:
 		return 0
-	case wire.RankUrgent:
+	case wire.PriorityUrgent:
 		return 1
-	case wire.RankNormal:
+	case wire.PriorityNormal:
 		return 2
 	}
 	return 3
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,35 +30,35 @@
 // Host is what a node tells about one of its machines.
 type Host struct {
 	Name    string
-	Stint   uint64
+	Session uint64
 	Age     time.Duration // since its last message, if silent
 	Silent  bool          // not heard for longer than its reports allow
 	Proven  bool
-	Warning time.Duration // negative: no notice
+	Notice  time.Duration // negative: no notice
 	Suspect bool
 	Images  []string
 }
 
 // Status is what a node tells about itself.
 type Status struct {
-	Label       string
-	Incarnation uint64
-	Baton       uint64
-	Epoch       uint64
-	HasState    bool
-	Want        uint32 // changes of the state service that wait for its budget
-	View        uint64 // number of the sender's view of its machines
-	Whole       bool   // Hosts are all machines, not those that changed
-	Seen        Seen   // what the sender has of the receiver
-	Hosts       []Host
-	// Cancelled is the stamp of the last cancellation that the sender knows, if
+	Label         string
+	Incarnation   uint64
+	Token         uint64
+	Revision      uint64
+	HasState      bool
+	QueuedChanges uint32 // changes of the state service that wait for its budget
+	View          uint64 // number of the sender's view of its machines
+	Whole         bool   // Hosts are all machines, not those that changed
+	Seen          Seen   // what the sender has of the receiver
+	Hosts         []Host
+	// Cancelled is the version of the last cancellation that the sender knows, if
 	// it Counts them: earlier versions don't.
 	Counts    bool
 	Cancelled uint64
 }
 
 // Seen is the view that a node has of another node's machines.
-type Seen struct{ View, Baton, Incarnation uint64 }
+type Seen struct{ View, Token, Incarnation uint64 }
 
 // Encode returns the FlatBuffers form.
 func (s *Status) Encode() []byte {
@@ -73,11 +73,11 @@
 		vec := vector(b, images, fb.HostViewStartImagesVector)
 		fb.HostViewStart(b)
 		fb.HostViewAddName(b, name)
-		fb.HostViewAddStint(b, h.Stint)
+		fb.HostViewAddStint(b, h.Session)
 		fb.HostViewAddAgeMs(b, millis(h.Age))
 		fb.HostViewAddSilent(b, h.Silent)
 		fb.HostViewAddProven(b, h.Proven)
-		fb.HostViewAddWarningMs(b, millis(h.Warning))
+		fb.HostViewAddWarningMs(b, millis(h.Notice))
 		fb.HostViewAddSuspect(b, h.Suspect)
 		fb.HostViewAddImages(b, vec)
 		hosts[i] = fb.HostViewEnd(b)
@@ -87,14 +87,14 @@
 	fb.StatusStart(b)
 	fb.StatusAddLabel(b, label)
 	fb.StatusAddIncarnation(b, s.Incarnation)
-	fb.StatusAddBaton(b, s.Baton)
-	fb.StatusAddEpoch(b, s.Epoch)
+	fb.StatusAddBaton(b, s.Token)
+	fb.StatusAddEpoch(b, s.Revision)
 	fb.StatusAddHasState(b, s.HasState)
-	fb.StatusAddWant(b, s.Want)
+	fb.StatusAddWant(b, s.QueuedChanges)
 	fb.StatusAddView(b, s.View)
 	fb.StatusAddWhole(b, s.Whole)
 	fb.StatusAddSeen(b, s.Seen.View)
-	fb.StatusAddSeenBaton(b, s.Seen.Baton)
+	fb.StatusAddSeenBaton(b, s.Seen.Token)
 	fb.StatusAddSeenIncarnation(b, s.Seen.Incarnation)
 	fb.StatusAddHosts(b, vec)
 	fb.StatusAddCounts(b, s.Counts)
@@ -135,16 +135,16 @@
 		return s, ErrMalformed
 	}
 	f := fb.GetRootAsStatus(b, 0)
-	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Baton: f.Baton(), Epoch: f.Epoch(), HasState: f.HasState(),
-		Counts: f.Counts(), Cancelled: f.Cancelled(), Want: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
+	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Revision: f.Epoch(), HasState: f.HasState(),
+		Counts: f.Counts(), Cancelled: f.Cancelled(), QueuedChanges: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
 	}
 	for i := range f.HostsLength() {
 		var h fb.HostView
 		f.Hosts(&h, i)
-		v := Host{Name: string(h.Name()), Stint: h.Stint(), Age: span(h.AgeMs()), Silent: h.Silent(), Proven: h.Proven(),
-			Warning: span(h.WarningMs()), Suspect: h.Suspect()}
+		v := Host{Name: string(h.Name()), Session: h.Stint(), Age: span(h.AgeMs()), Silent: h.Silent(), Proven: h.Proven(),
+			Notice: span(h.WarningMs()), Suspect: h.Suspect()}
 		if h.ImagesLength() > len(b)/4 {
 			return Status{}, ErrMalformed
 		}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -32,7 +32,7 @@
 	stale    bool           // what follows is to be summed up again
 	room     jobs.Resources // no open machine has more free, in any resource
 	freeing  bool           // some room is being freed
-	worst    int            // the lowest rank, as a number, of what could be stopped
+	worst    int            // the lowest priority, as a number, of what could be stopped
 }
 
 // suits reports whether the job may use the pool's machines.
--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -14,18 +14,18 @@
 // next: only the machines that something has changed on are entered anew. With
 // thousands of machines, entering all of them took most of a pass.
 type fleetView struct {
-	fleet    *place.Fleet
-	list     []*machineView // in the order of fleet.Machines
-	machines map[string]*machineView
-	stale    bool            // the machines are not those that fleet was built of
-	records  map[string]bool // machines whose records have changed
-	touched  map[string]bool // machines whose claims, worker or owner's status has changed
-	active   map[string]bool // machines of this node that the next pass looks at
-	swept    time.Time       // when a pass last looked at all of them
-	opened   time.Time       // when the openness of all machines was last worked out
-	returned map[string]bool // machines that are stored as returned
-	untold   map[string]bool // machines that may differ from what siblings are told of them
-	toldAll  time.Time       // when all machines were last compared with that
+	fleet        *place.Fleet
+	list         []*machineView // in the order of fleet.Machines
+	machines     map[string]*machineView
+	stale        bool            // the machines are not those that fleet was built of
+	records      map[string]bool // machines whose records have changed
+	touched      map[string]bool // machines whose claims, worker or owner's status has changed
+	active       map[string]bool // machines of this node that the next pass looks at
+	swept        time.Time       // when a pass last looked at all of them
+	opened       time.Time       // when the openness of all machines was last worked out
+	returned     map[string]bool // machines that are stored as returned
+	unpublished  map[string]bool // machines that may differ from what siblings are told of them
+	publishedAll time.Time       // when all machines were last compared with that
 
 	claims map[string]hostClaims // what is held on each machine, as it stands in held
 	held   heldByOwner
@@ -50,13 +50,13 @@
 
 func newFleetView() fleetView {
 	return fleetView{machines: map[string]*machineView{}, records: map[string]bool{}, touched: map[string]bool{}, active: map[string]bool{},
-		returned: map[string]bool{}, untold: map[string]bool{},
+		returned: map[string]bool{}, unpublished: map[string]bool{},
 		claims: map[string]hostClaims{}, held: heldByOwner{}}
 }
 
 // touch notes that something has changed on a machine.
 func (v *fleetView) touch(host string) {
-	v.touched[host], v.active[host], v.untold[host] = true, true, true
+	v.touched[host], v.active[host], v.unpublished[host] = true, true, true
 }
 
 // resetView starts the picture anew: the owners of the machines have changed.
@@ -102,25 +102,25 @@
 // machines brings the picture of the fleet up to date; mu is held.
 func (n *Node) machines(now time.Time) *place.Fleet {
 	v := &n.view
-	n.enterRecords()
+	n.applyRecords()
 	if v.fleet == nil || v.stale {
 		n.buildFleet()
 	}
-	some := n.enterTouched()
+	some := n.applyTouched()
 	if now.Sub(v.opened) >= tuning.SweepEvery || now.Before(v.opened) {
 		v.opened = now
 		some = v.list
 	}
-	told := map[string]bool{} // owners whose status holds for this membership
+	fresh := map[string]bool{} // owners whose status holds for this membership
 	for label, s := range n.siblings {
-		told[label] = n.freshSibling(s) && s.seen.Baton == n.member.Baton
+		fresh[label] = n.freshSibling(s) && s.seen.Token == n.member.Token
 	}
 	silent := n.silentAfter()
 	for _, m := range some {
 		if m.Owner == n.self.Label {
 			m.SetOpen(m.in && n.takesTasks(m.worker, now, silent))
 		} else {
-			m.SetOpen(m.in && m.usable && told[m.Owner])
+			m.SetOpen(m.in && m.usable && fresh[m.Owner])
 		}
 	}
 	v.fleet.Rewind()
@@ -136,9 +136,9 @@
 		w.TakenAt.IsZero() && !n.unfit(w, now)
 }
 
-// enterRecords looks at the machine records that have changed: most of them only
+// applyRecords looks at the machine records that have changed: most of them only
 // in their phase, which needs no new index; mu is held.
-func (n *Node) enterRecords() {
+func (n *Node) applyRecords() {
 	v := &n.view
 	for host := range v.records {
 		rec, stored := n.reg.Hosts[host]
@@ -158,10 +158,10 @@
 
 // newMachine is the picture of an empty machine; mu is held.
 func (n *Node) newMachine(host string, rec fleet.Record) *place.Machine {
-	t := n.rigs[rec.Rig]
-	return &place.Machine{Name: host, Type: rec.Rig, Zone: rec.Plot, Spot: rec.Spot, Role: rec.Role,
+	t := n.machineTypes[rec.MachineType]
+	return &place.Machine{Name: host, Type: rec.MachineType, Zone: rec.Zone, Spot: rec.Spot, Role: rec.Role,
 		Owner: n.ownerOf(host), FetchGBPerS: t.FetchGBPerS,
-		Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}}
+		Total: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}}
 }
 
 // buildFleet indexes the machines as stored, and keeps the pictures of those
@@ -198,15 +198,15 @@
 		a.FetchGBPerS == b.FetchGBPerS && a.Total == b.Total
 }
 
-// enterTouched enters anew the machines that something has changed on, and
+// applyTouched enters anew the machines that something has changed on, and
 // returns them; mu is held.
-func (n *Node) enterTouched() []*machineView {
+func (n *Node) applyTouched() []*machineView {
 	v := &n.view
 	var entered []*machineView
 	for host := range v.touched {
 		n.sumClaims(host)
 		if m := v.machines[host]; m != nil {
-			n.enterMachine(m)
+			n.applyMachine(m)
 			entered = append(entered, m)
 		}
 	}
@@ -214,19 +214,19 @@
 	return entered
 }
 
-// enterMachine enters a machine's claims, and what its owner knows of it; mu is
+// applyMachine enters a machine's claims, and what its owner knows of it; mu is
 // held.
-func (n *Node) enterMachine(m *machineView) {
+func (n *Node) applyMachine(m *machineView) {
 	m.in = n.reg.Hosts[m.Name].Phase == fleet.In
-	m.worker, m.usable, m.Stint, m.Images = nil, false, 0, nil
+	m.worker, m.usable, m.Session, m.Images = nil, false, 0, nil
 	if m.Owner == n.self.Label {
 		if m.worker = n.workers[m.Name]; m.worker != nil {
-			m.Stint, m.Images = m.worker.Stint, m.worker.Images
+			m.Session, m.Images = m.worker.Session, m.worker.Images
 		}
 	} else if s := n.siblings[m.Owner]; s != nil {
 		if h, ok := s.hosts[m.Name]; ok {
-			m.Stint, m.Images = h.Stint, h.Images
-			m.usable = h.Proven && !h.Silent && h.Warning < 0 && !h.Suspect
+			m.Session, m.Images = h.Session, h.Images
+			m.usable = h.Proven && !h.Silent && h.Notice < 0 && !h.Suspect
 		}
 	}
 	m.Free, m.Freeing = m.Total.Sub(n.table.Needs[m.Name]), jobs.Resources{}
--- a/internal/server/grants.go
+++ b/internal/server/grants.go
@@ -16,9 +16,9 @@
 // writing it, so claims of different nodes do not race. The safety argument is
 // in docs/protocol-notes.md.
 
-// doubt is a write of claims whose answer was lost: it may yet be applied, so
+// inDoubtWrite is a write of claims whose answer was lost: it may yet be applied, so
 // it counts until one of its guards has changed.
-type doubt struct {
+type inDoubtWrite struct {
 	guards map[string]uint64
 	team   string
 	need   jobs.Resources
@@ -29,13 +29,13 @@
 
 // teams sums up limits, use and what each node may still claim; mu is held.
 func (n *Node) teams() map[string]*place.Team {
-	for i := 0; i < len(n.doubts); {
+	for i := 0; i < len(n.inDoubt); {
 		dead := false
-		for key, stamp := range n.doubts[i].guards {
-			dead = dead || n.cache.Stamp(key) != stamp
+		for key, version := range n.inDoubt[i].guards {
+			dead = dead || n.cache.Version(key) != version
 		}
 		if dead {
-			n.doubts = append(n.doubts[:i], n.doubts[i+1:]...)
+			n.inDoubt = append(n.inDoubt[:i], n.inDoubt[i+1:]...)
 		} else {
 			i++
 		}
@@ -51,14 +51,14 @@
 		}
 		team.Left = map[string]jobs.Resources{}
 		rec := n.table.Team[t.Name]
-		if rec.Baton != n.member.Baton || rec.Frozen {
+		if rec.Token != n.member.Token || rec.Frozen {
 			continue
 		}
 		for label, g := range rec.Grants {
 			team.Left[label] = g.Resources().Sub(held[label][t.Name])
 		}
-		mine := team.Left[n.self.Label].Sub(n.flying[t.Name])
-		for _, d := range n.doubts {
+		mine := team.Left[n.self.Label].Sub(n.inFlightClaims[t.Name])
+		for _, d := range n.inDoubt {
 			if d.team == t.Name {
 				mine = mine.Sub(d.need)
 			}
@@ -86,13 +86,13 @@
 	}
 	key := jobs.TeamKey(team)
 	rec := n.table.Team[team]
-	if rec.Baton != n.member.Baton || rec.Frozen {
+	if rec.Token != n.member.Token || rec.Frozen {
 		return false
 	}
-	t.guards[key] = n.cache.Stamp(key)
+	t.guards[key] = n.cache.Version(key)
 	t.claims = team
 	if len(moved) > 0 {
-		next := jobs.TeamRecord{Baton: rec.Baton, Grants: map[string]jobs.Grant{}}
+		next := jobs.TeamRecord{Token: rec.Token, Grants: map[string]jobs.Grant{}}
 		for label, g := range rec.Grants {
 			next.Grants[label] = g
 		}
@@ -107,19 +107,19 @@
 		t.team = team
 		n.busyTeam[team] = true
 	}
-	n.flying[team] = n.flying[team].Add(t.need)
+	n.inFlightClaims[team] = n.inFlightClaims[team].Add(t.need)
 	return true
 }
 
-// settled takes the claims of a write out of those that fly; mu is held.
+// settled takes the claims of a write out of those in flight; mu is held.
 func (n *Node) settled(t *txn, err error) {
 	if t.claims == "" {
 		return
 	}
-	n.flying[t.claims] = n.flying[t.claims].Sub(t.need)
+	n.inFlightClaims[t.claims] = n.inFlightClaims[t.claims].Sub(t.need)
 	if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrBad) {
 		// Guards against a late application beside claims that took its place.
-		n.doubts = append(n.doubts, doubt{t.guards, t.claims, t.need})
+		n.inDoubt = append(n.inDoubt, inDoubtWrite{t.guards, t.claims, t.need})
 	}
 }
 
@@ -136,21 +136,21 @@
 	for _, cfg := range n.set.Params.Teams {
 		key := jobs.TeamKey(cfg.Name)
 		rec := n.table.Team[cfg.Name]
-		fresh := rec.Baton != n.member.Baton
+		fresh := rec.Token != n.member.Token
 		if !limited(cfg) || n.busyTeam[cfg.Name] || *most < 1 && !fresh {
 			continue
 		}
-		next := jobs.TeamRecord{Baton: n.member.Baton}
+		next := jobs.TeamRecord{Token: n.member.Token}
 		switch {
-		case fresh, rec.Frozen && n.cache.Rev() >= n.cache.Stamp(key):
+		case fresh, rec.Frozen && n.cache.Revision() >= n.cache.Version(key):
 			// Nobody claims before this is stored, and every claim before is
 			// in the cache.
 			if held == nil {
 				held = n.heldByOwner()
 			}
 			next.Grants = n.grants(cfg, held)
-			delete(n.shortAt, cfg.Name)
-		case !rec.Frozen && !n.shortAt[cfg.Name].IsZero() && now.Sub(n.sharedAt[cfg.Name]) > tuning.ShareOutPause:
+			delete(n.shortSince, cfg.Name)
+		case !rec.Frozen && !n.shortSince[cfg.Name].IsZero() && now.Sub(n.sharedAt[cfg.Name]) > tuning.ShareOutPause:
 			next.Frozen = true
 			n.sharedAt[cfg.Name] = now
 			n.log.Info("team's limit is shared out anew", "team", cfg.Name)
@@ -161,7 +161,7 @@
 		if fresh {
 			t.class = store.ClassCancel // all claims wait for it
 		}
-		t.guards[key] = n.cache.Stamp(key)
+		t.guards[key] = n.cache.Version(key)
 		t.set(key, next)
 		t.team = cfg.Name
 		n.busyTeam[cfg.Name] = true
@@ -203,21 +203,21 @@
 	return out
 }
 
-// noteShort remembers since when work waits for a new share of its team's
+// noteGrantShortages remembers since when work waits for a new share of its team's
 // limit; mu is held.
-func (n *Node) noteShort(short map[string]bool, now time.Time) {
-	for team := range n.shortAt {
+func (n *Node) noteGrantShortages(short map[string]bool, now time.Time) {
+	for team := range n.shortSince {
 		if !short[team] {
-			delete(n.shortAt, team)
+			delete(n.shortSince, team)
 		}
 	}
 	for team := range short {
 		rec := n.table.Team[team]
-		if rec.Baton != n.member.Baton || rec.Frozen {
+		if rec.Token != n.member.Token || rec.Frozen {
 			// Guards against sharing out again what has just been shared out.
-			delete(n.shortAt, team)
-		} else if n.shortAt[team].IsZero() {
-			n.shortAt[team] = now
+			delete(n.shortSince, team)
+		} else if n.shortSince[team].IsZero() {
+			n.shortSince[team] = now
 		}
 	}
 }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -20,22 +20,22 @@
 	"wheatspur/wire"
 )
 
-// leadMemory returns the leader's memory for the present baton; mu is held.
+// leadMemory returns the leader's memory for the present token; mu is held.
 func (n *Node) leadMemory() *leading {
-	if n.leading.baton != n.member.Baton {
+	if n.leading.token != n.member.Token {
 		old := n.leading
-		n.leading = leading{baton: n.member.Baton, next: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
-			active: map[place.Role]time.Time{}, hired: map[string]hired{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
+		n.leading = leading{token: n.member.Token, nextToken: n.member.Last() + 1, listed: map[string]wire.Host{}, absent: map[string]int{},
+			active: map[place.Role]time.Time{}, rented: map[string]rental{}, refused: map[fleet.Kind]time.Time{}, control: map[string]*roles.Controller{},
 			decision: map[string]roles.Decision{}, seenJobs: map[string]bool{}, idle: map[string]time.Time{},
-			heard: map[string]time.Time{}, spared: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
-		if old.baton > 0 && old.next == n.member.Baton && old.hired != nil {
+			heard: map[string]time.Time{}, surplusSince: map[string]time.Time{}, since: map[string]time.Time{}, unfit: map[string]time.Time{}, gone: map[string]time.Time{}}
+		if old.token > 0 && old.nextToken == n.member.Token && old.rented != nil {
 			// The same leader under a new membership keeps what it knows of the
 			// cloud; role counters restart empty.
 			n.leading.listed, n.leading.listAt, n.leading.absent = old.listed, old.listAt, old.absent
-			n.leading.hired, n.leading.refused = old.hired, old.refused
+			n.leading.rented, n.leading.refused = old.rented, old.refused
 			n.leading.idle, n.leading.heard, n.leading.since = old.idle, old.heard, old.since
 			n.leading.unfit, n.leading.gone = old.unfit, old.gone
-			n.leading.spared, n.leading.active = old.spared, old.active
+			n.leading.surplusSince, n.leading.active = old.surplusSince, old.active
 			n.leading.batchSize, n.leading.batchSeen = old.batchSize, old.batchSeen
 			n.leading.batchAvg, n.leading.avgAt = old.batchAvg, old.avgAt
 			n.leading.batch, n.leading.service = old.batch, old.service
@@ -46,26 +46,26 @@
 }
 
 // write runs a guarded write of the leader and enters it.
-func (n *Node) write(ctx context.Context, guards []wire.Guard, then []wire.Change) error {
+func (n *Node) write(ctx context.Context, guards []wire.Guard, changes []wire.Change) error {
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
 	defer stop()
-	epoch, err := n.svc.Multi(cctx, store.ClassRecords, guards, then)
+	revision, err := n.svc.Multi(cctx, store.ClassRecords, guards, changes)
 	if err != nil {
 		if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLost) {
 			_ = n.sync.Barrier(tuning.BarrierWait)
 		}
 		return err
 	}
-	n.answered(then, epoch)
+	n.answered(changes, revision)
 	return nil
 }
 
 // answered enters a write of this node.
-func (n *Node) answered(then []wire.Change, epoch uint64) {
+func (n *Node) answered(changes []wire.Change, revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cache.Own(then, epoch)
-	wake(n.kick)
+	n.cache.Own(changes, revision)
+	wake(n.passWake)
 }
 
 // runLead plans capacity and moves roles while leading. What it gives back and
@@ -100,8 +100,8 @@
 		}
 		if !free {
 			n.mu.Unlock()
-			for _, h := range out.Hires {
-				n.hire(ctx, h)
+			for _, h := range out.Rentals {
+				n.rent(ctx, h)
 			}
 			continue
 		}
@@ -123,8 +123,8 @@
 			<-storing
 			return nil
 		})
-		for _, h := range out.Hires {
-			n.hire(ctx, h)
+		for _, h := range out.Rentals {
+			n.rent(ctx, h)
 		}
 	}
 	return nil
@@ -137,13 +137,13 @@
 			l.control[t.Label] = roles.New(n.set.Operator, now)
 		}
 	}
-	for ref, j := range n.table.Open {
-		if l.seenJobs[ref] {
+	for jobID, j := range n.table.Open {
+		if l.seenJobs[jobID] {
 			continue
 		}
-		l.seenJobs[ref] = true
+		l.seenJobs[jobID] = true
 		if !j.Service() {
-			if l.batch.Work == nil || l.batch.Work.Cohort == j.Record.Work.Cohort {
+			if l.batch.Spec == nil || l.batch.Spec.Class == j.Record.Spec.Class {
 				size := min(float64(j.Record.Tasks), tuning.TasksPerJob)
 				if l.batchSize == 0 {
 					l.batchSize = size
@@ -156,21 +156,21 @@
 			continue
 		}
 		for _, t := range n.types {
-			if jobs.Allowed(j.Record.Work, t.Label) {
-				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
+			if jobs.Allowed(j.Record.Spec, t.Label) {
+				tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
 				l.control[t.Label].Arrive(now, j.Need.Share(tot)*float64(j.Record.Tasks))
 			}
 		}
 	}
-	for ref := range l.seenJobs {
-		if n.table.Open[ref] == nil {
-			delete(l.seenJobs, ref)
+	for jobID := range l.seenJobs {
+		if n.table.Open[jobID] == nil {
+			delete(l.seenJobs, jobID)
 		}
 	}
 }
 
 // split describes one type's ordinary machines and demand; mu is held.
-func (n *Node) split(t wire.Rig, machines *place.Fleet) roles.Split {
+func (n *Node) split(t wire.MachineType, machines *place.Fleet) roles.Split {
 	s := roles.Split{Type: t.Label, Complete: true}
 	for _, sib := range n.siblings {
 		if n.member.Has(member.Node{Label: sib.cfg.Label, Incarnation: sib.status.Incarnation}) && !n.freshSibling(sib) {
@@ -217,10 +217,10 @@
 			}
 		}
 	}
-	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}
-	for ref, k := range n.unmet {
-		j := n.table.Jobs[ref]
-		if j == nil || j.Record.Work == nil || !jobs.Allowed(j.Record.Work, t.Label) {
+	tot := jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}
+	for jobID, k := range n.unmet {
+		j := n.table.Jobs[jobID]
+		if j == nil || j.Record.Spec == nil || !jobs.Allowed(j.Record.Spec, t.Label) {
 			continue
 		}
 		for i := 0; !j.Service() && k > 0 && i < len(coming); {
@@ -233,7 +233,7 @@
 		}
 		all := 0
 		for label, c := range count {
-			if jobs.Allowed(j.Record.Work, label) {
+			if jobs.Allowed(j.Record.Spec, label) {
 				all += c
 			}
 		}
@@ -244,7 +244,7 @@
 		if j.Service() {
 			s.ServiceBooked += part
 		} else {
-			s.BatchWork += part * j.Record.Work.ReckonS
+			s.BatchWork += part * j.Record.Spec.EstimateS
 		}
 	}
 	return s
@@ -313,7 +313,7 @@
 			continue
 		}
 		to := place.Elsewhere(f, r.Job, r.ID.Task, victim.Name)
-		if to == nil || held && !to.Holds(r.Job.Record.Work.Bundle) {
+		if to == nil || held && !to.Holds(r.Job.Record.Spec.Image) {
 			return false
 		}
 		to.Free = to.Free.Sub(r.Job.Need)
@@ -343,7 +343,7 @@
 
 // planInput builds the capacity plan's input; mu is held.
 func (n *Node) planInput(l *leading, machines *place.Fleet, now time.Time) fleet.PlanInput {
-	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, Spared: l.spared}
+	in := fleet.PlanInput{Now: now, Op: n.set.Operator, Types: n.types, Refused: l.refused, SurplusSince: l.surplusSince}
 	lease := time.Duration(float64(n.set.Lease())*tuning.DriftFactor) + tuning.LeaseMargin
 	up, movable := n.lastHeard(now), n.movable(machines)
 	l.lost = nil
@@ -352,12 +352,12 @@
 	held := map[string]*heldBatch{} // by class
 	for _, m := range machines.Machines {
 		rec := n.reg.Hosts[m.Name]
-		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{Rig: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
+		u := fleet.Unit{Name: m.Name, Kind: fleet.Kind{MachineType: m.Type, Zone: m.Zone, Spot: m.Spot}, Role: m.Role,
 			Open: m.Open, Claims: len(m.Tasks), Free: m.Free, Group: n.reg.Key(m.Name)}
 		listed, isListed := l.listed[m.Name]
 		if age, ok := up[m.Name]; ok {
 			l.hear(m.Name, now.Add(-age))
-		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.Phase == wire.HostRunning) {
+		} else if _, ok := l.heard[m.Name]; !ok && (len(m.Tasks) > 0 || isListed && listed.State == wire.HostRunning) {
 			// Up, but not heard under this leader yet: its time begins now.
 			l.hear(m.Name, now)
 		}
@@ -365,7 +365,7 @@
 		quiet := now.Sub(at)
 		u.Booting = !wasUp && rec.Phase == fleet.In
 		if isListed {
-			u.Age = time.Duration(listed.HeldS*float64(time.Second)) + now.Sub(l.listAt)
+			u.Age = time.Duration(listed.AgeS*float64(time.Second)) + now.Sub(l.listAt)
 		}
 		u.Silent = wasUp && quiet > 2*lease
 		u.Quiet = wasUp && quiet > n.silentAfter()
@@ -379,18 +379,18 @@
 			u.Idle = now.Sub(at)
 		}
 		for _, r := range m.Tasks {
-			wk := r.Job.Record.Work
+			wk := r.Job.Record.Spec
 			if wk == nil || r.Job.Phase != jobs.Open {
 				continue
 			}
 			if r.Job.Service() {
 				service.Tasks++
-				service.Need, service.Work = r.Job.Need, wk
+				service.Need, service.Spec = r.Job.Need, wk
 			} else {
-				h := held[wk.Cohort]
+				h := held[wk.Class]
 				if h == nil {
 					h = &heldBatch{}
-					held[wk.Cohort] = h
+					held[wk.Class] = h
 				}
 				h.add(r.Job, m.Total)
 			}
@@ -422,14 +422,14 @@
 		}
 	}
 	in.Movers = int(float64(serving) * tuning.MoversShare)
-	for host, h := range l.hired {
+	for host, h := range l.rented {
 		if _, known := n.reg.Hosts[host]; known || now.Sub(h.at) > time.Minute {
-			delete(l.hired, host)
+			delete(l.rented, host)
 			continue
 		}
-		t := n.rigs[h.kind.Rig]
+		t := n.machineTypes[h.kind.MachineType]
 		in.Units = append(in.Units, fleet.Unit{Name: host, Kind: h.kind, Role: h.role, Booting: true, Age: now.Sub(h.at),
-			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.Cards, RAM: t.RAMGB}})
+			Free: jobs.Resources{CPUs: t.CPUs, GPUs: t.GPUs, RAM: t.RAMGB}})
 	}
 	batch := l.typicalBatch(held)
 	if l.avgAt.IsZero() {
@@ -461,35 +461,35 @@
 	// What has a place that is not stored yet, and what had no turn in the
 	// pass, takes its room first. Guards against renting only when the last
 	// free machine is taken: with hundreds of jobs that took half a minute.
-	for ref, j := range n.table.Open {
+	for jobID, j := range n.table.Open {
 		rest := j.Counts[jobs.Pending]
-		if n.why[ref] != place.NoTurn {
-			rest -= n.unmet[ref]
+		if n.why[jobID] != place.NoTurn {
+			rest -= n.unmet[jobID]
 		}
-		if rest > 0 && (n.why[ref] == "" || n.why[ref] == place.NoTurn || n.why[ref] == place.NoRoom) {
+		if rest > 0 && (n.why[jobID] == "" || n.why[jobID] == place.NoTurn || n.why[jobID] == place.NoRoom) {
 			in.Wants = append(in.Wants, fleet.Want{Job: j, Count: rest, Untried: true})
 		}
 	}
-	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.Ref < in.Wants[b].Job.Ref })
+	sort.Slice(in.Wants, func(a, b int) bool { return in.Wants[a].Job.ID < in.Wants[b].Job.ID })
 	in.Groups = n.groupsNow()
-	in.Wants = append(in.Wants, n.endangered(machines, up, now)...)
-	refs := make([]string, 0, len(n.unmet))
-	for ref := range n.unmet {
-		refs = append(refs, ref)
-	}
-	sort.Slice(refs, func(a, b int) bool { return n.unmetAt[refs[a]].Before(n.unmetAt[refs[b]]) })
-	for _, ref := range refs {
-		j := n.table.Open[ref]
-		if j == nil || n.why[ref] != place.NoRoom {
+	in.Wants = append(in.Wants, n.tasksAtRisk(machines, up, now)...)
+	jobIDs := make([]string, 0, len(n.unmet))
+	for jobID := range n.unmet {
+		jobIDs = append(jobIDs, jobID)
+	}
+	sort.Slice(jobIDs, func(a, b int) bool { return n.unmetAt[jobIDs[a]].Before(n.unmetAt[jobIDs[b]]) })
+	for _, jobID := range jobIDs {
+		j := n.table.Open[jobID]
+		if j == nil || n.why[jobID] != place.NoRoom {
 			continue
 		}
 		if j.Service() {
 			// The headroom is for what will run too.
-			in.Service.Tasks += float64(n.unmet[ref])
-			in.Service.Wait += float64(n.unmet[ref])
-			in.Service.Need, in.Service.Work = j.Need, j.Record.Work
+			in.Service.Tasks += float64(n.unmet[jobID])
+			in.Service.Wait += float64(n.unmet[jobID])
+			in.Service.Need, in.Service.Spec = j.Need, j.Record.Spec
 		}
-		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[ref], Waiting: now.Sub(n.unmetAt[ref])})
+		in.Wants = append(in.Wants, fleet.Want{Job: j, Count: n.unmet[jobID], Waiting: now.Sub(n.unmetAt[jobID])})
 	}
 	return in
 }
@@ -502,18 +502,18 @@
 	arrays, tasks := 0, 0.0
 	for _, list := range []map[string]*jobs.Job{n.table.Open, n.table.Waiting} {
 		for _, j := range list {
-			if j.Service() || j.Record.Work.Windfall {
+			if j.Service() || j.Record.Spec.Spot {
 				continue
 			}
 			arrays++
 			tasks += min(float64(j.Record.Tasks), tuning.TasksPerJob)
-			if typical == nil || j.Need.CPUs > typical.Need.CPUs || j.Need.CPUs == typical.Need.CPUs && j.Ref < typical.Ref {
+			if typical == nil || j.Need.CPUs > typical.Need.CPUs || j.Need.CPUs == typical.Need.CPUs && j.ID < typical.ID {
 				typical = j
 			}
 		}
 	}
 	if typical != nil {
-		l.plain = fleet.Load{Need: typical.Need, Work: typical.Record.Work, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
+		l.plain = fleet.Load{Need: typical.Need, Spec: typical.Record.Spec, Least: int(math.Ceil(tasks / float64(arrays) * tuning.BatchHeadroomJobs))}
 		l.plainSeen = now
 	} else if now.Sub(l.plainSeen) > tuning.BatchHeadroomHold {
 		l.plain = fleet.Load{}
@@ -531,7 +531,7 @@
 func (h *heldBatch) add(j *jobs.Job, machine jobs.Resources) {
 	h.share += j.Need.Share(machine)
 	h.tasks++
-	if h.job == nil || j.Ref < h.job.Ref {
+	if h.job == nil || j.ID < h.job.ID {
 		h.job = j
 	}
 }
@@ -543,26 +543,26 @@
 func (l *leading) typicalBatch(held map[string]*heldBatch) float64 {
 	var most *heldBatch
 	all, class := 0.0, ""
-	for cohort, h := range held {
+	for name, h := range held {
 		all += h.share
-		if most == nil || h.share > most.share || h.share == most.share && cohort < class {
-			most, class = h, cohort
+		if most == nil || h.share > most.share || h.share == most.share && name < class {
+			most, class = h, name
 		}
 	}
 	if most == nil || most.share == 0 {
 		return 0
 	}
-	l.batch.Need, l.batch.Work = most.job.Need, most.job.Record.Work
+	l.batch.Need, l.batch.Spec = most.job.Need, most.job.Record.Spec
 	return all * most.tasks / most.share
 }
 
-// endangered lists the service tasks on machines that have fallen silent beside
+// tasksAtRisk lists the service tasks on machines that have fallen silent beside
 // others of their owner that are heard. Their room is rented before there is
 // proof that they are gone, since a boot takes longer than that: after a hundred
 // machines had died, services waited for their replacements for 45 s. A node
 // that hears hardly any of its machines has trouble of its own. up is how long
 // ago each machine was heard; mu is held.
-func (n *Node) endangered(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
+func (n *Node) tasksAtRisk(machines *place.Fleet, up map[string]time.Duration, now time.Time) []fleet.Want {
 	heard, quiet := map[string]int{}, map[string]int{}
 	var list []*place.Machine
 	for _, m := range machines.Machines {
@@ -591,7 +591,7 @@
 	for j, k := range count {
 		out = append(out, fleet.Want{Job: j, Count: k, Untried: true})
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].Job.Ref < out[b].Job.Ref })
+	sort.Slice(out, func(a, b int) bool { return out[a].Job.ID < out[b].Job.ID })
 	return out
 }
 
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -44,12 +44,12 @@
 	seen   peer.Seen            // the view of its machines that hosts holds
 	seenAt time.Time            // when that was last confirmed
 	hosts  map[string]peer.Host // its machines
-	// what it vouches for about cancellations
-	witness member.Witness
+	// what it attests about cancellations
+	attestation member.Attestation
 }
 
-// told is what siblings are told of one of this node's machines.
-type told struct {
+// publishedHost is what siblings are told of one of this node's machines.
+type publishedHost struct {
 	host peer.Host
 	view uint64 // of its last change
 }
@@ -67,48 +67,48 @@
 
 	metrics *metrics
 
-	mu       sync.Mutex // guards all below
-	cache    *store.Cache
-	table    *jobs.Table
-	sync     *store.Syncer
-	session  member.SessionState
-	self     member.Node
-	sessions map[string]member.Node
-	versions map[string]member.Session // the same, with what they say of their programs
-	deaf     map[string]bool           // nodes that say that they hear no worker
-	probes   []string                  // workers' addresses to ask while we are deaf
-	probed   time.Time                 // when one of them last answered
-	deafAt   time.Time
-	lead     *member.Node
-	member   *member.Record
-	reg      *fleet.Register
-	owners   map[string]string // of machines under the present membership
-	view     fleetView
-	told     map[string]*told
-	toldView uint64 // number of the last change in told
-	viewAt   time.Time
-	types    []wire.Rig
-	rigs     map[string]wire.Rig
-	imageGB  map[string]float64  // sizes of images
-	held     map[string][]string // images of machines, as their former owners knew them
-	workers  map[string]*fleet.Worker
-	failing  map[string]*fleet.Worker // those whose tasks failed lately
-	siblings map[string]*sibling
-	busyJob  map[string]bool           // a write about the job is under way
-	busyTeam map[string]bool           // a write of the team's key is under way
-	flying   map[string]jobs.Resources // claims under way, by team
-	doubts   []doubt
-	want     float64              // changes that wait for the budget, a mean over the last passes
-	storing  int                  // changes of machine records that the leader has yet to write
-	shortAt  map[string]time.Time // teams whose work waits for a new share, since when
-	sharedAt map[string]time.Time // when a team's limit was last frozen
-	dueSince map[string]time.Time // chunks with ends to store, since when
-	notUntil map[string]time.Time // jobs that lost a race, by when to try again
-	served   map[string]time.Time // jobs that others were stopped for, by when
-	unmet    map[string]int       // tasks without a place, by job, of the last pass
-	why      map[string]string
-	unmetAt  map[string]time.Time
-	raisedAt time.Time // when our membership last changed
+	mu             sync.Mutex // guards all below
+	cache          *store.Cache
+	table          *jobs.Table
+	sync           *store.Syncer
+	session        member.SessionState
+	self           member.Node
+	sessions       map[string]member.Node
+	versions       map[string]member.Session // the same, with what they say of their programs
+	unreachable    map[string]bool           // nodes that say that they hear no worker
+	probes         []string                  // workers' addresses to ask while we are unreachable
+	probed         time.Time                 // when one of them last answered
+	unreachableAt  time.Time
+	lead           *member.Node
+	member         *member.Record
+	reg            *fleet.Register
+	owners         map[string]string // of machines under the present membership
+	view           fleetView
+	published      map[string]*publishedHost
+	publishedView  uint64 // number of the last change in told
+	viewAt         time.Time
+	types          []wire.MachineType
+	machineTypes   map[string]wire.MachineType
+	imageGB        map[string]float64  // sizes of images
+	held           map[string][]string // images of machines, as their former owners knew them
+	workers        map[string]*fleet.Worker
+	failing        map[string]*fleet.Worker // those whose tasks failed lately
+	siblings       map[string]*sibling
+	busyJob        map[string]bool           // a write about the job is under way
+	busyTeam       map[string]bool           // a write of the team's key is under way
+	inFlightClaims map[string]jobs.Resources // claims under way, by team
+	inDoubt        []inDoubtWrite
+	queuedChanges  float64              // changes that wait for the budget, a mean over the last passes
+	storing        int                  // changes of machine records that the leader has yet to write
+	shortSince     map[string]time.Time // teams whose work waits for a new share, since when
+	sharedAt       map[string]time.Time // when a team's limit was last frozen
+	dueSince       map[string]time.Time // chunks with ends to store, since when
+	notUntil       map[string]time.Time // jobs that lost a race, by when to try again
+	preemptedFor   map[string]time.Time // jobs that others were stopped for, by when
+	unmet          map[string]int       // tasks without a place, by job, of the last pass
+	why            map[string]string
+	unmetAt        map[string]time.Time
+	raisedAt       time.Time // when our membership last changed
 	// The stamp of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
@@ -118,10 +118,10 @@
 	open       func() int // connections of users and workers
 	hostWrites sync.Mutex // held while the leader stores machine records
 
-	kick  chan struct{} // wakes the pass
-	mkick chan struct{} // wakes the membership
-	calls chan struct{} // bounds direct calls
-	takes chan struct{} // bounds submissions under way
+	passWake   chan struct{} // wakes the pass
+	memberWake chan struct{} // wakes the membership
+	calls      chan struct{} // bounds direct calls
+	takes      chan struct{} // bounds submissions under way
 
 	intake   chan *submission // submissions that wait for their durable write
 	intakeNo atomic.Uint64    // counts intake records
@@ -129,36 +129,36 @@
 
 // leading is the leader's memory; it starts empty with each leadership.
 type leading struct {
-	baton     uint64
-	next      uint64 // the baton of the membership after it
-	counter   int
-	listed    map[string]wire.Host
-	listAt    time.Time
-	absent    map[string]int // lists in a row that omitted a machine listed before
-	hired     map[string]hired
-	refused   map[fleet.Kind]time.Time
-	control   map[string]*roles.Controller
-	decision  map[string]roles.Decision
-	seenJobs  map[string]bool
-	idle      map[string]time.Time     // since when a machine has no claims
-	spared    map[string]time.Time     // see fleet.PlanInput
-	gone      map[string]time.Time     // machines given back, which late lists still show
-	lost      []string                 // machines that went away while they were drained, with claims on them
-	unfit     map[string]time.Time     // since when a machine reports but takes no tasks
-	heard     map[string]time.Time     // when a machine was last heard by anybody
-	since     map[string]time.Time     // when a machine was first listed
-	active    map[place.Role]time.Time // when a role last had an open job
-	batchAvg  float64
-	batchSize float64   // mean number of tasks of arriving arrays
-	batchSeen time.Time // when the last one arrived
-	avgAt     time.Time
-	plain     fleet.Load // batch work that may not use spot machines
-	plainSeen time.Time  // when there last was any
-	batch     fleet.Load // last typical loads
-	service   fleet.Load
-}
-
-type hired struct {
+	token        uint64
+	nextToken    uint64 // the token of the membership after it
+	counter      int
+	listed       map[string]wire.Host
+	listAt       time.Time
+	absent       map[string]int // lists in a row that omitted a machine listed before
+	rented       map[string]rental
+	refused      map[fleet.Kind]time.Time
+	control      map[string]*roles.Controller
+	decision     map[string]roles.Decision
+	seenJobs     map[string]bool
+	idle         map[string]time.Time     // since when a machine has no claims
+	surplusSince map[string]time.Time     // see fleet.PlanInput
+	gone         map[string]time.Time     // machines given back, which late lists still show
+	lost         []string                 // machines that went away while they were drained, with claims on them
+	unfit        map[string]time.Time     // since when a machine reports but takes no tasks
+	heard        map[string]time.Time     // when a machine was last heard by anybody
+	since        map[string]time.Time     // when a machine was first listed
+	active       map[place.Role]time.Time // when a role last had an open job
+	batchAvg     float64
+	batchSize    float64   // mean number of tasks of arriving arrays
+	batchSeen    time.Time // when the last one arrived
+	avgAt        time.Time
+	plain        fleet.Load // batch work that may not use spot machines
+	plainSeen    time.Time  // when there last was any
+	batch        fleet.Load // last typical loads
+	service      fleet.Load
+}
+
+type rental struct {
 	kind fleet.Kind
 	role place.Role
 	at   time.Time
@@ -177,13 +177,13 @@
 func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
 	n := &Node{
 		set: set, limits: set.StateLimits(), log: log, now: now, svc: svc, lim: lim, cloud: cloud, call: call,
-		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, told: map[string]*told{},
-		flying: map[string]jobs.Resources{}, shortAt: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
-		rigs: map[string]wire.Rig{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, failing: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
+		session: member.NoLease, sessions: map[string]member.Node{}, versions: map[string]member.Session{}, reg: fleet.NewRegister(), owners: map[string]string{}, published: map[string]*publishedHost{},
+		inFlightClaims: map[string]jobs.Resources{}, shortSince: map[string]time.Time{}, sharedAt: map[string]time.Time{}, dueSince: map[string]time.Time{},
+		machineTypes: map[string]wire.MachineType{}, imageGB: map[string]float64{}, held: map[string][]string{}, workers: map[string]*fleet.Worker{}, failing: map[string]*fleet.Worker{}, siblings: map[string]*sibling{},
 		busyJob: map[string]bool{}, busyTeam: map[string]bool{}, notUntil: map[string]time.Time{},
-		served: map[string]time.Time{}, deaf: map[string]bool{},
+		preemptedFor: map[string]time.Time{}, unreachable: map[string]bool{},
 		unmet: map[string]int{}, why: map[string]string{}, unmetAt: map[string]time.Time{},
-		kick: make(chan struct{}, 1), mkick: make(chan struct{}, 1),
+		passWake: make(chan struct{}, 1), memberWake: make(chan struct{}, 1),
 		calls: make(chan struct{}, tuning.WorkerCallsMax), takes: make(chan struct{}, set.Operator.IntakeQueue),
 		intake: make(chan *submission, set.Operator.IntakeQueue),
 	}
@@ -259,14 +259,14 @@
 		ReadTimeout: tuning.ReadTimeout, WriteTimeout: tuning.WriteTimeout, IdleTimeout: tuning.IdleTimeout,
 		MaxRequestBodySize: wire.MaxBody, ReadBufferSize: 4096, WriteBufferSize: 4096,
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReduceMemoryUsage: true, CloseOnShutdown: true,
-		ErrorHandler: badRequest, Logger: quiet{},
+		ErrorHandler: badRequest, Logger: discardLogger{},
 	}
 }
 
-// quiet drops fasthttp's own lines; what matters is logged by the handlers.
-type quiet struct{}
+// discardLogger drops fasthttp's own lines; what matters is logged by the handlers.
+type discardLogger struct{}
 
-func (quiet) Printf(string, ...any) {}
+func (discardLogger) Printf(string, ...any) {}
 
 // wake signals without waiting.
 func wake(c chan struct{}) {
@@ -278,28 +278,28 @@
 
 // changed runs with mu held after each watch response.
 func (n *Node) changed() {
-	wake(n.kick)
-	wake(n.mkick)
+	wake(n.passWake)
+	wake(n.memberWake)
 }
 
 // sink takes changed values from the cache; mu is held.
-func (n *Node) sink(key string, v wire.Raw, stamp uint64) {
-	if err := n.enter(key, v, stamp); err != nil {
-		n.log.Error("stored record can't be read", "key", key, "stamp", stamp, "err", err)
+func (n *Node) sink(key string, v wire.Raw, version uint64) {
+	if err := n.applyRecord(key, v, version); err != nil {
+		n.log.Error("stored record can't be read", "key", key, "stamp", version, "err", err)
 	}
 }
 
-func (n *Node) enter(key string, v wire.Raw, stamp uint64) error {
+func (n *Node) applyRecord(key string, v wire.Raw, version uint64) error {
 	switch {
 	case strings.HasPrefix(key, jobs.JobPrefix):
-		ref := strings.TrimPrefix(key, jobs.JobPrefix)
-		err := n.table.ApplyJob(ref, v)
-		if j := n.table.Jobs[ref]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
-			n.cancelled = max(n.cancelled, stamp)
+		jobID := strings.TrimPrefix(key, jobs.JobPrefix)
+		err := n.table.ApplyJob(jobID, v)
+		if j := n.table.Jobs[jobID]; err != nil || j != nil && j.Record.Phase == jobs.Cancelled {
+			n.cancelled = max(n.cancelled, version)
 		}
 		return err
 	case strings.HasPrefix(key, jobs.IntakePrefix):
-		return n.table.ApplyIntake(key, v, stamp)
+		return n.table.ApplyIntake(key, v, version)
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
@@ -318,12 +318,12 @@
 			n.sessions[label], n.versions[label] = s.Node, *s
 		}
 		return err
-	case strings.HasPrefix(key, member.DeafPrefix):
-		label := strings.TrimPrefix(key, member.DeafPrefix)
+	case strings.HasPrefix(key, member.UnreachablePrefix):
+		label := strings.TrimPrefix(key, member.UnreachablePrefix)
 		if v == nil {
-			delete(n.deaf, label)
+			delete(n.unreachable, label)
 		} else {
-			n.deaf[label] = true
+			n.unreachable[label] = true
 		}
 	case key == member.LeadKey:
 		n.lead = nil
@@ -334,25 +334,25 @@
 		n.lead = m
 		return err
 	case key == member.Key:
-		return n.enterMember(v)
+		return n.applyMembership(v)
 	case key == typesKey:
-		var r wire.Rigs
+		var r wire.MachineTypes
 		if v == nil {
 			return nil
 		}
 		if err := wire.Unmarshal(v, &r); err != nil {
 			return err
 		}
-		n.types, n.view.stale = r.Rigs, true
-		clear(n.rigs)
-		for _, t := range r.Rigs {
-			n.rigs[t.Label] = t
+		n.types, n.view.stale = r.Types, true
+		clear(n.machineTypes)
+		for _, t := range r.Types {
+			n.machineTypes[t.Label] = t
 		}
 	}
 	return nil
 }
 
-func (n *Node) enterMember(v wire.Raw) error {
+func (n *Node) applyMembership(v wire.Raw) error {
 	if v == nil {
 		n.member = nil
 		return nil
@@ -365,7 +365,7 @@
 	n.member = &r
 	n.raisedAt = n.now()
 	clear(n.owners)
-	clear(n.told)
+	clear(n.published)
 	// Who takes a machine over knows its images from what its former owner
 	// told. Guards against fetches beside machines that hold the image.
 	clear(n.held)
@@ -385,12 +385,12 @@
 			// What another owner does meanwhile makes this view worthless.
 			delete(n.workers, host)
 		} else if !next || last.Owner(host) != n.self.Label {
-			w.RaiseBaton()
+			w.RaiseToken()
 		}
 	}
 	n.resetView()
 	n.shareBudget()
-	n.log.Info("membership", "baton", r.Baton, "leader", r.Leader.Label, "nodes", len(r.Nodes))
+	n.log.Info("membership", "baton", r.Token, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
 }
 
@@ -417,19 +417,19 @@
 	if n.member.Leader == n.self {
 		parts *= 2
 	}
-	told, sum := true, n.want
+	allKnown, sum := true, n.queuedChanges
 	for _, m := range n.member.Nodes {
 		if m == n.self {
 			continue
 		}
 		s := n.siblings[m.Label]
-		if told = told && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !told {
+		if allKnown = allKnown && s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation; !allKnown {
 			break
 		}
-		sum += float64(s.status.Want)
+		sum += float64(s.status.QueuedChanges)
 	}
-	if told && sum >= 1 {
-		parts = (parts + n.want/sum) / 2
+	if allKnown && sum >= 1 {
+		parts = (parts + n.queuedChanges/sum) / 2
 	}
 	n.lim.SetRate(n.limits.RPS*tuning.BudgetShare/live, n.limits.WriteRPS*tuning.BudgetShare*parts)
 }
@@ -473,7 +473,7 @@
 		return false
 	}
 	for _, s := range n.siblings {
-		if n.freshSibling(s) && s.status.HasState && s.status.Baton > n.member.Baton {
+		if n.freshSibling(s) && s.status.HasState && s.status.Token > n.member.Token {
 			return true
 		}
 	}
@@ -512,7 +512,7 @@
 	var touched time.Time
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		state, tenure, settled := n.session, n.self.Incarnation, n.cache.Settled()
+		state, leaseID, settled := n.session, n.self.Incarnation, n.cache.Settled()
 		n.mu.Unlock()
 		switch {
 		case state == member.NoLease:
@@ -530,7 +530,7 @@
 			continue
 		case n.now().Sub(touched) >= tuning.SessionTouch:
 			touched = n.now()
-			if err := n.svc.Touch(ctx, tenure); errors.Is(err, store.ErrNoLease) {
+			if err := n.svc.Touch(ctx, leaseID); errors.Is(err, store.ErrNoLease) {
 				n.endSession()
 				continue
 			} else if err != nil {
@@ -551,7 +551,7 @@
 		left := tuning.SessionTouch - n.now().Sub(touched)
 		select {
 		case <-ctx.Done():
-		case <-n.mkick:
+		case <-n.memberWake:
 			sleep(ctx, 10*time.Millisecond)
 		case <-time.After(max(left, 10*time.Millisecond)):
 		}
@@ -572,7 +572,7 @@
 	key := member.NodeKey(n.self.Label)
 	var guards []wire.Guard
 	var change wire.Change
-	hearing := false // the change is about it
+	reachabilityChanged := false // the change is about it
 	stored := n.sessions[n.self.Label] == n.self
 	if n.session == member.Registered && !stored {
 		// Guards against a late write of a former process of this node.
@@ -584,64 +584,64 @@
 	if n.session == member.Leased {
 		guards = []wire.Guard{n.cache.Guard(key)}
 		session := member.Session{Node: n.self, Form: member.Form, Version: tuning.Version}
-		change = wire.Change{Set: key, V: wire.MustMarshal(session), Tenure: n.self.Incarnation}
+		change = wire.Change{Set: key, Value: wire.MustMarshal(session), LeaseID: n.self.Incarnation}
 	} else {
 		now := n.now()
-		deaf := n.ears(now).Next()
-		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Deaf: n.deaf, Lead: n.lead, Member: n.member, Spans: n.spans()})
+		unreachable := n.reachability(now).Next()
+		a := member.Decide(member.View{Self: n.self, Sessions: n.sessions, Unreachable: n.unreachable, Lead: n.lead, Member: n.member, Spans: n.spans()})
 		switch {
-		case deaf != n.deaf[n.self.Label]:
+		case unreachable != n.unreachable[n.self.Label]:
 			guards = []wire.Guard{n.cache.Guard(key)}
-			change = wire.Change{Drop: member.DeafKey(n.self.Label)}
-			if deaf {
-				change = wire.Change{Set: member.DeafKey(n.self.Label), V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
-				n.startProbing(now)
+			change = wire.Change{Drop: member.UnreachableKey(n.self.Label)}
+			if unreachable {
+				change = wire.Change{Set: member.UnreachableKey(n.self.Label), Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
+				n.chooseProbes(now)
 			}
-			hearing = true
+			reachabilityChanged = true
 		case a.TakeLead:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(key)}
-			change = wire.Change{Set: member.LeadKey, V: wire.MustMarshal(n.self), Tenure: n.self.Incarnation}
+			change = wire.Change{Set: member.LeadKey, Value: wire.MustMarshal(n.self), LeaseID: n.self.Incarnation}
 		case a.Write != nil:
 			guards = []wire.Guard{n.cache.Guard(member.LeadKey), n.cache.Guard(member.Key)}
-			change = wire.Change{Set: member.Key, V: wire.MustMarshal(a.Write)}
+			change = wire.Change{Set: member.Key, Value: wire.MustMarshal(a.Write)}
 		default:
 			n.mu.Unlock()
 			return nil
 		}
 	}
 	n.mu.Unlock()
-	then := []wire.Change{change}
-	epoch, err := n.svc.Multi(ctx, store.ClassLease, guards, then)
+	changes := []wire.Change{change}
+	revision, err := n.svc.Multi(ctx, store.ClassLease, guards, changes)
 	if err != nil {
 		return err
 	}
-	if hearing {
+	if reachabilityChanged {
 		// Not before: a node that is cut off tries again and again.
-		n.log.Info("hearing of workers changes", "deaf", change.Set != "")
+		n.log.Info("reachability of workers changes", "unreachable", change.Set != "")
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if change.Set != member.Key {
 		// The membership comes by watch only: everything stored before it must
 		// be in the cache before it counts.
-		n.cache.Own(then, epoch)
+		n.cache.Own(changes, revision)
 	}
 	if change.Set == key {
 		n.session = n.session.Next(member.Stored)
 	}
-	wake(n.mkick)
+	wake(n.memberWake)
 	return nil
 }
 
-// ears sums up whether this node hears its workers; mu is held.
-func (n *Node) ears(now time.Time) member.Ears {
-	e := member.Ears{Deaf: n.deaf[n.self.Label]}
+// reachability sums up whether this node hears its workers; mu is held.
+func (n *Node) reachability(now time.Time) member.Reachability {
+	e := member.Reachability{Unreachable: n.unreachable[n.self.Label]}
 	if n.member == nil || !n.entitled() {
 		return e
 	}
-	if e.Deaf {
-		if now.Sub(n.deafAt) > tuning.DeafAtLeast {
-			e.Answered = len(n.probes) == 0 || n.probed.After(n.deafAt)
+	if e.Unreachable {
+		if now.Sub(n.unreachableAt) > tuning.UnreachableMin {
+			e.Answered = len(n.probes) == 0 || n.probed.After(n.unreachableAt)
 		}
 		return e
 	}
@@ -662,7 +662,7 @@
 		}
 		for _, h := range s.hosts {
 			if !h.Silent {
-				e.SiblingsHear = true
+				e.SiblingsReachable = true
 				break
 			}
 		}
@@ -670,23 +670,23 @@
 	return e
 }
 
-// startProbing remembers workers to ask until one answers; mu is held.
-func (n *Node) startProbing(now time.Time) {
-	n.probes, n.deafAt, n.probed = nil, now, time.Time{}
+// chooseProbes remembers workers to ask until one answers; mu is held.
+func (n *Node) chooseProbes(now time.Time) {
+	n.probes, n.unreachableAt, n.probed = nil, now, time.Time{}
 	for _, w := range n.workers {
-		if w.Address != "" && len(n.probes) < tuning.DeafProbes {
+		if w.Address != "" && len(n.probes) < tuning.ReachabilityProbes {
 			n.probes = append(n.probes, w.Address)
 		}
 	}
 }
 
-// runProbes asks workers, while this node is deaf, whether it hears again.
+// runProbes asks workers, while this node is unreachable, whether they reach it again.
 func (n *Node) runProbes(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, n.set.Report())
 		n.mu.Lock()
 		var ask []string
-		if n.deaf[n.self.Label] {
+		if n.unreachable[n.self.Label] {
 			ask = n.probes
 		}
 		n.mu.Unlock()
@@ -697,7 +697,7 @@
 			n.mu.Lock()
 			n.probed = n.now()
 			n.mu.Unlock()
-			wake(n.mkick)
+			wake(n.memberWake)
 			break
 		}
 	}
@@ -747,12 +747,12 @@
 		return
 	}
 	now := n.now()
-	seen := peer.Seen{View: st.View, Baton: st.Baton, Incarnation: st.Incarnation}
+	seen := peer.Seen{View: st.View, Token: st.Token, Incarnation: st.Incarnation}
 	answer := !asked.IsZero()
 	if answer {
-		n.vouched(s, st, asked, now)
+		n.applyAttestation(s, st, asked, now)
 	}
-	if answer && (st.Whole || seen.Baton == s.seen.Baton && seen.Incarnation == s.seen.Incarnation) {
+	if answer && (st.Whole || seen.Token == s.seen.Token && seen.Incarnation == s.seen.Incarnation) {
 		if st.Whole {
 			for host := range s.hosts {
 				n.view.touch(host)
@@ -770,24 +770,24 @@
 	}
 	st.Hosts = nil
 	s.status, s.at = st, now
-	if n.member != nil && st.Baton > n.member.Baton {
-		wake(n.mkick)
+	if n.member != nil && st.Token > n.member.Token {
+		wake(n.memberWake)
 	}
 }
 
-// vouched enters what a sibling says of cancellations, and how far all of them
+// applyAttestation enters what a sibling says of cancellations, and how far all of them
 // are known by it; mu is held.
-func (n *Node) vouched(s *sibling, st peer.Status, asked, now time.Time) {
+func (n *Node) applyAttestation(s *sibling, st peer.Status, asked, now time.Time) {
 	if !st.Counts || st.Incarnation == 0 {
-		s.witness = member.Witness{}
+		s.attestation = member.Attestation{}
 		return
 	}
-	s.witness = s.witness.Heard(st.Incarnation, st.Cancelled, asked, now)
-	all := make([]member.Witness, 0, len(n.siblings))
+	s.attestation = s.attestation.Update(st.Incarnation, st.Cancelled, asked, now)
+	all := make([]member.Attestation, 0, len(n.siblings))
 	for _, o := range n.siblings {
-		all = append(all, o.witness)
+		all = append(all, o.attestation)
 	}
-	if at := member.KnownUntil(n.sync.Fresh(), n.cache.Rev(), all); at.After(n.certain) {
+	if at := member.KnownUntil(n.sync.Fresh(), n.cache.Revision(), all); at.After(n.certain) {
 		n.certain = at
 	}
 }
@@ -805,20 +805,20 @@
 // the view that a sibling has; mu is held.
 func (n *Node) ownStatus(seen peer.Seen) peer.Status {
 	now := n.now()
-	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Epoch: n.cache.Rev(), HasState: n.hasState() && n.cache.Settled()}
+	st := peer.Status{Label: n.self.Label, Incarnation: n.self.Incarnation, Revision: n.cache.Revision(), HasState: n.hasState() && n.cache.Settled()}
 	if n.member != nil {
-		st.Baton = n.member.Baton
+		st.Token = n.member.Token
 	}
 	if n.entitled() && now.Sub(n.viewAt) >= tuning.ViewEvery {
 		n.viewAt = now
-		n.lookOver(now)
+		n.refreshPublished(now)
 	}
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
-	st.Want = uint32(math.Ceil(n.want))
-	st.View = n.toldView
-	st.Whole = seen.Baton != st.Baton || seen.Incarnation != st.Incarnation || seen.View > n.toldView
+	st.QueuedChanges = uint32(math.Ceil(n.queuedChanges))
+	st.View = n.publishedView
+	st.Whole = seen.Token != st.Token || seen.Incarnation != st.Incarnation || seen.View > n.publishedView
 	if n.entitled() {
-		for _, t := range n.told {
+		for _, t := range n.published {
 			if st.Whole || t.view > seen.View {
 				st.Hosts = append(st.Hosts, t.host)
 			}
@@ -827,30 +827,30 @@
 	return st
 }
 
-// lookOver notes what has changed of this node's machines; mu is held.
-func (n *Node) lookOver(now time.Time) {
+// refreshPublished notes what has changed of this node's machines; mu is held.
+func (n *Node) refreshPublished(now time.Time) {
 	silent := n.silentAfter()
 	for host, w := range n.unpublished(now) {
 		if w.Heard.IsZero() {
 			continue
 		}
-		h := peer.Host{Name: host, Stint: w.Stint, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
-			Warning: -1, Suspect: n.unfit(w, now)}
+		h := peer.Host{Name: host, Session: w.Session, Silent: now.Sub(w.Heard) > silent, Proven: w.State == fleet.Proven,
+			Notice: -1, Suspect: n.unfit(w, now)}
 		if !w.TakenAt.IsZero() {
-			h.Warning = 0
+			h.Notice = 0
 		}
-		t := n.told[host]
+		t := n.published[host]
 		if t == nil {
-			t = &told{}
-			n.told[host] = t
-		} else if o := t.host; o.Stint == h.Stint && o.Silent == h.Silent && o.Proven == h.Proven && o.Warning == h.Warning &&
+			t = &publishedHost{}
+			n.published[host] = t
+		} else if o := t.host; o.Session == h.Session && o.Silent == h.Silent && o.Proven == h.Proven && o.Notice == h.Notice &&
 			o.Suspect == h.Suspect && slices.Equal(o.Images, w.Images) {
 			continue
 		}
 		h.Age = now.Sub(w.Heard)
 		h.Images = slices.Clone(w.Images)
-		n.toldView++
-		t.host, t.view = h, n.toldView
+		n.publishedView++
+		t.host, t.view = h, n.publishedView
 	}
 }
 
@@ -860,17 +860,17 @@
 func (n *Node) unpublished(now time.Time) map[string]*fleet.Worker {
 	v := &n.view
 	some := n.workers
-	if now.Sub(v.toldAll) < tuning.SweepEvery && !now.Before(v.toldAll) {
-		some = make(map[string]*fleet.Worker, len(v.untold))
-		for host := range v.untold {
+	if now.Sub(v.publishedAll) < tuning.SweepEvery && !now.Before(v.publishedAll) {
+		some = make(map[string]*fleet.Worker, len(v.unpublished))
+		for host := range v.unpublished {
 			if w := n.workers[host]; w != nil {
 				some[host] = w
 			}
 		}
 	} else {
-		v.toldAll = now
+		v.publishedAll = now
 	}
-	clear(v.untold)
+	clear(v.unpublished)
 	return some
 }
 
@@ -881,5 +881,5 @@
 
 // unfit reports whether a machine should get no tasks for now.
 func (n *Node) unfit(w *fleet.Worker, now time.Time) bool {
-	return w.Mute || len(w.Errors) >= tuning.HostErrorsMax || now.Sub(w.Refused) < tuning.NoRoomPause
+	return w.Unresponsive || len(w.Errors) >= tuning.HostErrorsMax || now.Sub(w.Refused) < tuning.NoRoomPause
 }
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -17,38 +17,38 @@
 
 // txn collects the changes of one guarded write.
 type txn struct {
-	class  store.Class
-	guards map[string]uint64
-	then   []wire.Change
-	bytes  int
-	jobs   []string
-	team   string         // whose limit is shared out otherwise by the write
-	claims string         // team whose claims it stores
-	need   jobs.Resources // what they take
-	what   string
-	notes  [][]any // log lines for when it is stored
+	class   store.Class
+	guards  map[string]uint64
+	changes []wire.Change
+	bytes   int
+	jobs    []string
+	team    string         // whose limit is shared out otherwise by the write
+	claims  string         // team whose claims it stores
+	need    jobs.Resources // what they take
+	what    string
+	notes   [][]any // log lines for when it is stored
 }
 
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
 
 func (n *Node) newTxn(what string) *txn {
-	return &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Stamp(member.Key)}}
+	return &txn{class: store.ClassClaim, what: what, guards: map[string]uint64{member.Key: n.cache.Version(member.Key)}}
 }
 
 // room reports whether n more changes of the given size fit.
 func (n *Node) room(t *txn, changes, bytes, guards int) bool {
 	ops := n.limits.TxnOps
-	return len(t.then)+changes <= ops && t.bytes+bytes <= tuning.TxnBytes && len(t.guards)+guards <= 4*ops
+	return len(t.changes)+changes <= ops && t.bytes+bytes <= tuning.TxnBytes && len(t.guards)+guards <= 4*ops
 }
 
 func (t *txn) set(key string, v any) {
 	raw := wire.MustMarshal(v)
-	t.then = append(t.then, wire.Change{Set: key, V: raw})
+	t.changes = append(t.changes, wire.Change{Set: key, Value: raw})
 	t.bytes += 2*len(raw) + len(key) // JSON is at most about twice the CBOR
 }
 
 func (t *txn) drop(key string) {
-	t.then = append(t.then, wire.Change{Drop: key})
+	t.changes = append(t.changes, wire.Change{Drop: key})
 	t.bytes += len(key) + 16
 }
 
@@ -57,7 +57,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-n.kick:
+		case <-n.passWake:
 		case <-time.After(tuning.TickEvery):
 		}
 		start := time.Now()
@@ -81,7 +81,7 @@
 		return nil
 	}
 	now := n.now()
-	n.enterRecords()
+	n.applyRecords()
 	workers, all := n.sweep(now)
 	for host, w := range workers {
 		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
@@ -93,14 +93,14 @@
 			delete(n.failing, host)
 		}
 	}
-	for ref, at := range n.served {
+	for jobID, at := range n.preemptedFor {
 		if now.Sub(at) > tuning.PreemptPause {
-			delete(n.served, ref)
+			delete(n.preemptedFor, jobID)
 		}
 	}
-	for ref, at := range n.notUntil {
+	for jobID, at := range n.notUntil {
 		if now.After(at) {
-			delete(n.notUntil, ref)
+			delete(n.notUntil, jobID)
 		}
 	}
 	// What can't be written now is not decided now: it would wait in the
@@ -114,7 +114,7 @@
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
 			n.stopTask(w, r.ID)
-			n.served[r.For] = now
+			n.preemptedFor[r.For] = now
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
@@ -131,9 +131,9 @@
 		early = (most + 1) / 2
 	}
 	most -= early
-	rest := make([]ends, 0, len(due))
+	rest := make([]pendingRelease, 0, len(due))
 	for _, r := range due {
-		if r.haste < freesRoom {
+		if r.priority < releaseRoutine {
 			txns = n.release(txns, r, &early)
 		} else {
 			rest = append(rest, r)
@@ -147,14 +147,14 @@
 	txns = n.finished(txns, &most)
 	jobsToClaim := map[string]bool{}
 	for _, c := range out.Claims {
-		jobsToClaim[c.Job.Ref] = true
+		jobsToClaim[c.Job.ID] = true
 	}
 	waits := n.lim.Waiting() + float64(n.storing+max(0, len(due)+len(jobsToClaim)-len(txns)))
-	n.want += (waits - n.want) / 2
+	n.queuedChanges += (waits - n.queuedChanges) / 2
 	n.shareBudget()
 	for host, w := range workers {
 		if n.ownerOf(host) == n.self.Label {
-			n.void(w)
+			n.invalidateHeldStarts(w)
 			n.direct(w, now)
 		} else if n.reg.Key(host) == "" && now.Sub(w.Heard) > 2*n.set.Lease() {
 			delete(n.workers, host)
@@ -168,15 +168,15 @@
 
 func (n *Node) noteUnmet(out place.Output, now time.Time) {
 	n.unmet, n.why = out.Unmet, out.Why
-	n.noteShort(out.Short, now)
-	for ref := range n.unmetAt {
-		if out.Unmet[ref] == 0 {
-			delete(n.unmetAt, ref)
+	n.noteGrantShortages(out.GrantShort, now)
+	for jobID := range n.unmetAt {
+		if out.Unmet[jobID] == 0 {
+			delete(n.unmetAt, jobID)
 		}
 	}
-	for ref := range out.Unmet {
-		if _, ok := n.unmetAt[ref]; !ok {
-			n.unmetAt[ref] = now
+	for jobID := range out.Unmet {
+		if _, ok := n.unmetAt[jobID]; !ok {
+			n.unmetAt[jobID] = now
 		}
 	}
 }
@@ -187,28 +187,28 @@
 		Fleet: fleet, Teams: n.teams(), Now: now, MostJobs: tuning.JobsPerPass}
 	avoid := map[string]map[string]bool{}
 	for host, w := range n.failing {
-		for ref := range w.Errors {
-			if avoid[ref] == nil {
-				avoid[ref] = map[string]bool{}
+		for jobID := range w.Errors {
+			if avoid[jobID] == nil {
+				avoid[jobID] = map[string]bool{}
 			}
-			avoid[ref][host] = true
+			avoid[jobID][host] = true
 		}
 	}
 	pipelines := n.pipelines()
-	for ref, j := range n.table.Open {
+	for jobID, j := range n.table.Open {
 		if j.Counts[jobs.Pending] == 0 || j.Record.Phase == jobs.Waiting && !pipelines {
 			continue // an old member would stop what starts on its machines
 		}
-		d := &place.Demand{Job: j, Avoid: avoid[ref]}
+		d := &place.Demand{Job: j, Avoid: avoid[jobID]}
 		d.Tasks = n.pending(j, tuning.TasksPerJob, now)
 		// The cloud may still bring room for a guarantee; work that is stopped
 		// for it is lost.
-		if at, ok := n.unmetAt[ref]; ok {
+		if at, ok := n.unmetAt[jobID]; ok {
 			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
 		}
 		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Ready > tuning.AgedAfter.Milliseconds()
-		d.Served = now.Sub(n.served[ref]) < tuning.PreemptPause
-		d.Blocked = n.busyJob[ref] || now.Before(n.notUntil[ref])
+		d.PreemptedFor = now.Sub(n.preemptedFor[jobID]) < tuning.PreemptPause
+		d.Blocked = n.busyJob[jobID] || now.Before(n.notUntil[jobID])
 		if len(d.Tasks) > 0 {
 			in.Demands = append(in.Demands, d)
 		}
@@ -232,7 +232,7 @@
 			}
 			if errs := tasks[k].Errs; errs > 0 {
 				pause := min(tuning.RetryBase<<min(errs-1, 10), tuning.RetryCap)
-				if now.Sub(n.table.FailedAt[jobs.ID{Ref: j.Ref, Task: i}]) < pause {
+				if now.Sub(n.table.FailedAt[jobs.TaskID{Job: j.ID, Task: i}]) < pause {
 					continue
 				}
 			}
@@ -278,31 +278,31 @@
 	return tasks, true
 }
 
-// ends is what may be stored of the ends of one chunk's tasks.
-type ends struct {
+// pendingRelease is what may be stored of the ends of one chunk's tasks.
+type pendingRelease struct {
 	*chunkChange
-	key   string
-	since time.Time
-	haste haste
+	key      string
+	since    time.Time
+	priority releasePriority
 }
 
-// haste orders the ends of tasks.
-type haste int
+// releasePriority orders the ends of tasks.
+type releasePriority int
 
 const (
-	endsJob   haste = iota // the job is over: its user and what awaits it wait for that
-	wanted                 // a task waits for a new start, or this node's part of the job is over
-	freesRoom              // the rest
+	releaseJobEnd  releasePriority = iota // the job is over: its user and what depends on it wait for that
+	releaseRestart                        // a task waits for a new start, or this node's part of the job is over
+	releaseRoutine                        // the rest
 )
 
 // releases collects the claims whose end is proven on this node's machines,
 // by chunk; what matters most comes first. workers are those that may have any.
-func (n *Node) releases(workers map[string]*fleet.Worker, now time.Time) []ends {
+func (n *Node) releases(workers map[string]*fleet.Worker, now time.Time) []pendingRelease {
 	changes := map[string]*chunkChange{}
-	add := func(id jobs.ID, kind jobs.TaskEventKind) {
-		j := n.table.Jobs[id.Ref]
+	add := func(id jobs.TaskID, kind jobs.TaskEventKind) {
+		j := n.table.Jobs[id.Job]
 		chunk := id.Task / j.Record.Chunk
-		key := jobs.ChunkKey(id.Ref, chunk)
+		key := jobs.ChunkKey(id.Job, chunk)
 		if changes[key] == nil {
 			changes[key] = &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
 		}
@@ -313,10 +313,10 @@
 		// The proof is stored, so any node may release: the job's first
 		// does, in one write for the machines of all owners.
 		for id := range n.table.Hosts[host] {
-			mine, ok := first[id.Ref]
+			mine, ok := first[id.Job]
 			if !ok {
-				mine = n.member.Order(id.Ref)[0] == n.self.Label
-				first[id.Ref] = mine
+				mine = n.member.Order(id.Job)[0] == n.self.Label
+				first[id.Job] = mine
 			}
 			if mine {
 				add(id, jobs.Release)
@@ -337,7 +337,7 @@
 			delete(n.dueSince, key)
 		}
 	}
-	var out []ends
+	var out []pendingRelease
 	for key, c := range changes {
 		since, ok := n.dueSince[key]
 		if !ok {
@@ -355,24 +355,24 @@
 		j := c.job
 		last := j.Counts[jobs.Completed]+over == j.Record.Tasks
 		wait := now.Sub(since)
-		if n.busyJob[j.Ref] || now.Before(n.notUntil[j.Ref]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
+		if n.busyJob[j.ID] || now.Before(n.notUntil[j.ID]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
 			continue
 		}
-		e := ends{c, key, since, freesRoom}
+		e := pendingRelease{c, key, since, releaseRoutine}
 		switch {
 		case last:
-			e.haste = endsJob
+			e.priority = releaseJobEnd
 		case j.Service() || again || wait > tuning.ReleaseLate || n.partOver(j, changes):
-			e.haste = wanted
+			e.priority = releaseRestart
 		}
 		out = append(out, e)
 	}
 	sort.Slice(out, func(a, b int) bool {
 		x, y := out[a], out[b]
-		if x.haste != y.haste {
-			return x.haste < y.haste
+		if x.priority != y.priority {
+			return x.priority < y.priority
 		}
-		if len(x.events) != len(y.events) && x.haste == freesRoom {
+		if len(x.events) != len(y.events) && x.priority == releaseRoutine {
 			return len(x.events) > len(y.events)
 		}
 		if !x.since.Equal(y.since) {
@@ -395,7 +395,7 @@
 		if n.ownerOf(t.Host) != n.self.Label {
 			continue
 		}
-		c := due[jobs.ChunkKey(j.Ref, i/j.Record.Chunk)]
+		c := due[jobs.ChunkKey(j.ID, i/j.Record.Chunk)]
 		if c == nil {
 			return false
 		}
@@ -407,8 +407,8 @@
 }
 
 // release adds the write of one chunk's ends, if the budget has room for it.
-func (n *Node) release(txns []*txn, d ends, most *float64) []*txn {
-	if *most < 1 || n.busyJob[d.job.Ref] {
+func (n *Node) release(txns []*txn, d pendingRelease, most *float64) []*txn {
+	if *most < 1 || n.busyJob[d.job.ID] {
 		return txns
 	}
 	tasks, ok := d.apply()
@@ -416,20 +416,20 @@
 		return txns
 	}
 	t := n.newTxn("release")
-	t.guards[d.key] = n.cache.Stamp(d.key)
-	t.guards[jobs.JobKey(d.job.Ref)] = n.cache.Stamp(jobs.JobKey(d.job.Ref))
+	t.guards[d.key] = n.cache.Version(d.key)
+	t.guards[jobs.JobKey(d.job.ID)] = n.cache.Version(jobs.JobKey(d.job.ID))
 	n.putChunk(t, d.chunkChange, d.key, tasks)
 	for id, e := range d.events {
-		t.note("task released", "task", jobs.ID{Ref: d.job.Ref, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
+		t.note("task released", "task", jobs.TaskID{Job: d.job.ID, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
 	}
-	return n.under(txns, t, d.job.Ref, most)
+	return n.under(txns, t, d.job.ID, most)
 }
 
 // under adds a write about a job, and marks it as under way.
-func (n *Node) under(txns []*txn, t *txn, ref string, most *float64) []*txn {
-	t.jobs = append(t.jobs, ref)
-	n.busyJob[ref] = true
-	*most -= float64(len(t.then))
+func (n *Node) under(txns []*txn, t *txn, jobID string, most *float64) []*txn {
+	t.jobs = append(t.jobs, jobID)
+	n.busyJob[jobID] = true
+	*most -= float64(len(t.changes))
 	return append(txns, t)
 }
 
@@ -455,7 +455,7 @@
 		}
 	}
 	if j.Phase == jobs.Open && j.Counts[jobs.Completed]-before+done == j.Record.Tasks {
-		t.set(jobs.JobKey(j.Ref), finalRecord(j, jobs.JobCompleted, n.now()))
+		t.set(jobs.JobKey(j.ID), finalRecord(j, jobs.JobCompleted, n.now()))
 		t.drop(key)
 		return
 	}
@@ -478,30 +478,30 @@
 // finished ends jobs whose chunks were completed by different owners; the
 // job's first node does it.
 func (n *Node) finished(txns []*txn, most *float64) []*txn {
-	for ref, j := range n.table.Open {
-		if *most < 1 || !j.AllDone() || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+	for jobID, j := range n.table.Open {
+		if *most < 1 || !j.AllDone() || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
 			continue
 		}
 		t := n.newTxn("finish")
-		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
-		t.set(jobs.JobKey(ref), finalRecord(j, jobs.JobCompleted, n.now()))
-		txns = n.under(txns, t, ref, most)
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), finalRecord(j, jobs.JobCompleted, n.now()))
+		txns = n.under(txns, t, jobID, most)
 	}
-	for ref, j := range n.table.Unsaid {
+	for jobID, j := range n.table.Unrecorded {
 		// It says nothing new: it lets intake records go, and tells old versions.
-		if *most < 2 || n.busyJob[ref] || n.member.Order(ref)[0] != n.self.Label {
+		if *most < 2 || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
 			continue
 		}
 		t := n.newTxn("cancelled with another")
-		t.guards[jobs.JobKey(ref)] = n.cache.Stamp(jobs.JobKey(ref))
-		t.set(jobs.JobKey(ref), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
-		txns = n.under(txns, t, ref, most)
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
+		txns = n.under(txns, t, jobID, most)
 	}
 	for key := range n.table.Intakes {
 		// Nothing needs it any more: guards against reading it for ever.
 		if *most >= 1 && !n.busyJob[key] && n.table.Over(key) && n.member.Order(key)[0] == n.self.Label {
 			t := n.newTxn("intake over")
-			t.guards[key] = n.cache.Stamp(key)
+			t.guards[key] = n.cache.Version(key)
 			t.drop(key)
 			txns = n.under(txns, t, key, most)
 		}
@@ -520,22 +520,22 @@
 		claims []place.Claim
 	}
 	var groups []*group
-	byRef := map[string]*group{}
+	byJob := map[string]*group{}
 	for _, c := range list {
-		g := byRef[c.Job.Ref]
+		g := byJob[c.Job.ID]
 		if g == nil {
 			g = &group{job: c.Job}
-			byRef[c.Job.Ref] = g
+			byJob[c.Job.ID] = g
 			groups = append(groups, g)
 		}
 		g.claims = append(g.claims, c)
 	}
 	for _, g := range groups {
-		j, team := g.job, g.job.Record.Work.Crew
+		j, team := g.job, g.job.Record.Spec.Team
 		if *most < 1 {
 			break
 		}
-		if n.busyJob[j.Ref] || n.busyTeam[team] {
+		if n.busyJob[j.ID] || n.busyTeam[team] {
 			continue
 		}
 		t := n.newTxn("claim")
@@ -543,7 +543,7 @@
 		moved := map[string]jobs.Resources{} // what others' machines get
 		for _, cl := range g.claims {
 			chunk := cl.Task / j.Record.Chunk
-			key, hkey := jobs.ChunkKey(j.Ref, chunk), n.reg.Key(cl.Host)
+			key, hkey := jobs.ChunkKey(j.ID, chunk), n.reg.Key(cl.Host)
 			c := changes[key]
 			if c == nil {
 				if !n.room(t, len(changes)+3, (len(changes)+1)*n.chunkBytes(j), len(changes)+5) {
@@ -555,17 +555,17 @@
 			if _, ok := t.guards[hkey]; !ok && !n.room(t, 0, 0, len(changes)+4) {
 				continue // more machines than one write may name
 			}
-			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Stint: cl.Stint}, int(n.limits.ValueKB*1024)) {
+			if !c.claim(cl.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: cl.Host, Session: cl.Session}, int(n.limits.ValueKB*1024)) {
 				continue // its turn comes when others of the chunk are over
 			}
-			t.guards[hkey] = n.cache.Stamp(hkey)
+			t.guards[hkey] = n.cache.Version(hkey)
 			t.need = t.need.Add(j.Need)
 			if owner := n.ownerOf(cl.Host); owner != n.self.Label {
 				moved[owner] = moved[owner].Add(j.Need)
 			}
 		}
-		jkey := jobs.JobKey(j.Ref)
-		t.guards[jkey] = n.cache.Stamp(jkey)
+		jkey := jobs.JobKey(j.ID)
+		t.guards[jkey] = n.cache.Version(jkey)
 		claimed := 0
 		for key, c := range changes {
 			if len(c.events) == 0 {
@@ -579,10 +579,10 @@
 			if ok = ok && due; !ok {
 				break
 			}
-			t.guards[key] = n.cache.Stamp(key)
+			t.guards[key] = n.cache.Version(key)
 			t.set(key, jobs.ChunkRecord{Tasks: tasks})
 			for id, e := range c.events {
-				t.note("task claimed", "task", jobs.ID{Ref: j.Ref, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
+				t.note("task claimed", "task", jobs.TaskID{Job: j.ID, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
 			}
 		}
 		if !ok || j.Gang() && claimed < len(g.claims) || !n.charge(t, team, moved) {
@@ -593,7 +593,7 @@
 			rec.Serial++
 			t.set(jkey, rec)
 		}
-		txns = n.under(txns, t, j.Ref, most)
+		txns = n.under(txns, t, j.ID, most)
 	}
 	return txns
 }
@@ -602,11 +602,11 @@
 func (n *Node) commit(ctx context.Context, t *txn) {
 	guards := make([]wire.Guard, 0, len(t.guards))
 	for k, s := range t.guards {
-		guards = append(guards, wire.Guard{Key: k, Stamp: s})
+		guards = append(guards, wire.Guard{Key: k, Version: s})
 	}
 	sort.Slice(guards, func(a, b int) bool { return guards[a].Key < guards[b].Key })
 	cctx, stop := context.WithTimeout(ctx, tuning.DecisionWait)
-	epoch, err := n.svc.Multi(cctx, t.class, guards, t.then)
+	revision, err := n.svc.Multi(cctx, t.class, guards, t.changes)
 	stop()
 	if err != nil {
 		n.log.Debug("write failed", "what", t.what, "jobs", t.jobs, "err", err)
@@ -619,28 +619,28 @@
 	defer n.mu.Unlock()
 	n.metrics.wrote(t.what, err)
 	if err == nil {
-		n.cache.Own(t.then, epoch)
+		n.cache.Own(t.changes, revision)
 		for _, l := range t.notes {
 			n.log.Debug(l[0].(string), l[1:]...)
 		}
 	}
 	n.settled(t, err)
-	for _, ref := range t.jobs {
-		delete(n.busyJob, ref)
+	for _, jobID := range t.jobs {
+		delete(n.busyJob, jobID)
 		if errors.Is(err, store.ErrBad) {
 			// It would be refused again: guards against a write every pass.
-			n.notUntil[ref] = n.now().Add(tuning.RetryCap)
-			n.log.Error("write refused as malformed", "what", t.what, "job", ref, "err", err)
+			n.notUntil[jobID] = n.now().Add(tuning.RetryCap)
+			n.log.Error("write refused as malformed", "what", t.what, "job", jobID, "err", err)
 		} else if err != nil {
-			n.notUntil[ref] = n.now().Add(jitter(tuning.ConflictPause))
+			n.notUntil[jobID] = n.now().Add(jitter(tuning.ConflictPause))
 		} else {
-			delete(n.notUntil, ref)
+			delete(n.notUntil, jobID)
 		}
 	}
 	if t.team != "" {
 		delete(n.busyTeam, t.team)
 	}
-	wake(n.kick)
+	wake(n.passWake)
 }
 
 // displace moves service tasks off machines that are to lose them, one at a
@@ -654,8 +654,8 @@
 			}
 		}
 	}
-	for ref := range n.unmet {
-		if j := n.table.Jobs[ref]; j != nil && j.Service() {
+	for jobID := range n.unmet {
+		if j := n.table.Jobs[jobID]; j != nil && j.Service() {
 			return // those that wait come first
 		}
 	}
