--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -93,13 +93,13 @@
 	// off from the state service may renew and the cancellation limit. It
 	// covers report travel time, clock drift and late timers.
 	CancelMargin = 4 * time.Second
-	// VoidStep is by how much an owner raises the token of one of its machines
+	// InvalidateStep is by how much an owner raises the token of one of its machines
 	// to make void what may still be under way there. Versions that know nothing
 	// of it take the next token after a membership's first: they must not come
 	// upon a raised one and hold it for their own.
-	VoidStep = 1 << 10
+	InvalidateStep = 1 << 10
 	// TokenSpan is how many tokens a membership has: room for fifteen steps.
-	TokenSpan = 16 * VoidStep
+	TokenSpan = 16 * InvalidateStep
 	// WorkerCallTimeout bounds a direct command.
 	WorkerCallTimeout = 2 * time.Second
 	// GreetPause separates direct calls to one worker that does not answer.
@@ -108,9 +108,9 @@
 	// show its effect: workers drop answers after 4 s and report changes
 	// within half a second.
 	ConfirmAfter = 6 * time.Second
-	// MutePause separates direct calls that ask whether a machine whose reports
+	// UnresponsivePause separates direct calls that ask whether a machine whose reports
 	// show nothing of what it is told hears again.
-	MutePause = 5 * time.Second
+	UnresponsivePause = 5 * time.Second
 	// UnfitLeases is after how many leases a machine that reports but takes no
 	// tasks is given back.
 	UnfitLeases = 2
@@ -120,11 +120,11 @@
 	// SilentReports is how many report intervals without any message make a
 	// machine unfit for new tasks.
 	SilentReports = 2.2
-	// DeafAtLeast is how long a node that has said that it hears no worker owns
+	// UnreachableMin is how long a node that has said that it hears no worker owns
 	// no machines, so that a shaky network does not move them to and fro.
-	DeafAtLeast = 10 * time.Second
-	// DeafProbes is the number of workers that it asks whether it hears again.
-	DeafProbes = 4
+	UnreachableMin = 10 * time.Second
+	// ReachabilityProbes is the number of workers that it asks whether it hears again.
+	ReachabilityProbes = 4
 	// HostErrorsMax is the number of failed tasks of different jobs, without
 	// a success between, after which a machine is taken for faulty.
 	HostErrorsMax = 2
@@ -137,9 +137,9 @@
 	// ImagesKept bounds the images that a node remembers per machine; how many
 	// the machine holds follows from its disk.
 	ImagesKept = 64
-	// WarningKillFactor is the share of a spot notice that a task must be
+	// NoticeKillFactor is the share of a spot notice that a task must be
 	// expected to fit in to be left running; notices run up to half short.
-	WarningKillFactor = 0.5
+	NoticeKillFactor = 0.5
 )
 
 // Placement.
@@ -165,7 +165,7 @@
 	// PassPauseMax bounds that rest.
 	PassPauseMax = 400 * time.Millisecond
 	// AgedAfter is how long a job waits without any task begun before nothing
-	// of its rank goes before it: half of the four minutes that users grant.
+	// of its priority goes before it: half of the four minutes that users grant.
 	AgedAfter = 100 * time.Second
 	// GuaranteePreemptAfter is how long work within a guarantee waits before
 	// another team's borrowed work is stopped for it: by then the cloud has had
@@ -175,7 +175,7 @@
 	// before it stops more for it: a stop, its report and the next claim.
 	PreemptPause = 8 * time.Second
 	// StepGap is what passes between the end of a job and the first start of
-	// one that awaits it: the end is stored, seen, placed, claimed and started.
+	// one that depends on it: the end is stored, seen, placed, claimed and started.
 	StepGap = 3 * time.Second
 	// TasksPerMachine bounds the tasks of a machine, and the commands of an
 	// answer to it: a report of twice as many, exited ones among them, holds
@@ -267,8 +267,8 @@
 	MissingReports = 1.25
 	// ReturnMax is the most machines named in one return.
 	ReturnMax = 100
-	// HireMax is the most machines asked for in one call.
-	HireMax = 50
+	// RentMax is the most machines asked for in one call.
+	RentMax = 50
 	// MovableTries is how many half-empty service machines a plan looks at, at
 	// least; in a large fleet, as many as may be emptied at once.
 	MovableTries = 6
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3,8 +3,8 @@
 // controllers. Clients may import it; nothing in it depends on the rest of
 // the program.
 //
-// The protocol's own vocabulary (shards, rigs, plots, batons, ...) stays in
-// this package. The rest of the program uses the field's standard terms.
+// Names in Go are the field's terms. The protocol's own words (shard, rig,
+// plot, baton, ...) stand in the cbor tags and in the values of constants.
 package wire
 
 import (
@@ -20,8 +20,8 @@
 // MaxBody is the largest request or response body in bytes, as JSON.
 const MaxBody = 64 << 10
 
-// MaxShards is the largest number of tasks of one job.
-const MaxShards = 100_000
+// MaxTasks is the largest number of tasks of one job.
+const MaxTasks = 100_000
 
 // ContentType is sent with every body.
 const ContentType = "application/cbor"
@@ -63,112 +63,113 @@
 // Unmarshal decodes one CBOR value into v and refuses trailing bytes.
 func Unmarshal(b []byte, v any) error { return dec.Unmarshal(b, v) }
 
-// Job shapes.
+// Kinds of jobs.
 const (
-	ShapeArray    = "array"
-	ShapeStanding = "standing"
-	// ShapeGang is an array whose tasks only run all at once. The protocol's
+	KindArray   = "array"
+	KindService = "standing"
+	// KindGang is an array whose tasks only run all at once. The protocol's
 	// text does not describe it; see docs/questions.md.
-	ShapeGang = "gang"
+	KindGang = "gang"
 )
 
-// Job ranks, highest first.
+// Priorities of jobs, highest first.
 const (
-	RankCritical = "critical"
-	RankUrgent   = "urgent"
-	RankNormal   = "normal"
-	RankLow      = "low"
+	PriorityCritical = "critical"
+	PriorityUrgent   = "urgent"
+	PriorityNormal   = "normal"
+	PriorityLow      = "low"
 )
 
-// Job phases.
+// States of jobs.
 const (
-	PhaseQueued    = "queued"
-	PhaseRunning   = "running"
-	PhaseDone      = "done"
-	PhaseCancelled = "cancelled"
+	StateQueued    = "queued"
+	StateRunning   = "running"
+	StateDone      = "done"
+	StateCancelled = "cancelled"
 )
 
-// Shard phases in reports (PhaseRunning is shared with jobs).
+// States of tasks in reports.
 const (
-	ShardPulling  = "pulling"
-	ShardRunning  = "running"
-	ShardFlushing = "flushing"
-	ShardExited   = "exited"
+	TaskPulling  = "pulling"
+	TaskRunning  = "running"
+	TaskFlushing = "flushing"
+	TaskExited   = "exited"
 )
 
-// Causes of an exited shard.
+// Causes of the exit of a task.
 const (
-	CauseDone    = "done"
-	CauseStopped = "stopped"
-	CauseError   = "error"
-	CauseNoRoom  = "no_room"
-	CauseInUse   = "in_use"
-	CauseUnknown = "unknown"
+	ExitCauseDone    = "done"
+	ExitCauseStopped = "stopped"
+	ExitCauseError   = "error"
+	ExitCauseNoRoom  = "no_room"
+	ExitCauseInUse   = "in_use"
+	ExitCauseUnknown = "unknown"
 )
 
-// Order verbs.
+// Verbs of commands.
 const (
 	VerbStart = "start"
 	VerbKill  = "kill"
 	VerbReap  = "reap"
 )
 
-// Machine phases in the cloud's list.
+// States of machines in the cloud's list.
 const (
 	HostStarting = "starting"
 	HostRunning  = "running"
 	HostFailed   = "failed"
 )
 
-// Work is the body of POST /work.
-type Work struct {
-	Ref      string   `cbor:"ref"`
-	Cohort   string   `cbor:"cohort"`
-	Crew     string   `cbor:"crew"`
-	Shape    string   `cbor:"shape"`
-	Rank     string   `cbor:"rank"`
-	Shards   int      `cbor:"shards"`
-	CPUs     float64  `cbor:"cpus"`
-	Cards    float64  `cbor:"cards"`
-	RAMGB    float64  `cbor:"ram_gb"`
-	Bundle   string   `cbor:"bundle"`
-	ImageGB  float64  `cbor:"image_gb"`
-	Rigs     []string `cbor:"rigs"`
-	Plot     *string  `cbor:"plot"`
-	Together bool     `cbor:"together"`
-	Apart    bool     `cbor:"apart"`
-	Windfall bool     `cbor:"windfall"`
-	ReckonS  float64  `cbor:"reckon_s"`
-	StakeS   float64  `cbor:"stake_s"`
-	StashS   float64  `cbor:"stash_s"`
-	DueS     *float64 `cbor:"due_s"`
-	// Awaits names the jobs that have to be done before any task starts;
+// JobSpec describes a job: the body of POST /work. Its JSON form is what the
+// state service counts.
+type JobSpec struct {
+	ID           string   `cbor:"ref" json:"ref"`
+	Class        string   `cbor:"cohort" json:"cohort"`
+	Team         string   `cbor:"crew" json:"crew"`
+	Kind         string   `cbor:"shape" json:"shape"`
+	Priority     string   `cbor:"rank" json:"rank"`
+	Tasks        int      `cbor:"shards" json:"shards"`
+	CPUs         float64  `cbor:"cpus" json:"cpus"`
+	GPUs         float64  `cbor:"cards" json:"cards"`
+	RAMGB        float64  `cbor:"ram_gb" json:"ram_gb"`
+	Image        string   `cbor:"bundle" json:"bundle"`
+	ImageGB      float64  `cbor:"image_gb" json:"image_gb"`
+	MachineTypes []string `cbor:"rigs" json:"rigs"`
+	Zone         *string  `cbor:"plot" json:"plot"`
+	SameZone     bool     `cbor:"together" json:"together"`
+	SpreadZones  bool     `cbor:"apart" json:"apart"`
+	Spot         bool     `cbor:"windfall" json:"windfall"`
+	EstimateS    float64  `cbor:"reckon_s" json:"reckon_s"`
+	CheckpointS  float64  `cbor:"stake_s" json:"stake_s"`
+	SaveS        float64  `cbor:"stash_s" json:"stash_s"`
+	DeadlineS    *float64 `cbor:"due_s" json:"due_s"`
+	// DependsOn names the jobs that have to be done before any task starts;
 	// absent or null: none.
-	Awaits []string `cbor:"awaits,omitempty"`
+	DependsOn []string `cbor:"awaits,omitempty" json:"awaits"`
 }
 
-// requiredWork lists the fields that a submission must carry; rigs, plot, due_s
+// requiredFields lists the keys that a submission must carry; rigs, plot, due_s
 // and awaits may be null and so may be absent.
-var requiredWork = []string{
+var requiredFields = []string{
 	"ref", "cohort", "crew", "shape", "rank", "shards", "cpus", "cards", "ram_gb",
 	"bundle", "image_gb", "together", "apart", "windfall", "reckon_s", "stake_s", "stash_s",
 }
 
-var refPattern = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+var jobIDPattern = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
 
-// ValidRef reports whether s has the form of a job id.
-func ValidRef(s string) bool { return refPattern.MatchString(s) }
+// ValidJobID reports whether s has the form of a job id.
+func ValidJobID(s string) bool { return jobIDPattern.MatchString(s) }
 
-// ErrMalformed is the kind of every error of DecodeWork.
+// ErrMalformed is the kind of every error of DecodeJobSpec.
 var ErrMalformed = errors.New("malformed")
 
 func malformed(format string, a ...any) error {
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, a...))
 }
 
-// DecodeWork decodes and checks the body of POST /work.
-func DecodeWork(b []byte) (Work, error) {
-	var w Work
+// DecodeJobSpec decodes and checks the body of POST /work.
+func DecodeJobSpec(b []byte) (JobSpec, error) {
+	var w JobSpec
 	if len(b) > MaxBody {
 		return w, malformed("body over %d bytes", MaxBody)
 	}
@@ -176,7 +177,7 @@
 	if err := Unmarshal(b, &fields); err != nil || fields == nil {
 		return w, malformed("not a CBOR map")
 	}
-	for _, f := range requiredWork {
+	for _, f := range requiredFields {
 		if v, ok := fields[f]; !ok || len(v) == 1 && v[0] >= 0xf6 {
 			return w, malformed("%s is missing", f)
 		}
@@ -192,43 +193,43 @@
 	return w, w.check()
 }
 
-func (w *Work) check() error {
+func (w *JobSpec) check() error {
 	switch {
-	case !ValidRef(w.Ref):
-		return malformed("ref %q is not a job id", w.Ref)
-	case w.Cohort == "" || len(w.Cohort) > 200:
+	case !ValidJobID(w.ID):
+		return malformed("ref %q is not a job id", w.ID)
+	case w.Class == "" || len(w.Class) > 200:
 		return malformed("cohort is invalid")
-	case w.Crew == "" || len(w.Crew) > 100:
+	case w.Team == "" || len(w.Team) > 100:
 		return malformed("crew is invalid")
-	case w.Shape != ShapeArray && w.Shape != ShapeStanding && w.Shape != ShapeGang:
-		return malformed("shape %q is unknown", w.Shape)
-	case w.Rank != RankCritical && w.Rank != RankUrgent && w.Rank != RankNormal && w.Rank != RankLow:
-		return malformed("rank %q is unknown", w.Rank)
-	case w.Shards < 1 || w.Shards > MaxShards:
-		return malformed("shards %d is out of range", w.Shards)
-	case w.Bundle == "" || len(w.Bundle) > 200:
+	case w.Kind != KindArray && w.Kind != KindService && w.Kind != KindGang:
+		return malformed("shape %q is unknown", w.Kind)
+	case w.Priority != PriorityCritical && w.Priority != PriorityUrgent && w.Priority != PriorityNormal && w.Priority != PriorityLow:
+		return malformed("rank %q is unknown", w.Priority)
+	case w.Tasks < 1 || w.Tasks > MaxTasks:
+		return malformed("shards %d is out of range", w.Tasks)
+	case w.Image == "" || len(w.Image) > 200:
 		return malformed("bundle is invalid")
-	case len(w.Rigs) > 32:
+	case len(w.MachineTypes) > 32:
 		return malformed("rigs names too many types")
 	}
-	for _, r := range w.Rigs {
+	for _, r := range w.MachineTypes {
 		if r == "" || len(r) > 100 {
 			return malformed("rigs is invalid")
 		}
 	}
-	if w.Plot != nil && (*w.Plot == "" || len(*w.Plot) > 100) {
+	if w.Zone != nil && (*w.Zone == "" || len(*w.Zone) > 100) {
 		return malformed("plot is invalid")
 	}
 	for _, a := range []struct {
 		name string
 		v    float64
-	}{{"cpus", w.CPUs}, {"cards", w.Cards}, {"ram_gb", w.RAMGB}, {"image_gb", w.ImageGB},
-		{"reckon_s", w.ReckonS}, {"stake_s", w.StakeS}, {"stash_s", w.StashS}} {
+	}{{"cpus", w.CPUs}, {"cards", w.GPUs}, {"ram_gb", w.RAMGB}, {"image_gb", w.ImageGB},
+		{"reckon_s", w.EstimateS}, {"stake_s", w.CheckpointS}, {"stash_s", w.SaveS}} {
 		if !(a.v >= 0) || math.IsInf(a.v, 0) || a.v > 1e9 {
 			return malformed("%s is out of range", a.name)
 		}
 	}
-	if w.DueS != nil && (!(*w.DueS >= 0) || *w.DueS > 1e9) {
+	if w.DeadlineS != nil && (!(*w.DeadlineS >= 0) || *w.DeadlineS > 1e9) {
 		return malformed("due_s is out of range")
 	}
 	return nil
@@ -236,8 +237,8 @@
 
 // Status answers a submission, a poll or a cancellation.
 type Status struct {
-	Ref     string `cbor:"ref"`
-	Phase   string `cbor:"phase"`
+	ID      string `cbor:"ref"`
+	State   string `cbor:"phase"`
 	Done    int    `cbor:"done"`
 	Running int    `cbor:"running"`
 }
@@ -247,81 +248,84 @@
 	Error string `cbor:"error"`
 }
 
-// Shard is one task in a worker's report.
-type Shard struct {
-	Shard string `cbor:"shard"`
-	Try   uint64 `cbor:"try"`
-	Phase string `cbor:"phase"`
-	Cause string `cbor:"cause,omitempty"`
-	Saved bool   `cbor:"saved,omitempty"`
+// TaskReport is one attempt of a task in a worker's report.
+type TaskReport struct {
+	Task      string `cbor:"shard"`
+	Attempt   uint64 `cbor:"try"`
+	State     string `cbor:"phase"`
+	ExitCause string `cbor:"cause,omitempty"`
+	Saved     bool   `cbor:"saved,omitempty"`
 }
 
-// Checkin is a worker's report.
-type Checkin struct {
-	Host     string   `cbor:"host"`
-	Address  string   `cbor:"address"`
-	Rig      string   `cbor:"rig"`
-	Plot     string   `cbor:"plot"`
-	Windfall bool     `cbor:"windfall"`
-	Stint    uint64   `cbor:"stint"`
-	Tally    uint64   `cbor:"tally"`
-	Baton    uint64   `cbor:"baton"`
-	WarningS *float64 `cbor:"warning_s"`
-	Shards   []Shard  `cbor:"shards"`
+// Report is the body of POST /checkin: what a worker runs. Session numbers the
+// worker's sessions, Sequence the reports of a session, and Token is the highest
+// that the worker has seen.
+type Report struct {
+	Host        string       `cbor:"host"`
+	Address     string       `cbor:"address"`
+	MachineType string       `cbor:"rig"`
+	Zone        string       `cbor:"plot"`
+	Spot        bool         `cbor:"windfall"`
+	Session     uint64       `cbor:"stint"`
+	Sequence    uint64       `cbor:"tally"`
+	Token       uint64       `cbor:"baton"`
+	NoticeS     *float64     `cbor:"warning_s"`
+	Tasks       []TaskReport `cbor:"shards"`
 }
 
-// Order is one command to a worker.
-type Order struct {
-	Verb    string   `cbor:"verb"`
-	Shard   string   `cbor:"shard"`
-	Try     uint64   `cbor:"try"`
-	LeewayS *float64 `cbor:"leeway_s,omitempty"`
+// Command is one command about one attempt of a task.
+type Command struct {
+	Verb         string   `cbor:"verb"`
+	Task         string   `cbor:"shard"`
+	Attempt      uint64   `cbor:"try"`
+	GracePeriodS *float64 `cbor:"leeway_s,omitempty"`
 }
 
-// Orders answers a report.
-type Orders struct {
-	Baton  uint64  `cbor:"baton"`
-	Orders []Order `cbor:"orders"`
+// ReportResponse answers a report; it renews the worker's lease.
+type ReportResponse struct {
+	Token    uint64    `cbor:"baton"`
+	Commands []Command `cbor:"orders"`
 }
 
-// Commands is the body of POST /commands at a worker.
-type Commands struct {
-	Baton  uint64  `cbor:"baton"`
-	Stint  uint64  `cbor:"stint"`
-	Orders []Order `cbor:"orders"`
+// CommandRequest is the body of POST /commands at a worker.
+type CommandRequest struct {
+	Token    uint64    `cbor:"baton"`
+	Session  uint64    `cbor:"stint"`
+	Commands []Command `cbor:"orders"`
 }
 
-// Redirect answers a report that another node should handle.
+// Redirect answers a report that another node should handle; it names that
+// node, if it is known.
 type Redirect struct {
-	Foreman string `cbor:"foreman,omitempty"`
+	Node string `cbor:"foreman,omitempty"`
 }
 
-// Rig is a machine type.
-type Rig struct {
+// MachineType is a type of machine that the cloud rents out.
+type MachineType struct {
 	Label       string   `cbor:"label"`
 	CPUs        float64  `cbor:"cpus"`
-	Cards       float64  `cbor:"cards"`
+	GPUs        float64  `cbor:"cards"`
 	RAMGB       float64  `cbor:"ram_gb"`
 	LocalGB     float64  `cbor:"local_gb"`
 	FetchGBPerS float64  `cbor:"fetch_gb_per_s"`
 	Price       float64  `cbor:"price"`
 	SpotPrice   float64  `cbor:"spot_price"`
 	StartupS    float64  `cbor:"startup_s"`
-	Plots       []string `cbor:"plots"`
+	Zones       []string `cbor:"plots"`
 }
 
-// Rigs answers GET /machine_types.
-type Rigs struct {
-	Rigs []Rig `cbor:"rigs"`
+// MachineTypes answers GET /machine_types.
+type MachineTypes struct {
+	Types []MachineType `cbor:"rigs"`
 }
 
-// Hire is the body of POST /hosts.
-type Hire struct {
-	Hire     string `cbor:"hire"`
-	Rig      string `cbor:"rig"`
-	Plot     string `cbor:"plot"`
-	Windfall bool   `cbor:"windfall"`
-	Number   int    `cbor:"number"`
+// RentRequest is the body of POST /hosts. A name is used once.
+type RentRequest struct {
+	Name        string `cbor:"hire"`
+	MachineType string `cbor:"rig"`
+	Zone        string `cbor:"plot"`
+	Spot        bool   `cbor:"windfall"`
+	Count       int    `cbor:"number"`
 }
 
 // HostNames is a list of machines by name.
@@ -331,13 +335,13 @@
 
 // Host is one machine in the cloud's list.
 type Host struct {
-	Ref      string  `cbor:"ref"`
-	Address  string  `cbor:"address"`
-	Rig      string  `cbor:"rig"`
-	Plot     string  `cbor:"plot"`
-	Windfall bool    `cbor:"windfall"`
-	Phase    string  `cbor:"phase"`
-	HeldS    float64 `cbor:"held_s"`
+	Name        string  `cbor:"ref"`
+	Address     string  `cbor:"address"`
+	MachineType string  `cbor:"rig"`
+	Zone        string  `cbor:"plot"`
+	Spot        bool    `cbor:"windfall"`
+	State       string  `cbor:"phase"`
+	AgeS        float64 `cbor:"held_s"`
 }
 
 // HostPage answers GET /hosts.
@@ -346,45 +350,46 @@
 	Truncated bool   `cbor:"truncated"`
 }
 
-// Pair is one key of the state service.
+// Pair is one key of the state service, with its value and its version.
 type Pair struct {
-	Key   string `cbor:"key"`
-	V     Raw    `cbor:"v"`
-	Stamp uint64 `cbor:"stamp"`
+	Key     string `cbor:"key"`
+	Value   Raw    `cbor:"v"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Pairs answers GET /keys.
 type Pairs struct {
 	Pairs     []Pair `cbor:"pairs"`
 	Truncated bool   `cbor:"truncated"`
-	Epoch     uint64 `cbor:"epoch"`
+	Revision  uint64 `cbor:"epoch"`
 }
 
-// Guard is one condition of a transaction.
+// Guard is one condition of a transaction: the key has this version.
 type Guard struct {
-	Key   string `cbor:"key"`
-	Stamp uint64 `cbor:"stamp"`
+	Key     string `cbor:"key"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Change is one change of a transaction: a set or a drop.
 type Change struct {
-	Set    string `cbor:"set,omitempty"`
-	V      Raw    `cbor:"v,omitempty"`
-	Tenure uint64 `cbor:"tenure,omitempty"`
-	Drop   string `cbor:"drop,omitempty"`
+	Set     string `cbor:"set,omitempty"`
+	Value   Raw    `cbor:"v,omitempty"`
+	LeaseID uint64 `cbor:"tenure,omitempty"`
+	Drop    string `cbor:"drop,omitempty"`
 }
 
-// Multi is a transaction.
-type Multi struct {
-	Guards []Guard  `cbor:"guards"`
-	Then   []Change `cbor:"then"`
+// Transaction is the body of POST /multi: changes that are made if all guards
+// hold.
+type Transaction struct {
+	Guards  []Guard  `cbor:"guards"`
+	Changes []Change `cbor:"then"`
 }
 
-// MultiResult answers a transaction.
-type MultiResult struct {
-	Epoch  uint64   `cbor:"epoch"`
-	Failed []string `cbor:"failed"`
-	Error  string   `cbor:"error"`
+// TransactionResult answers a transaction.
+type TransactionResult struct {
+	Revision uint64   `cbor:"epoch"`
+	Failed   []string `cbor:"failed"`
+	Error    string   `cbor:"error"`
 }
 
 // LeaseRequest asks for a lease.
@@ -392,21 +397,21 @@
 	TTLMs uint64 `cbor:"ttl_ms"`
 }
 
-// Lease answers it.
+// Lease answers a request for a lease.
 type Lease struct {
-	Tenure uint64 `cbor:"tenure"`
+	ID uint64 `cbor:"tenure"`
 }
 
 // Event is one change in a watch response.
 type Event struct {
-	Set   string `cbor:"set"`
-	V     Raw    `cbor:"v"`
-	Drop  string `cbor:"drop"`
-	Stamp uint64 `cbor:"stamp"`
+	Set     string `cbor:"set"`
+	Value   Raw    `cbor:"v"`
+	Drop    string `cbor:"drop"`
+	Version uint64 `cbor:"stamp"`
 }
 
 // Events answers GET /watch.
 type Events struct {
-	Epoch  uint64  `cbor:"epoch"`
-	Events []Event `cbor:"events"`
+	Revision uint64  `cbor:"epoch"`
+	Events   []Event `cbor:"events"`
 }
