--- a/internal/jobs/golden_test.go
+++ b/internal/jobs/golden_test.go
@@ -30,7 +30,6 @@
 		golden.CBOR("job record", record),
 		golden.CBOR("intake record", IntakeRecord{Jobs: map[string]Record{"intake": record}}),
 		golden.CBOR("chunk record", ChunkRecord{Tasks: []Task{task, {State: Completed, Attempt: 75, Host: "host-2", Session: 76, Errs: 77}}}),
-		golden.CBOR("team record", TeamRecord{Token: 78, Frozen: true, Grants: map[string]Grant{"node-1": {CPUs: 100.5, GPUs: 12.5}}}),
 	}, *update)
 }
 
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -31,7 +31,7 @@
 	return ChunkPrefix + jobID + "/" + strconv.Itoa(chunk)
 }
 
-// TeamKey is the key that every claim of a team writes.
+// TeamKey is the key of a team's shares (package quota).
 func TeamKey(team string) string { return TeamPrefix + team }
 
 // ParseChunkKey splits a chunk key.
@@ -101,28 +101,6 @@
 	Tasks []Task `cbor:"t"`
 }
 
-// TeamRecord shares a team's limit out to the members of one membership: what
-// a node's machines may hold of the team's claims. The grants never sum to
-// more than the limit, and a node's claims never to more than its grant.
-type TeamRecord struct {
-	Token  uint64           `cbor:"b"`
-	Frozen bool             `cbor:"f,omitempty"` // about to be shared out anew: nobody claims
-	Grants map[string]Grant `cbor:"g,omitempty"` // by node
-}
-
-// Grant is a node's part of a team's limit.
-type Grant struct {
-	_    struct{} `cbor:",toarray"`
-	CPUs float64
-	GPUs float64
-}
-
-// Resources returns the grant as an amount.
-func (g Grant) Resources() Resources { return Resources{CPUs: g.CPUs, GPUs: g.GPUs} }
-
-// GrantOf turns an amount into a grant.
-func GrantOf(r Resources) Grant { return Grant{CPUs: r.CPUs, GPUs: r.GPUs} }
-
 // Bytes of the JSON form of a chunk record: of a task all but its numbers and
 // its machine's name, with a space after each comma; of the rest; and of a
 // task on a machine with a name of the protocol's form.
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wheatspur/internal/quota"
 	"wheatspur/wire"
 )
 
@@ -54,6 +55,9 @@
 	return 0
 }
 
+// Amount is the part of the resources that teams have limits in.
+func (r Resources) Amount() quota.Amount { return quota.Amount{CPUs: r.CPUs, GPUs: r.GPUs} }
+
 // Need is what one task of the submission takes.
 func Need(w *wire.JobSpec) Resources { return Resources{w.CPUs, w.GPUs, w.RAMGB} }
 
@@ -146,7 +150,6 @@
 	Used       map[string]Resources       // claims per team
 	Hosts      map[string]map[TaskID]*Job // claims per machine
 	Needs      map[string]Resources       // what they take
-	Team       map[string]TeamRecord      // team records
 	Intakes    map[string][]string        // jobs of each intake record
 	early      map[string]map[int][]Task  // chunks whose job is not known yet
 	after      map[string]map[string]bool // jobs that depend on each job
@@ -162,7 +165,7 @@
 func NewTable(now func() time.Time) *Table {
 	return &Table{Jobs: map[string]*Job{}, Open: map[string]*Job{}, Waiting: map[string]*Job{}, Unrecorded: map[string]*Job{},
 		after: map[string]map[string]bool{}, Used: map[string]Resources{},
-		Hosts: map[string]map[TaskID]*Job{}, Needs: map[string]Resources{}, Team: map[string]TeamRecord{},
+		Hosts: map[string]map[TaskID]*Job{}, Needs: map[string]Resources{},
 		Intakes: map[string][]string{}, early: map[string]map[int][]Task{}, now: now, FailedAt: map[TaskID]time.Time{}, Moved: func(string) {}}
 }
 
@@ -334,18 +337,6 @@
 	t.Needs[host] = t.Needs[host].Add(j.Need)
 }
 
-// ApplyTeam enters a team record.
-func (t *Table) ApplyTeam(team string, raw wire.Raw) error {
-	var r TeamRecord
-	if raw != nil {
-		if err := wire.Unmarshal(raw, &r); err != nil {
-			return err
-		}
-	}
-	t.Team[team] = r
-	return nil
-}
-
 // Refusal says why a job can never run.
 type Refusal string
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -165,54 +166,6 @@
 	return math.Ceil(gb / rate / fetchBucket)
 }
 
-// Team is a team's limits and use.
-type Team struct {
-	Used, Max, Guaranteed jobs.Resources // 0 in Max or Guaranteed: none
-	// Left is what each node may still claim of the limit; nil: no limit.
-	Left map[string]jobs.Resources
-}
-
-// grant is how many of n like tasks a node may still claim.
-func (t *Team) grant(node string, need jobs.Resources, n int) int {
-	if t.Left == nil {
-		return n
-	}
-	left, k := t.Left[node], 0
-	for k < n && (t.Max.CPUs <= 0 || need.CPUs <= left.CPUs+epsilon) && (t.Max.GPUs <= 0 || need.GPUs <= left.GPUs+epsilon) {
-		left = left.Sub(need)
-		k++
-	}
-	return k
-}
-
-// allows reports whether one more such task stays within the team's limit.
-func (t *Team) allows(need jobs.Resources) bool {
-	u := t.Used.Add(need)
-	return within(u.CPUs, t.Max.CPUs) && within(u.GPUs, t.Max.GPUs)
-}
-
-const epsilon = 1e-6
-
-func within(v, limit float64) bool { return limit <= 0 || v <= limit+epsilon }
-
-// WithinGuarantee reports whether use stays inside the team's guarantee.
-func (t *Team) WithinGuarantee(u jobs.Resources) bool {
-	if t.Guaranteed.CPUs <= 0 && t.Guaranteed.GPUs <= 0 {
-		return false
-	}
-	return within(u.CPUs, t.Guaranteed.CPUs) && within(u.GPUs, t.Guaranteed.GPUs)
-}
-
-// quota is the number of tasks, at most that given, that the team's limit
-// allows beside those in use.
-func (t *Team) quota(need jobs.Resources, tasks int) int {
-	allowed := 0
-	for use := *t; allowed < tasks && use.allows(need); allowed++ {
-		use.Used = use.Used.Add(need)
-	}
-	return allowed
-}
-
 // Demand is a job with pending tasks.
 type Demand struct {
 	Job          *jobs.Job
@@ -234,7 +187,7 @@
 	Order      func(jobID string) []string // nodes in the job's hashed order
 	Fleet      *Fleet
 	Demands    []*Demand
-	Teams      map[string]*Team
+	Teams      map[string]*quota.Allowance
 	Now        time.Time
 	// MostJobs bounds the jobs that are placed in one pass, and with them its
 	// processor time; the rest has its turn when those are stored.
@@ -265,7 +218,7 @@
 	Evict      []Eviction
 	Unmet      map[string]int // tasks without a place, by job
 	Why        map[string]string
-	GrantShort map[string]bool // teams whose limit is not used up, but shared out so that work waits
+	ShareShort map[string]bool // teams whose limit is not used up, but shared out so that work waits
 }
 
 // less orders demands: priority, then what has waited too long, by age; then work
@@ -317,7 +270,7 @@
 
 func (in *Input) guaranteed(j *jobs.Job) bool {
 	t := in.Teams[j.Record.Spec.Team]
-	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need))
+	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need.Amount()))
 }
 
 // noPriority is beyond the lowest priority.
@@ -340,7 +293,7 @@
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
-	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, GrantShort: map[string]bool{}}
+	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, ShareShort: map[string]bool{}}
 	in.held, in.scans, in.track = noPriority, scansPerPass, true
 	for _, d := range in.Demands {
 		d.priority, d.guaranteed, d.latest = d.Job.Priority, in.guaranteed(d.Job), in.latest(d.Job)
@@ -367,7 +320,7 @@
 		out.wait(d, len(d.Tasks), keptForGuarantee)
 		return
 	}
-	tasks := d.Tasks[:team.quota(d.Job.Need, len(d.Tasks))]
+	tasks := d.Tasks[:team.Total(d.Job.Need.Amount(), len(d.Tasks))]
 	if len(tasks) == 0 {
 		out.wait(d, len(d.Tasks), NoQuota)
 		return
@@ -399,10 +352,10 @@
 
 // choose finds machines for the tasks: those of one node if they hold all of
 // them, else those of any.
-func (in *Input) choose(d *Demand, team *Team, tasks []int) placement {
+func (in *Input) choose(d *Demand, team *quota.Allowance, tasks []int) placement {
 	choice := in.chooseNode(d, team, tasks)
 	if choice.placer == "" {
-		granted := team.grant(in.Leader, d.Job.Need, len(tasks))
+		granted := team.AtNode(in.Leader, d.Job.Need.Amount(), len(tasks))
 		choice.placer = in.Leader
 		choice.short = granted < len(tasks)
 		choice.picks = in.spread(d, tasks[:granted])
@@ -416,11 +369,11 @@
 // chooseNode finds the first node whose machines hold all tasks, the shortest
 // waits for the image coming first: a fetch costs more than any other choice
 // here. Without such a node the placement is empty.
-func (in *Input) chooseNode(d *Demand, team *Team, tasks []int) placement {
+func (in *Input) chooseNode(d *Demand, team *quota.Allowance, tasks []int) placement {
 	var best placement
 	leastWait := 0.0
 	for _, node := range in.Order(d.Job.ID) {
-		if team.grant(node, d.Job.Need, len(tasks)) < len(tasks) {
+		if team.AtNode(node, d.Job.Need.Amount(), len(tasks)) < len(tasks) {
 			continue
 		}
 		picks := in.fit(d, tasks, node)
@@ -441,21 +394,17 @@
 
 // take enters the placement into the machines and the team's use, and claims
 // the tasks if this node is to store them.
-func (in *Input) take(d *Demand, team *Team, tasks []int, choice placement, out *Output) {
+func (in *Input) take(d *Demand, team *quota.Allowance, tasks []int, choice placement, out *Output) {
 	for i, m := range choice.picks {
 		in.Fleet.change(m)
 		m.Free = m.Free.Sub(d.Job.Need)
 		m.pulling(d.Job.Record.Spec)
 		m.placed++
-		team.Used = team.Used.Add(d.Job.Need)
 		if choice.placer == in.Me && !d.Blocked {
 			out.Claims = append(out.Claims, Claim{d.Job, tasks[i], m.Name, m.Session})
 		}
 	}
-	if team.Left != nil {
-		taken := d.Job.Need.Times(float64(len(choice.picks)))
-		team.Left[choice.placer] = team.Left[choice.placer].Sub(taken)
-	}
+	team.Take(choice.placer, d.Job.Need.Amount().Times(float64(len(choice.picks))))
 }
 
 // wait notes that tasks of the demand have no place, and why.
@@ -473,7 +422,7 @@
 	case len(d.Tasks) == placed:
 		return false
 	case choice.short:
-		out.GrantShort[d.Job.Record.Spec.Team] = true
+		out.ShareShort[d.Job.Record.Spec.Team] = true
 		out.wait(d, len(d.Tasks)-placed, NoShare)
 		return false
 	case len(tasks) == placed:
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -40,7 +41,7 @@
 
 func input(me string, machines []*Machine, js ...*jobs.Job) Input {
 	in := Input{Me: me, Leader: "L", Order: func(string) []string { return []string{"a", "b", "L"} }, Fleet: NewFleet(machines),
-		Teams: map[string]*Team{"x": {}}, MostJobs: 100}
+		Teams: map[string]*quota.Allowance{"x": {}}, MostJobs: 100}
 	in.Fleet.Refresh()
 	for _, j := range js {
 		in.Demands = append(in.Demands, demand(j))
@@ -146,7 +147,7 @@
 func TestTeamLimitCountsClaimsOfThePassToo(t *testing.T) {
 	in := input("a", []*Machine{machine("m", "a", "z", Batch, 8)},
 		job("wk-1", wire.KindArray, wire.PriorityNormal, 3, nil), job("wk-2", wire.KindArray, wire.PriorityNormal, 3, nil))
-	in.Teams["x"].Max, in.Teams["x"].Used = jobs.Resources{GPUs: 5}, jobs.Resources{GPUs: 1}
+	in.Teams["x"].Limit, in.Teams["x"].Used = quota.Amount{GPUs: 5}, quota.Amount{GPUs: 1}
 	if n := len(Pass(in).Claims); n != 4 {
 		t.Fatalf("%d claims beside one of five", n)
 	}
@@ -173,8 +174,8 @@
 	run := func(priority string, pressed, borrowed bool) int {
 		in := input("a", []*Machine{full()}, job("wk-1", wire.KindArray, priority, 1, nil))
 		in.Demands[0].Pressed = pressed
-		in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
-		in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 1}, Guaranteed: jobs.Resources{GPUs: 1}}
+		in.Teams["x"].Guarantee = quota.Amount{GPUs: 4}
+		in.Teams["y"] = &quota.Allowance{Used: quota.Amount{GPUs: 1}, Guarantee: quota.Amount{GPUs: 1}}
 		if borrowed {
 			in.Teams["y"].Used.GPUs = 2
 		}
@@ -222,8 +223,8 @@
 	m.Tasks = []Resident{{ID: jobs.TaskID{Job: "wk-9"}, Job: svc}}
 	in := input("a", []*Machine{m}, job("wk-1", wire.KindService, wire.PriorityCritical, 1, nil))
 	in.Demands[0].Pressed = true
-	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
-	in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 2}, Guaranteed: jobs.Resources{GPUs: 1}}
+	in.Teams["x"].Guarantee = quota.Amount{GPUs: 4}
+	in.Teams["y"] = &quota.Allowance{Used: quota.Amount{GPUs: 2}, Guarantee: quota.Amount{GPUs: 1}}
 	if out := Pass(in); len(out.Evict) != 0 {
 		t.Fatal("a running service was stopped for one of the same rank")
 	}
@@ -236,8 +237,8 @@
 	m.Free = jobs.Resources{CPUs: 0.5, GPUs: 1, RAM: 64} // too small for mine, freed for it
 	in := input("a", []*Machine{m}, mine, theirs)
 	in.Demands[0].Pressed = true
-	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
-	in.Teams["y"] = &Team{Used: jobs.Resources{GPUs: 2}, Guaranteed: jobs.Resources{GPUs: 1}}
+	in.Teams["x"].Guarantee = quota.Amount{GPUs: 4}
+	in.Teams["y"] = &quota.Allowance{Used: quota.Amount{GPUs: 2}, Guarantee: quota.Amount{GPUs: 1}}
 	if out := Pass(in); len(out.Claims) != 0 {
 		t.Fatal("borrowed work took the room that a guarantee waits for")
 	}
@@ -270,7 +271,7 @@
 func TestPressedWorkTakesTheRoomThatWasFreedForIt(t *testing.T) {
 	a, b := job("wk-1", wire.KindArray, wire.PriorityNormal, 1, nil), job("wk-2", wire.KindArray, wire.PriorityNormal, 1, nil)
 	in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, a, b)
-	in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
+	in.Teams["x"].Guarantee = quota.Amount{GPUs: 4}
 	in.Demands[1].Pressed = true
 	if out := Pass(in); len(out.Claims) != 1 || out.Claims[0].Job != b {
 		t.Fatalf("%+v", out.Claims)
@@ -320,8 +321,8 @@
 		better := job("wk-1", wire.KindArray, wire.PriorityNormal, 1, nil)
 		old := job("wk-2", wire.KindArray, wire.PriorityNormal, 1, func(w *wire.JobSpec) { w.Team = "y" })
 		in := input("a", []*Machine{machine("m", "a", "z", Batch, 1)}, better, old)
-		in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 4}
-		in.Teams["y"] = &Team{}
+		in.Teams["x"].Guarantee = quota.Amount{GPUs: 4}
+		in.Teams["y"] = &quota.Allowance{}
 		in.Demands[1].Aged = aged
 		return Pass(in).Claims[0].Job.ID
 	}
@@ -351,7 +352,7 @@
 
 func TestTasksBeyondTheTeamsLimitWantNoMachine(t *testing.T) {
 	in := input("a", []*Machine{machine("m", "a", "z", Batch, 8)}, job("wk-1", wire.KindArray, wire.PriorityNormal, 5, nil))
-	in.Teams["x"].Max = jobs.Resources{GPUs: 3}
+	in.Teams["x"].Limit = quota.Amount{GPUs: 3}
 	if out := Pass(in); len(out.Claims) != 3 || out.Why["wk-1"] != NoQuota {
 		t.Fatalf("%d claims, waits because %s", len(out.Claims), out.Why["wk-1"])
 	}
--- a/internal/place/starve_test.go
+++ b/internal/place/starve_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/quota"
 	"wheatspur/wire"
 )
 
@@ -58,10 +59,10 @@
 		}
 		in := input("a", ms)
 		in.Leader, in.MostJobs = "a", 1000
-		in.Teams["x"].Guaranteed = jobs.Resources{GPUs: 1000}
-		in.Teams["y"] = &Team{Max: jobs.Resources{GPUs: 12}}
+		in.Teams["x"].Guarantee = quota.Amount{GPUs: 1000}
+		in.Teams["y"] = &quota.Allowance{Limit: quota.Amount{GPUs: 12}}
 		for _, r := range live {
-			in.Teams[r.j.Team].Used = in.Teams[r.j.Team].Used.Add(r.j.Need)
+			in.Teams[r.j.Team].Used = in.Teams[r.j.Team].Used.Add(r.j.Need.Amount())
 		}
 		for _, j := range open {
 			d := demand(j)
--- /dev/null
+++ b/internal/quota/amount.go
@@ -0,0 +1,87 @@
+// Package quota keeps teams within their limits, and gives them what they are
+// guaranteed, while several controller nodes admit work at the same moment.
+//
+// A team's limit is divided into shares, one for each member of the membership,
+// in one stored record. A node admits work on its own machines within its share
+// and guards the write by the version of the record, without writing it, so
+// admissions of different nodes do not conflict. Whoever changes the shares
+// writes the record, which fails every admission that was decided on the
+// shares before. The safety argument is in docs/protocol-notes.md, the ways
+// that were weighed are in docs/design/quota.md.
+//
+// The package is pure: stored records, the picture of the claims and the time
+// go in, admissions and records to write come out. Package server carries them
+// out.
+package quota
+
+import "math"
+
+// epsilon absorbs the rounding of sums of decimal amounts.
+const epsilon = 1e-6
+
+// Amount is an amount of the resources that teams have limits in.
+type Amount struct{ CPUs, GPUs float64 }
+
+// Add returns the sum.
+func (a Amount) Add(b Amount) Amount { return Amount{a.CPUs + b.CPUs, a.GPUs + b.GPUs} }
+
+// Sub returns the difference.
+func (a Amount) Sub(b Amount) Amount { return Amount{a.CPUs - b.CPUs, a.GPUs - b.GPUs} }
+
+// Times returns the amount multiplied by a factor.
+func (a Amount) Times(f float64) Amount { return Amount{a.CPUs * f, a.GPUs * f} }
+
+// Max returns the larger of both in each resource.
+func (a Amount) Max(b Amount) Amount { return Amount{max(a.CPUs, b.CPUs), max(a.GPUs, b.GPUs)} }
+
+// Min returns the smaller of both in each resource.
+func (a Amount) Min(b Amount) Amount { return Amount{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs)} }
+
+// IsZero reports whether there is nothing of any resource, leaving aside
+// rounding.
+func (a Amount) IsZero() bool { return math.Abs(a.CPUs) <= epsilon && math.Abs(a.GPUs) <= epsilon }
+
+// Within reports whether the amount stays inside a limit, in which 0 stands for
+// no limit.
+func (a Amount) Within(limit Amount) bool {
+	return within(a.CPUs, limit.CPUs) && within(a.GPUs, limit.GPUs)
+}
+
+func within(v, limit float64) bool { return limit <= 0 || v <= limit+epsilon }
+
+// finite reports whether both numbers are neither infinite nor NaN.
+func (a Amount) finite() bool {
+	return !math.IsInf(a.CPUs, 0) && !math.IsNaN(a.CPUs) && !math.IsInf(a.GPUs, 0) && !math.IsNaN(a.GPUs)
+}
+
+// in keeps the resources that a limit names.
+func (a Amount) in(limit Amount) Amount {
+	if limit.CPUs <= 0 {
+		a.CPUs = 0
+	}
+	if limit.GPUs <= 0 {
+		a.GPUs = 0
+	}
+	return a
+}
+
+// fits reports whether the amount is no more than the room, in the resources
+// that the limit names.
+func (a Amount) fits(room, limit Amount) bool {
+	a, room = a.in(limit), room.in(limit)
+	return a.CPUs <= room.CPUs+epsilon && a.GPUs <= room.GPUs+epsilon
+}
+
+// Team is what operators set for a team: in each resource a limit and a
+// guarantee; 0 stands for none.
+type Team struct {
+	Name      string
+	Limit     Amount
+	Guarantee Amount
+}
+
+// Limited reports whether the team has a limit in any resource.
+func (t Team) Limited() bool { return t.Limit.CPUs > 0 || t.Limit.GPUs > 0 }
+
+// Guaranteed reports whether the team has a guarantee in any resource.
+func (t Team) Guaranteed() bool { return t.Guarantee.CPUs > 0 || t.Guarantee.GPUs > 0 }
--- /dev/null
+++ b/internal/quota/golden_test.go
@@ -0,0 +1,18 @@
+package quota
+
+import (
+	"flag"
+	"testing"
+
+	"wheatspur/internal/golden"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden bytes")
+
+// What a node has stored must stay readable to every later version, and to the
+// version that works beside it.
+func TestGoldenRecords(t *testing.T) {
+	golden.Check(t, []golden.Sample{
+		golden.CBOR("team record", Record{Token: 78, Frozen: true, Shares: map[string]Share{"node-1": {CPUs: 100.5, GPUs: 12.5}}}),
+	}, *update)
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,226 @@
+package quota
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// View is the membership and the picture of the stored claims that decisions
+// start from.
+type View struct {
+	Self   string // this node
+	Leader string
+	Nodes  []string // all members
+	Token  uint64   // of the membership
+	Held   Holdings
+	// Complete says for a team that every claim of before the present version
+	// of its record is in Held.
+	Complete func(team string) bool
+}
+
+// Holdings is what the stored claims on each node's machines take, by node and
+// team.
+type Holdings map[string]map[string]Amount
+
+// Of is what a team's claims on all machines take.
+func (h Holdings) Of(team string) Amount {
+	var sum Amount
+	for _, teams := range h {
+		sum = sum.Add(teams[team])
+	}
+	return sum
+}
+
+// Ledger is what a node knows of one team's limit: the stored shares, and its
+// own admissions that are not seen among the stored claims yet.
+type Ledger struct {
+	team     Team
+	record   Record
+	damage   error      // why the stored record can't be read
+	inFlight Amount     // admitted, the write is under way
+	inDoubt  []Doubtful // admitted, the write's answer was lost
+	writing  bool       // a write of the record by this node is under way
+
+	shortSince time.Time // since when work waits though the limit is not used up
+	frozenAt   time.Time // when this node last froze the shares
+}
+
+// Doubtful is an admission whose write got no answer. It may be applied until
+// one of its guards has changed, and counts as long.
+type Doubtful struct {
+	Guards map[string]uint64
+	Amount Amount
+}
+
+// Outcome is what became of a write.
+type Outcome int
+
+// Outcomes of a write.
+const (
+	Stored  Outcome = iota // it was applied
+	Failed                 // it was not and never will be
+	Unknown                // no answer: it may have been, or may yet be, applied
+)
+
+// Reasons why an admission is refused.
+var (
+	// ErrBusy says that a write of the record is under way.
+	ErrBusy = errors.New("shares are being written")
+	// ErrShareUsed says that the node's share does not cover the admission.
+	ErrShareUsed = errors.New("share is used up")
+)
+
+// Team returns the team's settings.
+func (l *Ledger) Team() Team { return l.team }
+
+// Record returns the stored record as it was last read.
+func (l *Ledger) Record() Record { return l.record }
+
+// Damage says why the stored record can't be used; nil if it can.
+func (l *Ledger) Damage() error {
+	if l.damage != nil {
+		return l.damage
+	}
+	if err := l.record.Check(l.team); errors.Is(err, ErrDamaged) {
+		return err
+	}
+	return nil
+}
+
+// Phase returns the phase of the shares under a membership.
+func (l *Ledger) Phase(token uint64) Phase { return phaseOf(l.team, l.record, l.damage, token) }
+
+// Writing reports whether this node has a write of the record under way.
+func (l *Ledger) Writing() bool { return l.writing }
+
+// Pending is what this node has admitted and does not see among the stored
+// claims yet: with writes under way, and with writes whose answer was lost.
+func (l *Ledger) Pending() (inFlight, inDoubt Amount) {
+	for _, d := range l.inDoubt {
+		inDoubt = inDoubt.Add(d.Amount)
+	}
+	return l.inFlight, inDoubt
+}
+
+// Forget drops the admissions in doubt that can't be applied any more, since a
+// guard of theirs has changed.
+func (l *Ledger) Forget(version func(key string) uint64) {
+	kept := l.inDoubt[:0]
+	for _, d := range l.inDoubt {
+		if d.open(version) {
+			kept = append(kept, d)
+		}
+	}
+	clear(l.inDoubt[len(kept):])
+	l.inDoubt = kept
+}
+
+// open reports whether all guards stand as they were.
+func (d Doubtful) open(version func(key string) uint64) bool {
+	for key, guarded := range d.Guards {
+		if version(key) != guarded {
+			return false
+		}
+	}
+	return true
+}
+
+// left is what a node may still admit within its share.
+func (l *Ledger) left(v View, node string) Amount {
+	left := l.record.Shares[node].Amount().Sub(v.Held[node][l.team.Name])
+	if node != v.Self {
+		return left // what others have under way is not known here
+	}
+	inFlight, inDoubt := l.Pending()
+	return left.Sub(inFlight).Sub(inDoubt)
+}
+
+// Allowance is what a pass of placement may still give to the team. used is what
+// its claims take.
+func (l *Ledger) Allowance(v View, used Amount) *Allowance {
+	a := &Allowance{Used: used, Limit: l.team.Limit, Guarantee: l.team.Guarantee}
+	if !l.team.Limited() {
+		return a
+	}
+	a.Left = map[string]Amount{}
+	if l.Phase(v.Token) != Shared {
+		return a
+	}
+	for node := range l.record.Shares {
+		a.Left[node] = l.left(v, node)
+	}
+	return a
+}
+
+// Admission is room of a team's limit that a write of claims takes.
+type Admission struct {
+	Team   string
+	Amount Amount
+	// Next is the record that the same write must store, if the claims are on
+	// other nodes' machines; else nil. With or without it, the write is guarded
+	// by the record's version.
+	Next *Record
+}
+
+// Admit takes room for claims of an amount. others is the part of it on other
+// nodes' machines, by node: their owners get that part of this node's share.
+// The admission must be settled with the outcome of its write. It is nil if
+// the team has no limit.
+func (l *Ledger) Admit(v View, amount Amount, others map[string]Amount) (*Admission, error) {
+	if !l.team.Limited() {
+		return nil, nil
+	}
+	if phase := l.Phase(v.Token); phase != Shared {
+		return nil, fmt.Errorf("%w: admission from shares that are %s", ErrPhase, phase)
+	}
+	if l.writing {
+		return nil, ErrBusy
+	}
+	if left := l.left(v, v.Self); !amount.fits(left, l.team.Limit) {
+		return nil, fmt.Errorf("%w: %+v of %+v", ErrShareUsed, amount, left)
+	}
+	admission := &Admission{Team: l.team.Name, Amount: amount}
+	if len(others) > 0 {
+		next := l.record
+		for node, part := range others {
+			next = next.moved(v.Self, node, part)
+		}
+		if err := l.begin(v, HandOver, next); err != nil {
+			return nil, err
+		}
+		admission.Next = &next
+	}
+	l.inFlight = l.inFlight.Add(amount)
+	return admission, nil
+}
+
+// Settle ends an admission. guards are those of its write.
+func (l *Ledger) Settle(a *Admission, outcome Outcome, guards map[string]uint64) {
+	l.inFlight = l.inFlight.Sub(a.Amount)
+	if a.Next != nil {
+		l.writing = false
+	}
+	if outcome == Unknown {
+		// Guards against a late application beside claims that took its place.
+		l.inDoubt = append(l.inDoubt, Doubtful{guards, a.Amount})
+	}
+}
+
+// begin starts a write of the record; it is the one place where that happens.
+func (l *Ledger) begin(v View, e Event, next Record) error {
+	if l.writing {
+		return ErrBusy
+	}
+	if _, err := l.Phase(v.Token).Next(e); err != nil {
+		return err
+	}
+	if err := next.Check(l.team); err != nil && !errors.Is(err, ErrOverLimit) {
+		return err
+	}
+	l.writing = true
+	return nil
+}
+
+// Written ends a write of the record.
+func (l *Ledger) Written() { l.writing = false }
--- /dev/null
+++ b/internal/quota/share.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"iter"
+	"time"
+
+	"wheatspur/internal/tuning"
+)
+
+// Write is a record that is to be stored, guarded by the version of the one that
+// it was decided on and by the membership. It must be ended by Ledger.Written.
+type Write struct {
+	Team   string
+	Event  Event
+	Record Record
+}
+
+// Redistribute lets the leader share the limit out: at once under a new
+// membership; and in two steps when work waits while the limit is not used up,
+// or when the record can't be admitted from. The first step freezes the shares;
+// what every node holds is then known, and the second shares out the rest.
+// pending is what each waiting job of the team takes. Without room in the
+// budget of changes only a new membership is served, since all admissions wait
+// for that.
+func (l *Ledger) Redistribute(now time.Time, v View, pending iter.Seq[Amount], room bool) *Write {
+	phase := l.Phase(v.Token)
+	if l.writing || phase == Unlimited || !room && phase != Unshared {
+		return nil
+	}
+	next := Record{Token: v.Token}
+	event := Freeze
+	switch {
+	case phase == Unshared, phase == Frozen && v.Complete(l.team.Name):
+		// Nobody admits before this is stored, and every claim before is known.
+		event = ShareOut
+		next.Shares = l.divide(v, pending)
+	case l.mustFreeze(now, v, phase):
+		next.Frozen = true
+	default:
+		return nil
+	}
+	if err := l.begin(v, event, next); err != nil {
+		return nil
+	}
+	if event == Freeze {
+		l.frozenAt = now
+	} else {
+		l.shortSince = time.Time{}
+	}
+	return &Write{l.team.Name, event, next}
+}
+
+// mustFreeze reports whether the shares have to be shared out anew. Pauses guard
+// against a budget of changes that goes into sharing out alone.
+func (l *Ledger) mustFreeze(now time.Time, v View, phase Phase) bool {
+	if now.Sub(l.frozenAt) <= tuning.ShareOutPause {
+		return false
+	}
+	switch phase {
+	case Damaged:
+		return true
+	case OverLimit:
+		// Until something is released, the shares would stay what they are.
+		held := v.Held.Of(l.team.Name).in(l.team.Limit)
+		return !l.record.total().in(l.team.Limit).Sub(held).IsZero()
+	case Shared:
+		return !l.shortSince.IsZero()
+	}
+	return false
+}
+
+// divide shares the limit out: what each node holds, and the rest in equal
+// parts, two of them to the leader, which admits jobs that are too large for
+// one node. Where a part would not hold the largest waiting job, the leader
+// gets all the rest and admits for all.
+func (l *Ledger) divide(v View, pending iter.Seq[Amount]) map[string]Share {
+	rest := l.team.Limit.Sub(v.Held.Of(l.team.Name)).Max(Amount{})
+	part := rest.Times(1 / float64(len(v.Nodes)+1))
+	for need := range pending {
+		if !need.fits(part, l.team.Limit) {
+			part = Amount{}
+			break
+		}
+	}
+	shares := make(map[string]Share, len(v.Nodes))
+	for _, node := range v.Nodes {
+		extra := part
+		if node == v.Leader {
+			extra = rest.Sub(part.Times(float64(len(v.Nodes) - 1)))
+		}
+		shares[node] = ShareOf(v.Held[node][l.team.Name].Add(extra))
+	}
+	return shares
+}
+
+// NoteShortage notes whether work waits for other shares though the limit is not
+// used up. Shares that are about to be shared out count as none: guards against
+// sharing out again what has just been shared out.
+func (l *Ledger) NoteShortage(short bool, now time.Time, token uint64) {
+	switch {
+	case !short || l.Phase(token) != Shared:
+		l.shortSince = time.Time{}
+	case l.shortSince.IsZero():
+		l.shortSince = now
+	}
+}
--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -6,6 +6,7 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/tuning"
 )
 
@@ -28,7 +29,7 @@
 	publishedAll time.Time       // when all machines were last compared with that
 
 	claims map[string]hostClaims // what is held on each machine, as it stands in held
-	held   heldByOwner
+	held   quota.Holdings
 }
 
 // machineView is one machine and what its openness follows from.
@@ -39,19 +40,16 @@
 	usable bool          // another node's: so does what its owner tells
 }
 
-// heldByOwner is what the claims on a node's machines take, by owner and team.
-type heldByOwner map[string]map[string]jobs.Resources
-
 // hostClaims is what the claims on one machine take, by team.
 type hostClaims struct {
 	owner string
-	teams map[string]jobs.Resources
+	teams map[string]quota.Amount
 }
 
 func newFleetView() fleetView {
 	return fleetView{machines: map[string]*machineView{}, records: map[string]bool{}, touched: map[string]bool{}, active: map[string]bool{},
 		returned: map[string]bool{}, unpublished: map[string]bool{},
-		claims: map[string]hostClaims{}, held: heldByOwner{}}
+		claims: map[string]hostClaims{}, held: quota.Holdings{}}
 }
 
 // touch notes that something has changed on a machine.
@@ -254,14 +252,14 @@
 	if len(claims) == 0 {
 		return
 	}
-	now := hostClaims{owner: n.ownerOf(host), teams: map[string]jobs.Resources{}}
+	now := hostClaims{owner: n.ownerOf(host), teams: map[string]quota.Amount{}}
 	for _, j := range claims {
-		now.teams[j.Team] = now.teams[j.Team].Add(j.Need)
+		now.teams[j.Team] = now.teams[j.Team].Add(j.Need.Amount())
 	}
 	v.claims[host] = now
 	by := v.held[now.owner]
 	if by == nil {
-		by = map[string]jobs.Resources{}
+		by = map[string]quota.Amount{}
 		v.held[now.owner] = by
 	}
 	for team, r := range now.teams {
--- a/internal/server/fleetview_test.go
+++ b/internal/server/fleetview_test.go
@@ -40,9 +40,9 @@
 		return
 	}
 	now := n.now()
-	kept, held, view := picture(n.machines(now)), n.heldByOwner(), n.view
+	kept, held, view := picture(n.machines(now)), n.holdings(), n.view
 	n.resetView()
-	anew, sums := picture(n.machines(now)), n.heldByOwner()
+	anew, sums := picture(n.machines(now)), n.holdings()
 	n.view = view // goes on, so that what it misses adds up
 	if !slices.Equal(kept, anew) {
 		for i := range anew {
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -21,6 +21,7 @@
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
 	"wheatspur/internal/peer"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/store"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
@@ -39,49 +40,45 @@
 
 	metrics *metrics
 
-	mu             sync.Mutex // guards all below
-	cache          *store.Cache
-	table          *jobs.Table
-	sync           *store.Syncer
-	session        member.SessionState
-	self           member.Node
-	sessions       map[string]member.Node
-	versions       map[string]member.Session // the same, with what they say of their programs
-	unreachable    map[string]bool           // nodes that say that they hear no worker
-	probes         []string                  // workers' addresses to ask while we are unreachable
-	probed         time.Time                 // when one of them last answered
-	unreachableAt  time.Time
-	lead           *member.Node
-	member         *member.Record
-	reg            *fleet.Register
-	owners         map[string]string // of machines under the present membership
-	view           fleetView
-	published      map[string]*publishedHost
-	publishedView  uint64 // number of the last change in told
-	viewAt         time.Time
-	types          []wire.MachineType
-	machineTypes   map[string]wire.MachineType
-	imageGB        map[string]float64  // sizes of images
-	held           map[string][]string // images of machines, as their former owners knew them
-	workers        map[string]*fleet.Worker
-	failing        map[string]*fleet.Worker // those whose tasks failed lately
-	siblings       map[string]*sibling
-	busyJob        map[string]bool           // a write about the job is under way
-	busyTeam       map[string]bool           // a write of the team's key is under way
-	inFlightClaims map[string]jobs.Resources // claims under way, by team
-	inDoubt        []inDoubtWrite
-	queuedChanges  float64              // changes that wait for the budget, a mean over the last passes
-	storing        int                  // changes of machine records that the leader has yet to write
-	claimsWaited   bool                 // the last pass wrote ends, and no claim though some were due
-	shortSince     map[string]time.Time // teams whose work waits for a new share, since when
-	sharedAt       map[string]time.Time // when a team's limit was last frozen
-	dueSince       map[string]time.Time // chunks with ends to store, since when
-	notUntil       map[string]time.Time // jobs that lost a race, by when to try again
-	preemptedFor   map[string]time.Time // jobs that others were stopped for, by when
-	unmet          map[string]int       // tasks without a place, by job, of the last pass
-	why            map[string]string
-	unmetAt        map[string]time.Time
-	raisedAt       time.Time // when our membership last changed
+	mu            sync.Mutex // guards all below
+	cache         *store.Cache
+	table         *jobs.Table
+	sync          *store.Syncer
+	session       member.SessionState
+	self          member.Node
+	sessions      map[string]member.Node
+	versions      map[string]member.Session // the same, with what they say of their programs
+	unreachable   map[string]bool           // nodes that say that they hear no worker
+	probes        []string                  // workers' addresses to ask while we are unreachable
+	probed        time.Time                 // when one of them last answered
+	unreachableAt time.Time
+	lead          *member.Node
+	member        *member.Record
+	reg           *fleet.Register
+	owners        map[string]string // of machines under the present membership
+	view          fleetView
+	published     map[string]*publishedHost
+	publishedView uint64 // number of the last change in told
+	viewAt        time.Time
+	types         []wire.MachineType
+	machineTypes  map[string]wire.MachineType
+	imageGB       map[string]float64  // sizes of images
+	held          map[string][]string // images of machines, as their former owners knew them
+	workers       map[string]*fleet.Worker
+	failing       map[string]*fleet.Worker // those whose tasks failed lately
+	siblings      map[string]*sibling
+	busyJob       map[string]bool // a write about the job is under way
+	quota         *quota.Book
+	queuedChanges float64              // changes that wait for the budget, a mean over the last passes
+	storing       int                  // changes of machine records that the leader has yet to write
+	claimsWaited  bool                 // the last pass wrote ends, and no claim though some were due
+	dueSince      map[string]time.Time // chunks with ends to store, since when
+	notUntil      map[string]time.Time // jobs that lost a race, by when to try again
+	preemptedFor  map[string]time.Time // jobs that others were stopped for, by when
+	unmet         map[string]int       // tasks without a place, by job, of the last pass
+	why           map[string]string
+	unmetAt       map[string]time.Time
+	raisedAt      time.Time // when our membership last changed
 	// The stamp of the last cancellation that is known here, and the time up to
 	// which all that users were told of are, beyond the last read.
 	cancelled uint64
@@ -112,43 +109,40 @@
 
 func newNode(set *config.Settings, log *slog.Logger, now func() time.Time, svc store.Service, lim *store.Limiter, cloud fleet.Cloud, call caller) *Node {
 	n := &Node{
-		set:            set,
-		limits:         set.StateLimits(),
-		log:            log,
-		now:            now,
-		svc:            svc,
-		lim:            lim,
-		cloud:          cloud,
-		call:           call,
-		session:        member.NoLease,
-		sessions:       map[string]member.Node{},
-		versions:       map[string]member.Session{},
-		reg:            fleet.NewRegister(),
-		owners:         map[string]string{},
-		published:      map[string]*publishedHost{},
-		inFlightClaims: map[string]jobs.Resources{},
-		shortSince:     map[string]time.Time{},
-		sharedAt:       map[string]time.Time{},
-		dueSince:       map[string]time.Time{},
-		machineTypes:   map[string]wire.MachineType{},
-		imageGB:        map[string]float64{},
-		held:           map[string][]string{},
-		workers:        map[string]*fleet.Worker{},
-		failing:        map[string]*fleet.Worker{},
-		siblings:       map[string]*sibling{},
-		busyJob:        map[string]bool{},
-		busyTeam:       map[string]bool{},
-		notUntil:       map[string]time.Time{},
-		preemptedFor:   map[string]time.Time{},
-		unreachable:    map[string]bool{},
-		unmet:          map[string]int{},
-		why:            map[string]string{},
-		unmetAt:        map[string]time.Time{},
-		passWake:       make(chan struct{}, 1),
-		memberWake:     make(chan struct{}, 1),
-		calls:          make(chan struct{}, tuning.WorkerCallsMax),
-		takes:          make(chan struct{}, set.Operator.IntakeQueue),
-		intake:         make(chan *submission, set.Operator.IntakeQueue),
+		set:          set,
+		limits:       set.StateLimits(),
+		log:          log,
+		now:          now,
+		svc:          svc,
+		lim:          lim,
+		cloud:        cloud,
+		call:         call,
+		session:      member.NoLease,
+		sessions:     map[string]member.Node{},
+		versions:     map[string]member.Session{},
+		reg:          fleet.NewRegister(),
+		owners:       map[string]string{},
+		published:    map[string]*publishedHost{},
+		quota:        quota.NewBook(quotaTeams(set.Params.Teams)),
+		dueSince:     map[string]time.Time{},
+		machineTypes: map[string]wire.MachineType{},
+		imageGB:      map[string]float64{},
+		held:         map[string][]string{},
+		workers:      map[string]*fleet.Worker{},
+		failing:      map[string]*fleet.Worker{},
+		siblings:     map[string]*sibling{},
+		busyJob:      map[string]bool{},
+		notUntil:     map[string]time.Time{},
+		preemptedFor: map[string]time.Time{},
+		unreachable:  map[string]bool{},
+		unmet:        map[string]int{},
+		why:          map[string]string{},
+		unmetAt:      map[string]time.Time{},
+		passWake:     make(chan struct{}, 1),
+		memberWake:   make(chan struct{}, 1),
+		calls:        make(chan struct{}, tuning.WorkerCallsMax),
+		takes:        make(chan struct{}, set.Operator.IntakeQueue),
+		intake:       make(chan *submission, set.Operator.IntakeQueue),
 	}
 	n.self.Label = set.Label
 	n.open = func() int { return 0 }
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -10,6 +10,7 @@
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
 	"wheatspur/internal/place"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/store"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
@@ -22,11 +23,11 @@
 	changes []wire.Change
 	bytes   int
 	jobs    []string
-	team    string         // whose limit is shared out otherwise by the write
-	claims  string         // team whose claims it stores
-	need    jobs.Resources // what they take
 	what    string
 	notes   [][]any // log lines for when it is stored
+
+	shares    *quota.Write     // the new shares of a team's limit that it stores
+	admission *quota.Admission // the room of a team's limit that its claims take
 }
 
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
@@ -178,7 +179,7 @@
 
 func (n *Node) noteUnmet(out place.Output, now time.Time) {
 	n.unmet, n.why = out.Unmet, out.Why
-	n.noteGrantShortages(out.GrantShort, now)
+	n.noteShortages(out, now)
 	for jobID := range n.unmetAt {
 		if out.Unmet[jobID] == 0 {
 			delete(n.unmetAt, jobID)
@@ -194,7 +195,7 @@
 // placeInput builds the pass's input; mu is held.
 func (n *Node) placeInput(fleet *place.Fleet, now time.Time) place.Input {
 	in := place.Input{Me: n.self.Label, Leader: n.member.Leader.Label, Order: n.member.Order,
-		Fleet: fleet, Teams: n.teams(), Now: now, MostJobs: tuning.JobsPerPass}
+		Fleet: fleet, Teams: n.allowances(), Now: now, MostJobs: tuning.JobsPerPass}
 	avoid := map[string]map[string]bool{}
 	for host, w := range n.failing {
 		for jobID := range w.Errors {
@@ -521,7 +522,7 @@
 
 // claims turns placements into guarded writes, one for each job: its chunks,
 // and for constraints that span chunks its record. One write a job: if one
-// loses a race, the others stand. A claim stays within this node's grant of
+// loses a race, the others stand. A claim stays within this node's share of
 // the team's limit; the leader, which also claims on others' machines, hands
 // their owners the part of the limit that the claims take in the same write.
 func (n *Node) claims(txns []*txn, list []place.Claim, most *float64) []*txn {
@@ -545,12 +546,13 @@
 		if *most < 1 {
 			break
 		}
-		if n.busyJob[j.ID] || n.busyTeam[team] {
+		if n.busyJob[j.ID] || n.quota.Of(team).Writing() {
 			continue
 		}
 		t := n.newTxn("claim")
 		changes := map[string]*chunkChange{}
-		moved := map[string]jobs.Resources{} // what others' machines get
+		var amount quota.Amount             // what the claims take
+		others := map[string]quota.Amount{} // and what of it on others' machines
 		for _, cl := range g.claims {
 			chunk := cl.Task / j.Record.Chunk
 			key, hkey := jobs.ChunkKey(j.ID, chunk), n.reg.Key(cl.Host)
@@ -569,9 +571,9 @@
 				continue // its turn comes when others of the chunk are over
 			}
 			t.guards[hkey] = n.cache.Version(hkey)
-			t.need = t.need.Add(j.Need)
+			amount = amount.Add(j.Need.Amount())
 			if owner := n.ownerOf(cl.Host); owner != n.self.Label {
-				moved[owner] = moved[owner].Add(j.Need)
+				others[owner] = others[owner].Add(j.Need.Amount())
 			}
 		}
 		jkey := jobs.JobKey(j.ID)
@@ -595,7 +597,7 @@
 				t.note("task claimed", "task", jobs.TaskID{Job: j.ID, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
 			}
 		}
-		if !ok || j.Gang() && claimed < len(g.claims) || !n.charge(t, team, moved) {
+		if !ok || j.Gang() && claimed < len(g.claims) || !n.admit(t, team, amount, others) {
 			continue
 		}
 		if j.SpansChunks() {
@@ -634,7 +636,7 @@
 			n.log.Debug(l[0].(string), l[1:]...)
 		}
 	}
-	n.settled(t, err)
+	n.settleQuota(t, err)
 	for _, jobID := range t.jobs {
 		delete(n.busyJob, jobID)
 		if errors.Is(err, store.ErrBad) {
@@ -647,9 +649,6 @@
 			delete(n.notUntil, jobID)
 		}
 	}
-	if t.team != "" {
-		delete(n.busyTeam, t.team)
-	}
 	wake(n.passWake)
 }
 
--- /dev/null
+++ b/internal/server/quota.go
@@ -0,0 +1,171 @@
+// This file carries out what package quota decides: it enters the stored shares
+// and claims, guards the writes of claims and stores the leader's new shares.
+
+package server
+
+import (
+	"errors"
+	"iter"
+	"time"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+	"wheatspur/internal/quota"
+	"wheatspur/internal/store"
+)
+
+// quotaTeams are the teams of the settings.
+func quotaTeams(teams []config.Team) []quota.Team {
+	out := make([]quota.Team, len(teams))
+	for i, t := range teams {
+		out[i] = quota.Team{
+			Name:      t.Name,
+			Limit:     quota.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax},
+			Guarantee: quota.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
+		}
+	}
+	return out
+}
+
+// quotaView is what decisions about limits start from; mu is held.
+func (n *Node) quotaView() quota.View {
+	nodes := make([]string, len(n.member.Nodes))
+	for i, m := range n.member.Nodes {
+		nodes[i] = m.Label
+	}
+	return quota.View{
+		Self:   n.self.Label,
+		Leader: n.member.Leader.Label,
+		Nodes:  nodes,
+		Token:  n.member.Token,
+		Held:   n.holdings(),
+		Complete: func(team string) bool {
+			return n.cache.Revision() >= n.cache.Version(jobs.TeamKey(team))
+		},
+	}
+}
+
+// holdings is what the claims on each node's machines take; mu is held.
+func (n *Node) holdings() quota.Holdings {
+	for host := range n.view.touched {
+		n.sumClaims(host)
+	}
+	return n.view.held
+}
+
+// allowances are what a pass may still give to each team; mu is held.
+func (n *Node) allowances() map[string]*quota.Allowance {
+	view := n.quotaView()
+	out := map[string]*quota.Allowance{}
+	for _, l := range n.quota.Ledgers() {
+		l.Forget(n.cache.Version)
+		name := l.Team().Name
+		out[name] = l.Allowance(view, n.table.Used[name].Amount())
+	}
+	return out
+}
+
+// admit adds to a write of claims the guard on the shares of the team's limit
+// and, for claims on others' machines, the change that hands their owners that
+// part of this node's share; false if the share does not cover it. mu is held.
+func (n *Node) admit(t *txn, team string, amount quota.Amount, others map[string]quota.Amount) bool {
+	l := n.quota.Of(team)
+	if l == nil {
+		return false
+	}
+	admission, err := l.Admit(n.quotaView(), amount, others)
+	if err != nil {
+		n.log.Debug("claims are not admitted", "team", team, "jobs", t.jobs, "err", err)
+		return false
+	}
+	if admission == nil {
+		return true
+	}
+	key := jobs.TeamKey(team)
+	t.guards[key] = n.cache.Version(key)
+	t.admission = admission
+	if admission.Next != nil {
+		t.set(key, *admission.Next)
+	}
+	return true
+}
+
+// settleQuota tells the team's ledger what became of a write; mu is held.
+func (n *Node) settleQuota(t *txn, err error) {
+	if t.shares != nil {
+		n.quota.Of(t.shares.Team).Written()
+	}
+	if t.admission != nil {
+		n.quota.Of(t.admission.Team).Settle(t.admission, outcomeOf(err), t.guards)
+	}
+}
+
+// outcomeOf says what is known of a write by the error that it ended with.
+func outcomeOf(err error) quota.Outcome {
+	switch {
+	case err == nil:
+		return quota.Stored
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRefused), errors.Is(err, store.ErrBad):
+		return quota.Failed
+	}
+	return quota.Unknown
+}
+
+// shareOut lets the leader share the teams' limits out; most is what the budget
+// of changes has room for. mu is held.
+func (n *Node) shareOut(now time.Time, most *float64) []*txn {
+	if !n.leads() {
+		return nil
+	}
+	var out []*txn
+	view := n.quotaView()
+	for _, l := range n.quota.Ledgers() {
+		team := l.Team().Name
+		urgent := l.Phase(view.Token) == quota.Unshared
+		w := l.Redistribute(now, view, n.pendingAmounts(team), *most >= 1)
+		if w == nil {
+			continue
+		}
+		t := n.sharesTxn(w)
+		if urgent {
+			t.class = store.ClassCancel // all claims wait for it
+		}
+		*most--
+		out = append(out, t)
+	}
+	return out
+}
+
+// sharesTxn is the write of a team's shares; mu is held.
+func (n *Node) sharesTxn(w *quota.Write) *txn {
+	n.log.Info("team's shares change", "team", w.Team, "event", string(w.Event))
+	t := n.newTxn("share")
+	key := jobs.TeamKey(w.Team)
+	t.guards[key] = n.cache.Version(key)
+	t.set(key, w.Record)
+	t.shares = w
+	return t
+}
+
+// pendingAmounts is what each waiting job of a team takes; mu is held.
+func (n *Node) pendingAmounts(team string) iter.Seq[quota.Amount] {
+	return func(yield func(quota.Amount) bool) {
+		for _, j := range n.table.Open {
+			pending := j.Counts[jobs.Pending]
+			if j.Team != team || pending == 0 {
+				continue
+			}
+			if !yield(j.Need.Amount().Times(float64(pending))) {
+				return
+			}
+		}
+	}
+}
+
+// noteShortages notes which teams' work waits for other shares; mu is held.
+func (n *Node) noteShortages(out place.Output, now time.Time) {
+	for _, l := range n.quota.Ledgers() {
+		l.NoteShortage(out.ShareShort[l.Team().Name], now, n.member.Token)
+	}
+}
--- a/internal/server/grants_test.go
+++ b/internal/server/quota_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/quota"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -17,7 +18,7 @@
 	t.Helper()
 	w := newWorld(t, "a", "b")
 	for _, n := range w.nodes {
-		n.set.Params.Teams[0].GPUsMax = limit
+		n.limitTeam(limit)
 	}
 	for i := range machines {
 		w.addHost(fmt.Sprintf("h%d", i), "batch")
@@ -32,6 +33,12 @@
 	return w
 }
 
+// limitTeam sets the limit of the team x.
+func (n *Node) limitTeam(gpus float64) {
+	n.set.Params.Teams[0].GPUsMax = gpus
+	n.quota.SetTeams(quotaTeams(n.set.Params.Teams))
+}
+
 // tell lets all nodes exchange their statuses.
 func (w *world) tell() {
 	for _, n := range w.nodes {
@@ -63,31 +70,31 @@
 	w.passAll()
 }
 
-// stored reads the grants and claims of the team as they stand in the store.
+// checkLimit checks the shares and claims of the team as they stand in the store.
 func (w *world) checkLimit(limit float64) (claimed float64) {
 	w.t.Helper()
 	n := w.leader()
 	w.sync()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	held, sum := n.heldByOwner(), 0.0
-	rec := n.table.Team["x"]
+	held, sum := n.holdings(), 0.0
+	rec := n.quota.Of("x").Record()
 	for label, by := range held {
 		claimed += by["x"].GPUs
-		if g := rec.Grants[label].GPUs; rec.Token == n.member.Token && !rec.Frozen && by["x"].GPUs > g+1e-6 {
-			w.t.Fatalf("%s holds %v, its grant is %v", label, by["x"].GPUs, g)
+		if g := rec.Shares[label].GPUs; rec.Token == n.member.Token && !rec.Frozen && by["x"].GPUs > g+1e-6 {
+			w.t.Fatalf("%s holds %v, its share is %v", label, by["x"].GPUs, g)
 		}
 	}
-	for _, g := range rec.Grants {
+	for _, g := range rec.Shares {
 		sum += g.GPUs
 	}
 	if sum > limit+1e-6 || claimed > limit+1e-6 {
-		w.t.Fatalf("grants of %v and claims of %v under a limit of %v", sum, claimed, limit)
+		w.t.Fatalf("shares of %v and claims of %v under a limit of %v", sum, claimed, limit)
 	}
 	return claimed
 }
 
-func TestGrantsSumToTheLimitAndAllOfItIsUsed(t *testing.T) {
+func TestSharesSumToTheLimitAndAllOfItIsUsed(t *testing.T) {
 	for _, c := range []struct {
 		limit       float64
 		jobs, tasks int
@@ -117,7 +124,7 @@
 		want := min(c.limit, float64(c.jobs*c.tasks))
 		if got := w.checkLimit(c.limit); got != want {
 			n := w.leader()
-			t.Errorf("limit %v, %d jobs of %d: %v claimed, want %v; %v %v %v", c.limit, c.jobs, c.tasks, got, want, n.unmet, n.why, n.table.Team["x"])
+			t.Errorf("limit %v, %d jobs of %d: %v claimed, want %v; %v %v %v", c.limit, c.jobs, c.tasks, got, want, n.unmet, n.why, n.quota.Of("x").Record())
 		}
 	}
 }
@@ -151,7 +158,7 @@
 	late := txns[0]
 	w.st.down = true // never applied so far, and no answer
 	n.mu.Lock()
-	n.settled(late, context.DeadlineExceeded)
+	n.settleQuota(late, context.DeadlineExceeded)
 	delete(n.busyJob, "wk-9")
 	n.notUntil["wk-9"] = w.clk.now().Add(time.Second)
 	n.mu.Unlock()
@@ -177,7 +184,8 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.teams(); len(n.inDoubt) != 0 {
+	n.allowances()
+	if _, inDoubt := n.quota.Of("x").Pending(); !inDoubt.IsZero() {
 		t.Fatal("it stays in doubt after its claim was applied")
 	}
 }
@@ -186,9 +194,9 @@
 // limit out otherwise: the claim fails, and the limit holds, whatever
 // has changed.
 func TestAClaimOfAnOlderShareFails(t *testing.T) {
-	for name, next := range map[string]jobs.TeamRecord{
+	for name, next := range map[string]quota.Record{
 		"frozen":    {Frozen: true},
-		"shrunk":    {Grants: map[string]jobs.Grant{"a": {GPUs: 1}, "b": {GPUs: 7}}},
+		"shrunk":    {Shares: map[string]quota.Share{"a": {GPUs: 1}, "b": {GPUs: 7}}},
 		"as before": {},
 	} {
 		w := twoNodes(t, 8, 4)
@@ -204,14 +212,14 @@
 				n, txns = o, mine
 			}
 		}
-		if len(txns) != 1 || txns[0].claims != "x" {
+		if len(txns) != 1 || txns[0].admission == nil || txns[0].admission.Team != "x" {
 			t.Fatalf("%s: %d writes", name, len(txns))
 		}
 		n.mu.Lock()
-		rec := n.table.Team["x"]
+		rec := n.quota.Of("x").Record()
 		next.Token = rec.Token
-		if next.Grants == nil {
-			next.Grants = rec.Grants
+		if next.Shares == nil {
+			next.Shares = rec.Shares
 		}
 		n.mu.Unlock()
 		w.st.put(jobs.TeamKey("x"), wire.MustMarshal(next))
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -62,7 +62,7 @@
 // teamRoom lifts the team's limit of the small worlds.
 func (w *world) teamRoom() {
 	for _, n := range w.nodes {
-		n.set.Params.Teams[0].GPUsMax = 1e6
+		n.limitTeam(1e6)
 	}
 }
 
--- a/internal/server/scripted_test.go
+++ b/internal/server/scripted_test.go
@@ -75,7 +75,7 @@
 		confirmed: map[string]time.Time{}, runs: map[string]time.Duration{}, starts: map[string]int{}, limit: limit}
 	x.call.(*direct).x = x
 	for _, n := range x.nodes {
-		n.set.Params.Teams[0].GPUsMax = limit
+		n.limitTeam(limit)
 	}
 	x.raise()
 	count := map[string]int{}
@@ -380,7 +380,7 @@
 		x.end(n)
 	}
 	n := x.start(label, []string{"a", "b", "c"})
-	n.set.Params.Teams[0].GPUsMax = x.limit
+	n.limitTeam(x.limit)
 }
 
 // others are the nodes beside one, in order.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -456,7 +456,7 @@
 func TestAnArrayOfAHundredThousandTasks(t *testing.T) {
 	w := newWorld(t, "a")
 	n := w.nodes["a"]
-	n.set.Params.Teams[0].GPUsMax = 0
+	n.limitTeam(0)
 	w.addHost("h1", "batch")
 	n.take(w.report("h1", 1, n.membershipToken()))
 	big := work("wk-1", wire.MaxTasks)
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -444,7 +444,7 @@
 func TestAMachinesProofOutlivesAMembershipThatLeavesItsOwner(t *testing.T) {
 	w := newWorld(t, "a", "b", "c")
 	for _, n := range w.nodes {
-		n.set.Params.Teams[0].GPUsMax = 1000
+		n.limitTeam(1000)
 	}
 	w.raise()
 	hosts := make([]string, 12)
@@ -531,7 +531,7 @@
 func TestRoomForServicesOnSilentMachinesIsRentedAhead(t *testing.T) {
 	w := newWorld(t, "a")
 	n := w.nodes["a"]
-	n.set.Params.Teams[0].GPUsMax = 1000
+	n.limitTeam(1000)
 	w.raise()
 	hosts := []string{"h1", "h2", "h3", "h4", "h5", "h6"}
 	for _, h := range hosts {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,7 +73,9 @@
 	ReleaseGather = 1500 * time.Millisecond
 	// ReleaseLate is when a gathered release goes before new claims.
 	ReleaseLate = 12 * time.Second
-	// ShareOutPause separates two times that a team's limit is shared out anew.
+	// ShareOutPause separates two times that a team's limit is shared out anew
+	// under the same membership: its two writes fail the admissions that are
+	// under way, and take changes from the budget.
 	ShareOutPause = 3 * time.Second
 	// TxnBytes is the most JSON that a transaction may hold; the service's
 	// limit is 64 KiB.
