Claims in doubt count until the cache shows what became of them

Cause: a claim whose answer was lost stopped to count as soon as one of its guards had changed in the cache. A node's own write of the team's record changes that guard ahead of the watch, so a claim that had been applied meanwhile counted neither as in doubt nor as stored, and its room of the limit was given to another. Found by generated histories (4 GPUs, three nodes, a claim without an answer, then one on another's machine). Change: it counts until the cache is complete up to the change of the guard (store.Cache.Newest).

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -47,10 +47,24 @@
 }
 
 // Doubtful is an admission whose write got no answer. It may be applied until
-// one of its guards has changed, and counts as long.
+// one of its guards has changed, and counts until everything up to that change
+// has been read.
 type Doubtful struct {
 	Guards map[string]uint64
 	Amount Amount
+
+	closed uint64 // revision by which a guard has changed; 0: none seen to have
+}
+
+// Cache is what a node has read of the state service. The versions of keys may be
+// ahead of the revision up to which it is complete, by the node's own writes.
+type Cache interface {
+	// Version is the version of a key, 0 if it does not exist.
+	Version(key string) uint64
+	// Revision is the revision up to which every change has been read.
+	Revision() uint64
+	// Newest is the latest revision of which anything is known.
+	Newest() uint64
 }
 
 // Outcome is what became of a write.
@@ -104,11 +118,17 @@
 }
 
 // Forget drops the admissions in doubt that can't be applied any more, since a
-// guard of theirs has changed.
-func (l *Ledger) Forget(version func(key string) uint64) {
+// guard of theirs has changed; if they were applied before that, their claims
+// have been read. Guards against an admission that counts nowhere: this node's
+// own write of the record changed the guard, while the claim, applied before it
+// without an answer, was not read yet.
+func (l *Ledger) Forget(c Cache) {
 	kept := l.inDoubt[:0]
 	for _, d := range l.inDoubt {
-		if d.open(version) {
+		if d.closed == 0 && d.guardChanged(c) {
+			d.closed = c.Newest()
+		}
+		if d.closed == 0 || c.Revision() < d.closed {
 			kept = append(kept, d)
 		}
 	}
@@ -116,14 +136,14 @@
 	l.inDoubt = kept
 }
 
-// open reports whether all guards stand as they were.
-func (d Doubtful) open(version func(key string) uint64) bool {
+// guardChanged reports whether a guard does not stand as it was.
+func (d Doubtful) guardChanged(c Cache) bool {
 	for key, guarded := range d.Guards {
-		if version(key) != guarded {
-			return false
+		if c.Version(key) != guarded {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // left is what a node may still admit within its share.
@@ -203,7 +223,7 @@
 	}
 	if outcome == Unknown {
 		// Guards against a late application beside claims that took its place.
-		l.inDoubt = append(l.inDoubt, Doubtful{guards, a.Amount})
+		l.inDoubt = append(l.inDoubt, Doubtful{Guards: guards, Amount: a.Amount})
 	}
 }
 
--- a/internal/server/quota.go
+++ b/internal/server/quota.go
@@ -59,7 +59,7 @@
 	view := n.quotaView()
 	out := map[string]*quota.Allowance{}
 	for _, l := range n.quota.Ledgers() {
-		l.Forget(n.cache.Version)
+		l.Forget(n.cache)
 		name := l.Team().Name
 		out[name] = l.Allowance(view, n.table.Used[name].Amount())
 	}
--- a/internal/store/cache.go
+++ b/internal/store/cache.go
@@ -19,6 +19,7 @@
 // implies that the cache holds every earlier change that wrote that key.
 type Cache struct {
 	revision uint64 // every change up to it is in the cache
+	newest   uint64 // of the node's own transactions
 	settle   uint64 // decisions wait until revision has reached it
 	ready    bool
 	versions map[string]uint64
@@ -37,6 +38,10 @@
 // Revision is the revision up to which the cache is complete.
 func (c *Cache) Revision() uint64 { return c.revision }
 
+// Newest is the latest revision of which the cache holds anything: the revision
+// up to which it is complete, or that of a later transaction of the node's own.
+func (c *Cache) Newest() uint64 { return max(c.revision, c.newest) }
+
 // Settled reports whether the cache is a consistent picture of some revision.
 func (c *Cache) Settled() bool { return c.ready && c.revision >= c.settle }
 
@@ -104,6 +109,7 @@
 	if revision <= c.revision {
 		return
 	}
+	c.newest = max(c.newest, revision)
 	for _, ch := range changes {
 		if ch.Drop != "" {
 			c.drop(ch.Drop, revision)
