Work within a guarantee takes the room that others are stopped for

Cause: work that had waited 100 s without a start goes first in its rank, by age. Borrowed tasks that were stopped for another team's guarantee belonged to an older job, were placed again in the room that they had left, and stopped again; the guarantee was never served. Ruled out: the stops themselves, which came every 8 s as they should. Change: in its rank, pressed work within its guarantee goes before what has waited long.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -221,14 +221,24 @@
 	ShareShort map[string]bool // teams whose limit is not used up, but shared out so that work waits
 }
 
-// less orders demands: priority, then what has waited too long, by age; then work
-// within its team's guarantee, pressed work first, then the latest start that
-// keeps the deadline; what can't keep it any more, and what has none, by age
+// pressed reports whether others' borrowed work may be stopped for the demand.
+func (d *Demand) pressed() bool { return d.guaranteed && d.Pressed }
+
+// less orders demands: priority, then pressed work within its team's guarantee,
+// then what has waited too long, by age; then other work within its guarantee,
+// then the latest start that keeps the deadline; what can't keep it any more, and what has none, by age
 // after that.
 func less(a, b *Demand) bool {
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
+	if a.pressed() != b.pressed() {
+		// What others were stopped for takes the room that they leave. Guards
+		// against a livelock: the room went to the next in line, often to the very
+		// tasks that had been stopped, since their job was older, and they were
+		// stopped again.
+		return a.pressed()
+	}
 	if a.Aged != b.Aged {
 		// Guards against starving a team without a guarantee, or a job that
 		// can't keep its deadline, by an endless stream of others.
@@ -240,11 +250,6 @@
 	if a.guaranteed != b.guaranteed {
 		return a.guaranteed
 	}
-	if a.guaranteed && a.Pressed != b.Pressed {
-		// What others were stopped for takes the room that they leave:
-		// it went to the next in line, and more were stopped.
-		return a.Pressed
-	}
 	if a.latest != b.latest {
 		return a.latest < b.latest
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -419,3 +419,27 @@
 		}
 	}
 }
+
+// Borrowed tasks that were stopped for a guarantee wait again, and their job is
+// older than what they were stopped for: it does not take the room back. Guards
+// against a livelock in which a team never got its guarantee.
+func TestWhatIsStoppedForAGuaranteeDoesNotTakeTheRoomBack(t *testing.T) {
+	borrowed := job("wk-1", wire.KindArray, wire.PriorityNormal, 4, nil)
+	waiting := job("wk-2", wire.KindArray, wire.PriorityNormal, 4, nil)
+	in := input("a", []*Machine{machine("m", "a", "z", Batch, 4)}, borrowed, waiting)
+	borrowed.Ready, waiting.Ready = 1000, 2000
+	waiting.Team, waiting.Record.Spec.Team = "y", "y"
+	in.Teams["y"] = &quota.Allowance{Guarantee: quota.Amount{GPUs: 4}}
+	for _, d := range in.Demands {
+		d.Aged, d.Pressed = true, true
+	}
+	out := Pass(in)
+	for _, c := range out.Claims {
+		if c.Job.ID != "wk-2" {
+			t.Fatalf("%s takes the room that was freed for a guarantee", c.Job.ID)
+		}
+	}
+	if len(out.Claims) != 4 {
+		t.Fatalf("%d claims", len(out.Claims))
+	}
+}
