Shares are transferred between nodes, waits within guarantees stored; off unless switched on

Need: when a job fits a team's limit but not the leader's share, the limit was frozen and shared out anew, two changes and 3 s apart; and how long a team had waited for its guarantee was known to each process alone, so a restart began it anew. Change: quota.transfers lets the node that can cover the most give what it has left over, in one change.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -112,6 +112,9 @@
 	IntakeQueue      int
 	PollQueue        int
 	RetryAfterSecond int
+	QuotaTransfers   bool
+
+	QuotaReservations bool
 }
 
 // DefaultOperator returns the defaults of package tuning.
@@ -234,6 +237,16 @@
 	}, fmt.Sprintf("number %v..%v; %s", min, max, doc)}
 }
 
+func flag(dst func(*Operator) *bool, doc string) key {
+	return key{func(o *Operator, v string) error {
+		if v != "true" && v != "false" {
+			return fmt.Errorf("%q is neither true nor false", v)
+		}
+		*dst(o) = v == "true"
+		return nil
+	}, "true or false; " + doc}
+}
+
 func whole(min, max int, dst func(*Operator) *int, doc string) key {
 	return key{func(o *Operator, v string) error {
 		n, err := strconv.Atoi(v)
@@ -265,13 +278,9 @@
 		}
 		return fmt.Errorf("%q is none of error, warn, info, debug", v)
 	}, "error, warn, info or debug; LOG_LEVEL wins"},
-	"roles.advisory": {func(o *Operator, v string) error {
-		if v != "true" && v != "false" {
-			return fmt.Errorf("%q is neither true nor false", v)
-		}
-		o.RoleAdvisory = v == "true"
-		return nil
-	}, "true or false; record proposals, move nothing"},
+	"roles.advisory":      flag(func(o *Operator) *bool { return &o.RoleAdvisory }, "record proposals, move nothing"),
+	"quota.reservations":  flag(func(o *Operator) *bool { return &o.QuotaReservations }, "the leader stores how long teams have waited within their guarantees"),
+	"quota.transfers":     flag(func(o *Operator) *bool { return &o.QuotaTransfers }, "nodes give shares of a team's limit that they do not need to one that is short"),
 	"roles.expand":        number(0.01, 100, func(o *Operator) *float64 { return &o.RoleExpand }, "batch load that permits a mixed-pressure move"),
 	"roles.shrink":        number(0, 0.99, func(o *Operator) *float64 { return &o.RoleShrink }, "most source load of a consolidation"),
 	"roles.margin":        number(0, 0.99, func(o *Operator) *float64 { return &o.RoleMargin }, "least drop of the worst ratio"),
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -214,11 +214,16 @@
 
 // Output of a pass.
 type Output struct {
-	Claims     []Claim
-	Evict      []Eviction
-	Unmet      map[string]int // tasks without a place, by job
-	Why        map[string]string
-	ShareShort map[string]bool // teams whose limit is not used up, but shared out so that work waits
+	Claims []Claim
+	Evict  []Eviction
+	Unmet  map[string]int // tasks without a place, by job
+	Why    map[string]string
+	// ShareShort has the teams whose limit is not used up, but shared out so that
+	// work waits, with what the leader lacks of it for the first job that waits;
+	// nothing if machines lack room, too.
+	ShareShort map[string]quota.Amount
+	// GuaranteeShort is the room that each team's work lacks within its guarantee.
+	GuaranteeShort map[string]quota.Amount
 }
 
 // pressed reports whether others' borrowed work may be stopped for the demand.
@@ -298,7 +303,7 @@
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
-	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, ShareShort: map[string]bool{}}
+	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, ShareShort: map[string]quota.Amount{}, GuaranteeShort: map[string]quota.Amount{}}
 	in.held, in.scans, in.track = noPriority, scansPerPass, true
 	for _, d := range in.Demands {
 		d.priority, d.guaranteed, d.latest = d.Job.Priority, in.guaranteed(d.Job), in.latest(d.Job)
@@ -352,7 +357,8 @@
 type placement struct {
 	placer string
 	picks  []*Machine
-	short  bool // its place is limited by the shares of the limit alone
+	short  bool         // its place is limited by the shares of the limit
+	lack   quota.Amount // what the leader lacks of the limit, if that alone is so
 }
 
 // choose finds machines for the tasks: those of one node if they hold all of
@@ -364,6 +370,9 @@
 		choice.placer = in.Leader
 		choice.short = granted < len(tasks)
 		choice.picks = in.spread(d, tasks[:granted])
+		if choice.short && len(choice.picks) == granted {
+			choice.lack = d.Job.Need.Amount().Times(float64(len(tasks))).Sub(team.Left[in.Leader])
+		}
 	}
 	if d.Job.Gang() && (len(d.Job.Live) > 0 || len(choice.picks) < d.Job.Record.Tasks-d.Job.Counts[jobs.Completed]) {
 		choice.picks = nil // all at once or not at all
@@ -427,7 +436,10 @@
 	case len(d.Tasks) == placed:
 		return false
 	case choice.short:
-		out.ShareShort[d.Job.Record.Spec.Team] = true
+		name := d.Job.Record.Spec.Team
+		if _, known := out.ShareShort[name]; !known {
+			out.ShareShort[name] = choice.lack
+		}
 		out.wait(d, len(d.Tasks)-placed, NoShare)
 		return false
 	case len(tasks) == placed:
@@ -442,6 +454,13 @@
 // in the pass may not take it, and other tasks are stopped for it.
 func (in *Input) findRoom(d *Demand, guaranteed bool, tasks []int, choice placement, out *Output) {
 	placed := len(choice.picks)
+	if guaranteed {
+		name := d.Job.Record.Spec.Team
+		team := in.Teams[name]
+		lack := d.Job.Need.Amount().Times(float64(len(tasks) - placed))
+		open := team.Guarantee.Sub(team.Used).Max(quota.Amount{})
+		out.GuaranteeShort[name] = out.GuaranteeShort[name].Add(lack).Min(open)
+	}
 	if d.Pressed && guaranteed {
 		in.held = min(in.held, d.priority)
 	}
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -2,34 +2,49 @@
 
 import (
 	"fmt"
+	"time"
 
 	"wheatspur/wire"
 )
 
+// Options switch what is not in every version.
+type Options struct {
+	// Transfers lets nodes give what they do not need to one that is short.
+	Transfers bool
+	// Reservations lets the leader store how long teams have waited for room
+	// within their guarantees.
+	Reservations bool
+}
+
 // Book holds the ledgers of all teams of the settings, in their order.
 type Book struct {
+	options Options
 	ledgers []*Ledger
 	byTeam  map[string]*Ledger
+
+	reserved   Reservations // as stored
+	reserving  bool         // a write of the reservations by this node is under way
+	reservedAt time.Time    // of the last decision to write them
 }
 
 // NewBook returns a book of the teams, with nothing stored.
-func NewBook(teams []Team) *Book {
-	b := &Book{byTeam: map[string]*Ledger{}}
-	b.SetTeams(teams)
+func NewBook(teams []Team, o Options) *Book {
+	b := &Book{}
+	b.Configure(teams, o)
 	return b
 }
 
-// SetTeams changes the teams' settings. What is known of the teams that stay is
-// kept.
-func (b *Book) SetTeams(teams []Team) {
+// Configure changes the settings. What is known of the teams that stay is kept.
+func (b *Book) Configure(teams []Team, o Options) {
 	known := b.byTeam
+	b.options = o
 	b.ledgers, b.byTeam = nil, map[string]*Ledger{}
 	for _, t := range teams {
 		l := known[t.Name]
 		if l == nil {
 			l = &Ledger{}
 		}
-		l.team = t
+		l.team, l.options = t, o
 		b.byTeam[t.Name] = l
 		b.ledgers = append(b.ledgers, l)
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -36,6 +36,7 @@
 // own admissions that are not seen among the stored claims yet.
 type Ledger struct {
 	team     Team
+	options  Options
 	record   Record
 	damage   error      // why the stored record can't be read
 	inFlight Amount     // admitted, the write is under way
@@ -44,6 +45,9 @@
 
 	shortSince time.Time // since when work waits though the limit is not used up
 	frozenAt   time.Time // when this node last froze the shares
+	offeredAt  time.Time // when this node last gave part of its share away
+
+	reservation reservation // of the leader
 }
 
 // Doubtful is an admission whose write got no answer. It may be applied until
@@ -157,9 +161,9 @@
 }
 
 // Allowance is what a pass of placement may still give to the team. used is what
-// its claims take.
-func (l *Ledger) Allowance(v View, used Amount) *Allowance {
-	a := &Allowance{Used: used, Limit: l.team.Limit, Guarantee: l.team.Guarantee}
+// its claims take, scale how much of its guarantee it has (Book.Scale).
+func (l *Ledger) Allowance(v View, used, scale Amount) *Allowance {
+	a := &Allowance{Used: used, Limit: l.team.Limit, Guarantee: l.team.Guarantee.scaled(scale)}
 	if !l.team.Limited() {
 		return a
 	}
@@ -242,5 +246,13 @@
 	return nil
 }
 
-// Written ends a write of the record.
-func (l *Ledger) Written() { l.writing = false }
+// Written ends a write of the record. guards are those that it had. What a
+// transfer gives away counts while its outcome is in doubt: guards against
+// admitting from it, which does not change the record, before the transfer is
+// applied late.
+func (l *Ledger) Written(w *Write, outcome Outcome, guards map[string]uint64) {
+	l.writing = false
+	if outcome == Unknown && !w.Given.IsZero() {
+		l.inDoubt = append(l.inDoubt, Doubtful{Guards: guards, Amount: w.Given})
+	}
+}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -13,6 +13,7 @@
 	Team   string
 	Event  Event
 	Record Record
+	Given  Amount // of this node's share, by a transfer
 }
 
 // Redistribute lets the leader share the limit out: at once under a new
@@ -47,7 +48,7 @@
 	} else {
 		l.shortSince = time.Time{}
 	}
-	return &Write{l.team.Name, event, next}
+	return &Write{Team: l.team.Name, Event: event, Record: next}
 }
 
 // mustFreeze reports whether the shares have to be shared out anew. Pauses guard
@@ -64,11 +65,20 @@
 		held := v.Held.Of(l.team.Name).in(l.team.Limit)
 		return !l.record.total().in(l.team.Limit).Sub(held).IsZero()
 	case Shared:
-		return !l.shortSince.IsZero()
+		return !l.shortSince.IsZero() && now.Sub(l.shortSince) >= l.patience()
 	}
 	return false
 }
 
+// patience is how long a shortage lasts before the limit is shared out anew:
+// transfers come first, where there are any.
+func (l *Ledger) patience() time.Duration {
+	if l.options.Transfers {
+		return tuning.TransferPatience
+	}
+	return 0
+}
+
 // divide shares the limit out: what each node holds, and the rest in equal
 // parts, two of them to the leader, which admits jobs that are too large for
 // one node. Where a part would not hold the largest waiting job, the leader
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -123,7 +123,7 @@
 		reg:          fleet.NewRegister(),
 		owners:       map[string]string{},
 		published:    map[string]*publishedHost{},
-		quota:        quota.NewBook(quotaTeams(set.Params.Teams)),
+		quota:        quota.NewBook(quotaTeams(set.Params.Teams), quotaOptions(set)),
 		dueSince:     map[string]time.Time{},
 		machineTypes: map[string]wire.MachineType{},
 		imageGB:      map[string]float64{},
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -28,6 +28,7 @@
 
 	shares    *quota.Write     // the new shares of a team's limit that it stores
 	admission *quota.Admission // the room of a team's limit that its claims take
+	reserves  bool             // it stores the reservations
 }
 
 func (t *txn) note(msg string, args ...any) { t.notes = append(t.notes, append([]any{msg}, args...)) }
@@ -110,7 +111,8 @@
 	txns := n.shareOut(now, &most)
 	due := n.releases(workers, now)
 	fleet := n.machines(now)
-	out := place.Pass(n.placeInput(fleet, now))
+	in := n.placeInput(fleet, now)
+	out := place.Pass(in)
 	n.noteUnmet(out, now)
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
@@ -144,6 +146,8 @@
 	for _, r := range due {
 		txns = n.release(txns, r, &most) // those that were not written yet
 	}
+	txns = append(txns, n.offerShares(in.Teams, out.ShareShort, now, &most)...)
+	txns = append(txns, n.reserve(out.GuaranteeShort, now, &most)...)
 	txns = n.finished(txns, &most)
 	jobsToClaim := map[string]bool{}
 	for _, c := range out.Claims {
@@ -214,9 +218,7 @@
 		d.Tasks = n.pending(j, tuning.TasksPerJob, now)
 		// The cloud may still bring room for a guarantee; work that is stopped
 		// for it is lost.
-		if at, ok := n.unmetAt[jobID]; ok {
-			d.Pressed = now.Sub(at) > tuning.GuaranteePreemptAfter
-		}
+		d.Pressed = n.pressed(j, now)
 		d.Aged = j.Counts[jobs.Pending] == j.Record.Tasks && now.UnixMilli()-j.Ready > tuning.AgedAfter.Milliseconds()
 		d.PreemptedFor = now.Sub(n.preemptedFor[jobID]) < tuning.PreemptPause
 		d.Blocked = n.busyJob[jobID] || now.Before(n.notUntil[jobID])
--- a/internal/server/quota.go
+++ b/internal/server/quota.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"wheatspur/internal/config"
+	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/place"
 	"wheatspur/internal/quota"
 	"wheatspur/internal/store"
+	"wheatspur/internal/tuning"
 )
 
 // quotaTeams are the teams of the settings.
@@ -28,6 +30,11 @@
 	return out
 }
 
+// quotaOptions are what operators have switched on.
+func quotaOptions(set *config.Settings) quota.Options {
+	return quota.Options{Transfers: set.Operator.QuotaTransfers, Reservations: set.Operator.QuotaReservations}
+}
+
 // quotaView is what decisions about limits start from; mu is held.
 func (n *Node) quotaView() quota.View {
 	nodes := make([]string, len(n.member.Nodes))
@@ -57,15 +64,59 @@
 // allowances are what a pass may still give to each team; mu is held.
 func (n *Node) allowances() map[string]*quota.Allowance {
 	view := n.quotaView()
+	scale := n.quota.Scale(n.fleetAmount, n.now())
 	out := map[string]*quota.Allowance{}
 	for _, l := range n.quota.Ledgers() {
 		l.Forget(n.cache)
 		name := l.Team().Name
-		out[name] = l.Allowance(view, n.table.Used[name].Amount())
+		out[name] = l.Allowance(view, n.table.Used[name].Amount(), scale)
 	}
 	return out
 }
 
+// fleetAmount is what all machines that take tasks hold together; mu is held.
+func (n *Node) fleetAmount() quota.Amount {
+	var sum quota.Amount
+	for _, r := range n.reg.Hosts {
+		if r.Phase == fleet.In {
+			t := n.machineTypes[r.MachineType]
+			sum = sum.Add(quota.Amount{CPUs: t.CPUs, GPUs: t.GPUs})
+		}
+	}
+	return sum
+}
+
+// pressed reports whether a job within its team's guarantee has waited so long
+// for room that others' borrowed work is stopped for it. The team's wait is
+// stored, and so is the time since when the job could start, so all nodes come to
+// the same answer, also after a restart. mu is held.
+func (n *Node) pressed(j *jobs.Job, now time.Time) bool {
+	if at, ok := n.unmetAt[j.ID]; ok && now.Sub(at) > tuning.GuaranteePreemptAfter {
+		return true
+	}
+	return n.set.Operator.QuotaReservations && n.quota.Pressed(j.Team, now) &&
+		now.UnixMilli()-j.Ready > tuning.GuaranteePreemptAfter.Milliseconds()
+}
+
+// reserve lets the leader store which teams wait for room within their
+// guarantees; mu is held.
+func (n *Node) reserve(short map[string]quota.Amount, now time.Time, most *float64) []*txn {
+	if !n.leads() || *most < 1 {
+		return nil
+	}
+	next := n.quota.Reserve(now, short)
+	if next == nil {
+		return nil
+	}
+	n.log.Info("reservations change", "teams", len(next.Teams))
+	*most--
+	t := n.newTxn("reserve")
+	t.guards[quota.ReservationsKey] = n.cache.Version(quota.ReservationsKey)
+	t.set(quota.ReservationsKey, *next)
+	t.reserves = true
+	return []*txn{t}
+}
+
 // admit adds to a write of claims the guard on the shares of the team's limit
 // and, for claims on others' machines, the change that hands their owners that
 // part of this node's share; false if the share does not cover it. mu is held.
@@ -94,7 +145,10 @@
 // settleQuota tells the team's ledger what became of a write; mu is held.
 func (n *Node) settleQuota(t *txn, err error) {
 	if t.shares != nil {
-		n.quota.Of(t.shares.Team).Written()
+		n.quota.Of(t.shares.Team).Written(t.shares, outcomeOf(err), t.guards)
+	}
+	if t.reserves {
+		n.quota.ReservationsWritten()
 	}
 	if t.admission != nil {
 		n.quota.Of(t.admission.Team).Settle(t.admission, outcomeOf(err), t.guards)
@@ -137,6 +191,29 @@
 	return out
 }
 
+// offerShares gives what this node does not need of the teams' limits to the
+// leader, where that is short; teams are what the pass has left of each. mu is
+// held.
+func (n *Node) offerShares(teams map[string]*quota.Allowance, short map[string]quota.Amount, now time.Time, most *float64) []*txn {
+	if !n.set.Operator.QuotaTransfers || n.leads() {
+		return nil
+	}
+	var out []*txn
+	view := n.quotaView()
+	for team, lack := range short {
+		if *most < 1 {
+			break
+		}
+		w := n.quota.Of(team).Offer(now, view, view.Leader, lack, teams[team].Left[view.Self])
+		if w == nil {
+			continue
+		}
+		*most--
+		out = append(out, n.sharesTxn(w))
+	}
+	return out
+}
+
 // sharesTxn is the write of a team's shares; mu is held.
 func (n *Node) sharesTxn(w *quota.Write) *txn {
 	n.log.Info("team's shares change", "team", w.Team, "event", string(w.Event))
@@ -166,6 +243,7 @@
 // noteShortages notes which teams' work waits for other shares; mu is held.
 func (n *Node) noteShortages(out place.Output, now time.Time) {
 	for _, l := range n.quota.Ledgers() {
-		l.NoteShortage(out.ShareShort[l.Team().Name], now, n.member.Token)
+		_, short := out.ShareShort[l.Team().Name]
+		l.NoteShortage(short, now, n.member.Token)
 	}
 }
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -8,6 +8,7 @@
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
+	"wheatspur/internal/quota"
 	"wheatspur/wire"
 )
 
@@ -34,6 +35,8 @@
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
 		return n.quota.Apply(strings.TrimPrefix(key, jobs.TeamPrefix), v)
+	case key == quota.ReservationsKey:
+		return n.quota.ApplyReservations(v)
 	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
 		return n.reg.Apply(key, v)
 	case strings.HasPrefix(key, member.NodePrefix):
--- a/internal/server/storm_test.go
+++ b/internal/server/storm_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"wheatspur/internal/config"
 	"wheatspur/wire"
 )
 
@@ -228,6 +229,10 @@
 			x := newTrial(t, 2, 16)
 			s := &storm{trial: x, r: rand.New(rand.NewPCG(seed, 1)), over: map[string]func(){}, until: map[string]time.Time{},
 				accepted: map[string]time.Time{}, final: map[string]string{}, asked: map[string]bool{}}
+			if seed%2 == 1 {
+				x.transfers()
+				x.operator = func(s *config.Settings) { s.Operator.QuotaTransfers = true }
+			}
 			for _, m := range x.machines {
 				m.ImageTime = time.Duration(s.r.IntN(4)) * time.Second
 			}
--- a/internal/standin/usage.go
+++ b/internal/standin/usage.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"wheatspur/internal/jobs"
 	"wheatspur/wire"
@@ -23,12 +27,40 @@
 	admitted int
 	started  int
 	faults   []string
+
+	begun time.Time
+	at    time.Time              // of the last change of stored
+	area  map[string]float64     // GPU seconds claimed up to then, by team
+	freed map[string][]time.Time // when units of room were freed that are not used again
+	reuse *hdrhistogram.Histogram
 }
 
+// reuseMax bounds the times from room freed to room used, in milliseconds.
+const reuseMax = 600_000
+
 // NewUsageChecker returns a checker of limits, in GPUs by team.
 func NewUsageChecker(limits map[string]float64) *UsageChecker {
 	return &UsageChecker{limits: limits, jobs: map[string]wire.JobSpec{}, claimed: map[string]float64{}, running: map[string]string{},
-		byTeam: map[string]float64{}, stored: map[string]float64{}, highest: map[string]float64{}}
+		byTeam: map[string]float64{}, stored: map[string]float64{}, highest: map[string]float64{},
+		begun: time.Now(), at: time.Now(), area: map[string]float64{}, freed: map[string][]time.Time{}, reuse: hdrhistogram.New(1, reuseMax, 3)}
+}
+
+// move enters a change of what a team has claimed, in GPUs. Each unit that is
+// claimed uses the room that was freed longest ago.
+func (u *UsageChecker) move(team string, by float64) {
+	now := time.Now()
+	for t, used := range u.stored {
+		u.area[t] += used * now.Sub(u.at).Seconds()
+	}
+	u.at = now
+	u.stored[team] += by
+	for ; by < 0; by++ {
+		u.freed[team] = append(u.freed[team], now)
+	}
+	for ; by > 0 && len(u.freed[team]) > 0; by-- {
+		_ = u.reuse.RecordValue(min(max(1, now.Sub(u.freed[team][0]).Milliseconds()), reuseMax))
+		u.freed[team] = u.freed[team][1:]
+	}
 }
 
 // Submitted makes a job known, before it is submitted.
@@ -64,7 +96,7 @@
 		if now > u.claimed[key] {
 			u.admitted += int((now - u.claimed[key]) / spec.GPUs)
 		}
-		u.stored[spec.Team] += now - u.claimed[key]
+		u.move(spec.Team, now-u.claimed[key])
 		u.claimed[key] = now
 		if claims == 0 {
 			delete(u.claimed, key)
@@ -117,6 +149,10 @@
 	Claimed  map[string]float64 // GPUs claimed now, by team
 	Highest  map[string]float64 // most GPUs ever claimed, by team
 	Faults   []string
+	// Share is the mean share of its limit that each team had claimed.
+	Share map[string]float64
+	// Reuse has the times from room freed to room used again, in milliseconds.
+	Reuse *hdrhistogram.Snapshot
 }
 
 // Seen returns what the checker has seen.
@@ -127,6 +163,11 @@
 	for team := range u.limits {
 		out.Claimed[team], out.Highest[team] = u.stored[team], u.highest[team]
 	}
+	out.Share = map[string]float64{}
+	for team, limit := range u.limits {
+		out.Share[team] = math.Round(100*u.area[team]/u.at.Sub(u.begun).Seconds()/limit) / 100
+	}
+	out.Reuse = u.reuse.Export()
 	out.Faults = append(out.Faults, u.faults...)
 	return out
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -77,6 +77,21 @@
 	// under the same membership: its two writes fail the admissions that are
 	// under way, and take changes from the budget.
 	ShareOutPause = 3 * time.Second
+	// TransferPause separates two transfers of a team's share by the same node:
+	// its last one is read, and used, by then.
+	TransferPause = 250 * time.Millisecond
+	// TransferPatience is how long transfers may try to end a shortage before a
+	// team's limit is shared out anew: a few of them.
+	TransferPatience = 1200 * time.Millisecond
+	// ReserveAfter is how long work within a guarantee lacks room before its
+	// team's reservation is stored: a few passes, so that waits which end by
+	// themselves cost no change.
+	ReserveAfter = 3 * time.Second
+	// ReserveHold is how long a reservation stays once no work lacks room, so
+	// that a moment without does not begin the wait anew.
+	ReserveHold = 10 * time.Second
+	// ReservePause separates two changes of the reservations.
+	ReservePause = 2 * time.Second
 	// TxnBytes is the most JSON that a transaction may hold; the service's
 	// limit is 64 KiB.
 	TxnBytes = 48 << 10
