--- a/internal/fleet/worker_test.go
+++ b/internal/fleet/worker_test.go
@@ -219,7 +219,7 @@
 	}
 }
 
-func TestAMachineThatDoesNothingItIsToldIsMute(t *testing.T) {
+func TestAMachineThatDoesNothingItIsToldIsUnresponsive(t *testing.T) {
 	w := NewWorker("h1")
 	sequence, now := uint64(0), t0
 	report := func(commands ...wire.Command) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -91,6 +91,15 @@
 	return false
 }
 
+// Labels lists the labels of the members.
+func (r *Record) Labels() []string {
+	labels := make([]string, len(r.Nodes))
+	for i, n := range r.Nodes {
+		labels[i] = n.Label
+	}
+	return labels
+}
+
 // Owner is the member that a machine is hashed to: the one with the highest
 // rendezvous weight.
 func (r *Record) Owner(host string) string {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -303,7 +303,7 @@
 
 // Pass places pending tasks.
 func Pass(in Input) Output {
-	out := Output{Unmet: map[string]int{}, Why: map[string]string{}, ShareShort: map[string]quota.Amount{}, GuaranteeShort: map[string]quota.Amount{}}
+	out := Output{Unmet: map[string]int{}, Why: map[string]string{}}
 	in.held, in.scans, in.track = noPriority, scansPerPass, true
 	for _, d := range in.Demands {
 		d.priority, d.guaranteed, d.latest = d.Job.Priority, in.guaranteed(d.Job), in.latest(d.Job)
@@ -438,7 +438,7 @@
 	case choice.short:
 		name := d.Job.Record.Spec.Team
 		if _, known := out.ShareShort[name]; !known {
-			out.ShareShort[name] = choice.lack
+			out.ShareShort = with(out.ShareShort, name, choice.lack)
 		}
 		out.wait(d, len(d.Tasks)-placed, NoShare)
 		return false
@@ -450,6 +450,15 @@
 	return true
 }
 
+// with is the map with an entry; it is made when the first one comes.
+func with(m map[string]quota.Amount, key string, amount quota.Amount) map[string]quota.Amount {
+	if m == nil {
+		m = map[string]quota.Amount{}
+	}
+	m[key] = amount
+	return m
+}
+
 // findRoom sees to it that the tasks without a place get one: what comes later
 // in the pass may not take it, and other tasks are stopped for it.
 func (in *Input) findRoom(d *Demand, guaranteed bool, tasks []int, choice placement, out *Output) {
@@ -459,7 +468,7 @@
 		team := in.Teams[name]
 		lack := d.Job.Need.Amount().Times(float64(len(tasks) - placed))
 		open := team.Guarantee.Sub(team.Used).Max(quota.Amount{})
-		out.GuaranteeShort[name] = out.GuaranteeShort[name].Add(lack).Min(open)
+		out.GuaranteeShort = with(out.GuaranteeShort, name, out.GuaranteeShort[name].Add(lack).Min(open))
 	}
 	if d.Pressed && guaranteed {
 		in.held = min(in.held, d.priority)
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -45,6 +45,7 @@
 			l = &Ledger{}
 		}
 		l.team, l.options = t, o
+		l.fault = l.record.Check(t)
 		b.byTeam[t.Name] = l
 		b.ledgers = append(b.ledgers, l)
 	}
@@ -56,22 +57,24 @@
 // Of is the ledger of a team; nil if the team is not in the settings.
 func (b *Book) Of(team string) *Ledger { return b.byTeam[team] }
 
-// Apply enters a team's stored record; nil says that there is none any more. A
+// Apply enters a team's stored record and its version; nil says that there is
+// none any more. A
 // record that can't be read stops the team's admissions. Guards against
 // admitting from the record before it, with the version of the one that could
 // not be read as guard. Records of teams that are not in the settings are left
 // aside.
-func (b *Book) Apply(team string, raw wire.Raw) error {
+func (b *Book) Apply(team string, raw wire.Raw, version uint64) error {
 	l := b.byTeam[team]
 	if l == nil {
 		return nil
 	}
-	l.record, l.damage = Record{}, nil
+	l.record, l.damage, l.fault, l.version = Record{}, nil, nil, version
 	if raw == nil {
 		return nil
 	}
 	if err := wire.Unmarshal(raw, &l.record); err != nil {
 		l.record, l.damage = Record{}, fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
+	l.fault = l.record.Check(l.team)
 	return l.Damage()
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -14,9 +14,8 @@
 	Nodes  []string // all members
 	Token  uint64   // of the membership
 	Held   Holdings
-	// Complete says for a team that every claim of before the present version
-	// of its record is in Held.
-	Complete func(team string) bool
+	// Revision of the state service up to which every claim is in Held.
+	Revision uint64
 }
 
 // Holdings is what the stored claims on each node's machines take, by node and
@@ -38,7 +37,9 @@
 	team     Team
 	options  Options
 	record   Record
+	version  uint64     // of the stored record
 	damage   error      // why the stored record can't be read
+	fault    error      // what Record.Check finds in it
 	inFlight Amount     // admitted, the write is under way
 	inDoubt  []Doubtful // admitted, the write's answer was lost
 	writing  bool       // a write of the record by this node is under way
@@ -100,14 +101,30 @@
 	if l.damage != nil {
 		return l.damage
 	}
-	if err := l.record.Check(l.team); errors.Is(err, ErrDamaged) {
-		return err
+	if errors.Is(l.fault, ErrDamaged) {
+		return l.fault
 	}
 	return nil
 }
 
-// Phase returns the phase of the shares under a membership.
-func (l *Ledger) Phase(token uint64) Phase { return phaseOf(l.team, l.record, l.damage, token) }
+// Phase is the phase that the shares are in under a membership.
+func (l *Ledger) Phase(token uint64) Phase {
+	switch {
+	case !l.team.Limited():
+		return Unlimited
+	case l.damage != nil:
+		return Damaged
+	case l.record.Token != token:
+		return Unshared
+	case l.record.Frozen:
+		return Frozen
+	case errors.Is(l.fault, ErrOverLimit):
+		return OverLimit
+	case l.fault != nil:
+		return Damaged
+	}
+	return Shared
+}
 
 // Writing reports whether this node has a write of the record under way.
 func (l *Ledger) Writing() bool { return l.writing }
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"testing"
+	"time"
 
 	"wheatspur/wire"
 )
@@ -56,6 +57,46 @@
 	}
 }
 
+// The leader freezes, and knows of it at once; a claim that another node stored
+// just before is not read yet. It does not share out before it is. Guards
+// against giving the room of that claim away.
+func TestNothingIsSharedOutBeforeAllClaimsAreRead(t *testing.T) {
+	m := newShared(t, 3, "a", "b") // a has two, b one
+	claim := m.mustAdmit(t, "b", 1)
+	leader := m.nodes["a"]
+	freeze := m.redistribute(leader, oneUnit, true)
+	if freeze == nil || freeze.shares.Event != Freeze {
+		t.Fatalf("no freeze: %+v", freeze)
+	}
+	m.deliver(claim)
+	m.deliver(freeze)
+	if w := m.redistribute(leader, oneUnit, true); w != nil {
+		t.Fatalf("%s before the claim of before is read", w.shares.Event)
+	}
+	leader.readTo(m.log, len(m.log))
+	share := m.redistribute(leader, oneUnit, true)
+	if share == nil || share.shares.Event != ShareOut || share.shares.Record.Shares["b"].GPUs < 1 {
+		t.Fatalf("shared out as %+v", share)
+	}
+}
+
+// Without room in the budget of changes only a new membership is served.
+func TestWithoutBudgetOnlyANewMembershipIsServed(t *testing.T) {
+	m := newShared(t, 3, "a", "b")
+	n := m.nodes["a"]
+	ledger := n.book.Of(m.team)
+	ledger.NoteShortage(true, m.now, n.members.token)
+	later := m.now.Add(time.Minute)
+	if w := ledger.Redistribute(later, n.view(m.team), oneUnit, false); w != nil {
+		t.Fatalf("%s without room for it", w.Event)
+	}
+	m.join([]string{"a", "b"}, "a")
+	n.readTo(m.log, len(m.log))
+	if w := ledger.Redistribute(later, n.view(m.team), oneUnit, false); w == nil || w.Event != ShareOut {
+		t.Fatalf("a new membership: %+v", w)
+	}
+}
+
 // A transfer gets no answer; the giver admits on, which leaves the record as it
 // is; then the transfer is applied late. Guards against claims beyond the
 // giver's share: what it has offered counts while it is in doubt.
@@ -84,15 +125,18 @@
 
 // A transfer whose giver or taker restarts is applied as a whole or not at all.
 func TestATransferAndARestart(t *testing.T) {
-	for _, restarted := range []string{"a", "b"} {
+	for _, restarted := range []string{"a", "b", "nobody; the membership changes"} {
 		for _, before := range []bool{true, false} {
 			m := newShared(t, 4, "a", "b", "c")
 			m.transfer(m.nodes["b"], "a", Amount{GPUs: 1})
-			if before {
-				m.restart(restarted)
-			} else {
+			if !before {
 				m.deliver(m.waiting[0])
+			}
+			if m.nodes[restarted] != nil {
 				m.restart(restarted)
+			} else {
+				m.join([]string{"a", "c"}, "c")
+				m.join([]string{"a", "b", "c"}, "b")
 			}
 			m.settle()
 			for machine, label := range []string{"a", "b", "c", "a", "b", "c", "a"} {
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -210,7 +210,7 @@
 	n.versions[c.key], n.newest = c.revision, max(n.newest, c.revision)
 	switch {
 	case c.key == recordKey:
-		_ = n.book.Apply("x", c.record)
+		_ = n.book.Apply("x", c.record, c.revision)
 	case c.key == memberKey:
 		n.members = c.members
 	case c.claim == nil:
@@ -227,7 +227,7 @@
 
 func (n *modelNode) view(team string) View {
 	return View{Self: n.label, Leader: n.members.leader, Nodes: n.members.nodes, Token: n.members.token,
-		Held: held(team, n.claims, n.members), Complete: func(string) bool { return n.revision >= n.versions[recordKey] }}
+		Held: held(team, n.claims, n.members), Revision: n.revision}
 }
 
 // member reports whether the node, as far as it has read, is a member.
--- a/internal/quota/phase.go
+++ b/internal/quota/phase.go
@@ -55,24 +55,3 @@
 	}
 	return p, fmt.Errorf("%w: %s of shares that are %s", ErrPhase, e, p)
 }
-
-// phaseOf is the phase that a record is in under a membership.
-func phaseOf(t Team, r Record, damage error, token uint64) Phase {
-	switch {
-	case !t.Limited():
-		return Unlimited
-	case damage != nil:
-		return Damaged
-	case r.Token != token:
-		return Unshared
-	case r.Frozen:
-		return Frozen
-	}
-	switch err := r.Check(t); {
-	case errors.Is(err, ErrOverLimit):
-		return OverLimit
-	case err != nil:
-		return Damaged
-	}
-	return Shared
-}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -31,7 +31,7 @@
 	next := Record{Token: v.Token}
 	event := Freeze
 	switch {
-	case phase == Unshared, phase == Frozen && v.Complete(l.team.Name):
+	case phase == Unshared, phase == Frozen && v.Revision >= l.version:
 		// Nobody admits before this is stored, and every claim before is known.
 		event = ShareOut
 		next.Shares = l.divide(v, pending)
--- /dev/null
+++ b/internal/quota/summary.go
@@ -0,0 +1,45 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+)
+
+// Summary is what operators are shown of a team.
+type Summary struct {
+	Team     Team
+	Phase    Phase
+	Damage   error // why the record of shares can't be used; nil: it can
+	Used     Amount
+	Borrowed Amount // used beyond the guarantee
+	InFlight Amount // admitted by this node, the write is under way
+	InDoubt  Amount // admitted by this node, the write's answer was lost
+	Reserved *Reservation
+	Shares   []NodeShare
+}
+
+// NodeShare is one node's part of a team's limit.
+type NodeShare struct {
+	Node  string
+	Share Amount
+	Held  Amount // by the claims on the node's machines
+}
+
+// Summary describes a team; nil if it is not in the settings. used is what its
+// claims take.
+func (b *Book) Summary(v View, team string, used Amount) *Summary {
+	l := b.byTeam[team]
+	if l == nil {
+		return nil
+	}
+	s := &Summary{Team: l.team, Phase: l.Phase(v.Token), Damage: l.Damage(), Used: used,
+		Borrowed: used.Sub(l.team.Guarantee).Max(Amount{})}
+	s.InFlight, s.InDoubt = l.Pending()
+	if r, ok := b.Reserved(team); ok {
+		s.Reserved = &r
+	}
+	for _, node := range slices.Sorted(maps.Keys(l.record.Shares)) {
+		s.Shares = append(s.Shares, NodeShare{node, l.record.Shares[node].Amount(), v.Held[node][team]})
+	}
+	return s
+}
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -39,14 +39,14 @@
 
 var machineTypes = []wire.MachineType{{Label: "g", CPUs: 8, GPUs: 4, RAMGB: 64, FetchGBPerS: 1, Price: 4, SpotPrice: 1, StartupS: 30, Zones: []string{"z"}}}
 
-// deaf is a worker side that never answers direct calls.
-type deaf struct{}
+// unanswered is a worker side that never answers direct calls.
+type unanswered struct{}
 
-func (deaf) commands(string, wire.CommandRequest) (int, *wire.Report, error) {
+func (unanswered) commands(string, wire.CommandRequest) (int, *wire.Report, error) {
 	return 0, nil, store.ErrLost
 }
 
-func (deaf) show(string) error { return store.ErrLost }
+func (unanswered) show(string) error { return store.ErrLost }
 
 const (
 	lease  = 30 * time.Second
@@ -136,7 +136,7 @@
 
 func newWorld(t testing.TB, labels ...string) *world {
 	t.Helper()
-	return newWorldWith(t, deaf{}, labels...)
+	return newWorldWith(t, unanswered{}, labels...)
 }
 
 // worldWithMachine is a world of one node and one machine, h1, which has
--- a/internal/server/intake_test.go
+++ b/internal/server/intake_test.go
@@ -139,7 +139,7 @@
 // A record of several stays below the value limit, and holds no job twice.
 func TestGroupsOfSubmissionsFitOneRecord(t *testing.T) {
 	w := newWorld(t, "a")
-	n := newNode(settings("z", []string{"z"}), w.nodes["a"].log, w.clk.now, w.st, w.nodes["a"].lim, w.cl, deaf{})
+	n := newNode(settings("z", []string{"z"}), w.nodes["a"].log, w.clk.now, w.st, w.nodes["a"].lim, w.cl, unanswered{})
 	add := func(jobID string) *submission {
 		wk := work(jobID, 1)
 		return &submission{work: &wk, rec: jobs.Record{Phase: jobs.Open, Tasks: 1, Chunk: 70, Spec: &wk}, before: time.Now().Add(time.Minute)}
--- a/internal/server/meetings_test.go
+++ b/internal/server/meetings_test.go
@@ -134,13 +134,13 @@
 					knows := owner.table.Jobs["wk-1"].Phase == jobs.Cancelled
 					owner.mu.Unlock()
 					if knows {
-						continue // it kills them, and the others vouch that there is nothing else
+						continue // it kills them, and the others attest that there is nothing else
 					}
 					if len(m.sessions) == 0 {
 						t.Errorf("the lease of %s has not ended", m.Host)
 						continue
 					}
-					// Not later than if all had vouched up to the confirmation, not
+					// Not later than if all had attested up to the confirmation, not
 					// long before what its own node's last read allows.
 					bound := owner.set.AnswerBound() + lease
 					if over := m.sessions[0].at.Sub(x.confirmed["wk-1"]); over > bound+2*time.Second {
@@ -166,7 +166,7 @@
 	}
 }
 
-// The state service is out for all for minutes. While every node vouches that it
+// The state service is out for all for minutes. While every node attests that it
 // knows of no other cancellation, what runs goes on; where one doesn't, the
 // leases end as ever, and what was confirmed is gone in time.
 func TestALongOutage(t *testing.T) {
@@ -177,7 +177,7 @@
 		at     map[int]func(*trial) // seconds into it
 		starts int                  // of each task, in the end; 0: the job is cancelled
 	}{
-		{"all vouch", nil, nil, 1},
+		{"all attest", nil, nil, 1},
 		{"with a cancellation that all have read", func(x *trial) {
 			x.submit(x.leader(), work("wk-9", 1))
 			x.cancelAt(x.leader(), "wk-9")
@@ -406,34 +406,34 @@
 			x.want("after the cut", "wk-1", 12, 0)
 		}},
 		{"the leader ends, machines can't be reached for less than a lease", func(x *trial) {
-			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.each(func(m *machine) { m.outboundCut, m.holding = true, true })
 			x.away(x.leader())
 			x.run(lease - 8*time.Second)
-			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.each(func(m *machine) { m.outboundCut, m.holding = false, false })
 			x.run(20 * time.Second)
 			x.want("after it", "wk-1", 12, 1)
 		}},
 		{"the leader ends, machines don't hear the new one's answers for less than a lease", func(x *trial) {
-			x.each(func(m *machine) { m.deaf = true })
+			x.each(func(m *machine) { m.inboundCut = true })
 			x.away(x.leader())
 			x.run(lease - 8*time.Second)
-			x.each(func(m *machine) { m.deaf = false })
+			x.each(func(m *machine) { m.inboundCut = false })
 			x.run(20 * time.Second)
 			x.want("after it", "wk-1", 12, 1)
 		}},
 		{"the leader ends, machines can't be reached for longer", func(x *trial) {
-			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.each(func(m *machine) { m.outboundCut, m.holding = true, true })
 			x.away(x.leader())
 			x.run(long)
-			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.each(func(m *machine) { m.outboundCut, m.holding = false, false })
 			x.run(20 * time.Second)
 			x.want("after it", "wk-1", 12, 2)
 		}},
 		{"the leader ends, machines don't hear for longer", func(x *trial) {
-			x.each(func(m *machine) { m.deaf = true })
+			x.each(func(m *machine) { m.inboundCut = true })
 			x.away(x.leader())
 			x.run(long)
-			x.each(func(m *machine) { m.deaf = false })
+			x.each(func(m *machine) { m.inboundCut = false })
 			x.run(20 * time.Second)
 			x.want("after it", "wk-1", 12, 2)
 		}},
@@ -544,7 +544,7 @@
 		{"a report is held back until a new leader has acted", func(x *trial) {
 			var held []wire.Report
 			x.each(func(m *machine) { held = append(held, m.last) })
-			x.each(func(m *machine) { m.mute, m.holding = true, true })
+			x.each(func(m *machine) { m.outboundCut, m.holding = true, true })
 			x.away(x.leader())
 			x.run(5 * time.Second)
 			for _, n := range x.nodes {
@@ -566,13 +566,13 @@
 				}
 				n.mu.Unlock()
 			}
-			x.each(func(m *machine) { m.mute, m.holding = false, false })
+			x.each(func(m *machine) { m.outboundCut, m.holding = false, false })
 			x.run(20 * time.Second)
 			x.want("after it", "wk-1", 12, 2)
 		}},
 		{"machines reach no controller while direct calls reach them", func(x *trial) {
 			m := x.machines[0]
-			m.mute = true
+			m.outboundCut = true
 			x.run(lease - 4*time.Second)
 			x.want("within the lease", "wk-1", 12, 1)
 			if !x.cancelAt(x.leader(), "wk-1") {
@@ -583,7 +583,7 @@
 			if n, _ := x.owner(m.Host); n.machines(x.clk.now()).Machine(m.Host).Open {
 				x.t.Error("it has just been heard, and takes tasks, which would end with its lease")
 			}
-			m.mute = false
+			m.outboundCut = false
 			x.run(10 * time.Second)
 			x.full("wk-2")
 		}},
@@ -694,8 +694,8 @@
 		on, off func(m *machine)
 	}{
 		{"hang", func(m *machine) { m.hung = true }, func(m *machine) { m.hung = false }},
-		{"are cut off", func(m *machine) { m.mute, m.holding = true, true }, func(m *machine) { m.mute, m.holding = false, false }},
-		{"don't hear", func(m *machine) { m.deaf = true }, func(m *machine) { m.deaf = false }},
+		{"are cut off", func(m *machine) { m.outboundCut, m.holding = true, true }, func(m *machine) { m.outboundCut, m.holding = false, false }},
+		{"don't hear", func(m *machine) { m.inboundCut = true }, func(m *machine) { m.inboundCut = false }},
 	} {
 		for _, d := range []time.Duration{lease / 2, lease + 10*time.Second} {
 			for _, when := range []string{"before", "after"} {
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -25,6 +25,7 @@
 	}
 	last := n.member
 	n.member = &r
+	n.memberLabels = r.Labels()
 	n.raisedAt = n.now()
 	clear(n.owners)
 	clear(n.published)
@@ -52,7 +53,7 @@
 	}
 	n.resetView()
 	n.shareBudget()
-	n.log.Info("membership", "baton", r.Token, "leader", r.Leader.Label, "nodes", len(r.Nodes))
+	n.log.Info("membership", "token", r.Token, "leader", r.Leader.Label, "nodes", len(r.Nodes))
 	return nil
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -28,7 +28,7 @@
 }
 
 var (
-	descToken    = desc("baton", "Token of the membership this node knows.")
+	descToken    = desc("token", "Token of the membership this node knows.")
 	descLeader   = desc("leader", "1 if this node leads.")
 	descState    = desc("state_service", "1 if the state service was read lately.")
 	descJobs     = desc("jobs_open", "Jobs that are not over.")
@@ -55,7 +55,8 @@
 type nodeCollector struct{ n *Node }
 
 func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descToken, descLeader, descState, descJobs, descWaiting, descInfo, descNodes, descTasks, descUnmet, descHosts, descSplit, descEvidence} {
+	for _, d := range []*prometheus.Desc{descToken, descLeader, descState, descJobs, descWaiting, descInfo, descNodes, descTasks, descUnmet, descHosts, descSplit, descEvidence,
+		descTeam, descTeamShare, descTeamPhase} {
 		ch <- d
 	}
 }
@@ -70,6 +71,7 @@
 	if n.member != nil {
 		gauge(descToken, float64(n.member.Token))
 	}
+	n.collectTeams(gauge)
 	leads := n.leads()
 	gauge(descLeader, flag(leads))
 	gauge(descState, flag(n.hasState()))
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -54,6 +54,7 @@
 	unreachableAt time.Time
 	lead          *member.Node
 	member        *member.Record
+	memberLabels  []string // of its nodes
 	reg           *fleet.Register
 	owners        map[string]string // of machines under the present membership
 	view          fleetView
--- a/internal/server/quota.go
+++ b/internal/server/quota.go
@@ -37,19 +37,13 @@
 
 // quotaView is what decisions about limits start from; mu is held.
 func (n *Node) quotaView() quota.View {
-	nodes := make([]string, len(n.member.Nodes))
-	for i, m := range n.member.Nodes {
-		nodes[i] = m.Label
-	}
 	return quota.View{
-		Self:   n.self.Label,
-		Leader: n.member.Leader.Label,
-		Nodes:  nodes,
-		Token:  n.member.Token,
-		Held:   n.holdings(),
-		Complete: func(team string) bool {
-			return n.cache.Revision() >= n.cache.Version(jobs.TeamKey(team))
-		},
+		Self:     n.self.Label,
+		Leader:   n.member.Leader.Label,
+		Nodes:    n.memberLabels,
+		Token:    n.member.Token,
+		Held:     n.holdings(),
+		Revision: n.cache.Revision(),
 	}
 }
 
@@ -217,7 +211,7 @@
 // sharesTxn is the write of a team's shares; mu is held.
 func (n *Node) sharesTxn(w *quota.Write) *txn {
 	n.log.Info("team's shares change", "team", w.Team, "event", string(w.Event))
-	t := n.newTxn("share")
+	t := n.newTxn(string(w.Event))
 	key := jobs.TeamKey(w.Team)
 	t.guards[key] = n.cache.Version(key)
 	t.set(key, w.Record)
--- a/internal/server/quota_test.go
+++ b/internal/server/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -351,3 +352,54 @@
 		})
 	}
 }
+
+// Operators see a team's shares, what is borrowed and what waits, on the page and
+// in the metrics; a damaged record is named.
+func TestOperatorsSeeTheTeams(t *testing.T) {
+	x := guaranteeWorld(t, true)
+	x.limit = 30
+	for _, n := range x.nodes {
+		n.set.Params.Teams[0].GPUsMax = x.limit
+		n.quota.Configure(quotaTeams(n.set.Params.Teams), quotaOptions(n.set))
+	}
+	wk := work("wk-2", 8)
+	wk.Team = "y"
+	x.submit(x.leader(), wk)
+	x.run(20 * time.Second)
+	n := x.leader()
+	page := func(path string) string {
+		_, _, c := ask(n, "GET", path, nil)
+		return string(c.Response.Body())
+	}
+	for path, lines := range map[string][]string{
+		"/status": {
+			"guarantees 0/8 machines_hold 48/24 fit true\n",
+			`team x shares "shared" limit 0/30 guarantee 0/0 used 24/24 borrowed 24/24 waiting 0/0` + "\n",
+			`team y shares "unlimited" limit 0/0 guarantee 0/8 used 0/0 borrowed 0/0 waiting 8/8 reserved 0/8 for `,
+		},
+		"/status?team=x": {"share a of ", " held 8/8\n"},
+		"/status?team=q": {"team q is not known here\n"},
+		"/metrics": {
+			`wheatspur_team{kind="borrowed",resource="gpus",team="x"} 24`,
+			`wheatspur_team{kind="reserved",resource="gpus",team="y"} 8`,
+			`wheatspur_team_share{kind="held",node="b",resource="gpus",team="x"} 8`,
+			`wheatspur_team_shares_phase{phase="shared",team="x"} 1`,
+		},
+	} {
+		text := page(path)
+		for _, line := range lines {
+			if !strings.Contains(text, line) {
+				t.Errorf("%s does not hold %q:\n%s", path, line, text)
+			}
+		}
+	}
+	x.st.Put(jobs.TeamKey("x"), wire.Raw{0xff})
+	x.sync()
+	if text := page("/status?team=x"); !strings.Contains(text, `shares "damaged"`) || !strings.Contains(text, "damaged record of shares") {
+		t.Errorf("a damaged record is shown as\n%s", text)
+	}
+	x.run(20 * time.Second)
+	if text := page("/status?team=x"); !strings.Contains(text, `shares "shared" limit 0/30 guarantee 0/0 used 24/24`) {
+		t.Errorf("a rebuilt record is shown as\n%s", text)
+	}
+}
--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -34,7 +34,7 @@
 	case strings.HasPrefix(key, jobs.ChunkPrefix):
 		return n.table.ApplyChunk(key, v)
 	case strings.HasPrefix(key, jobs.TeamPrefix):
-		return n.quota.Apply(strings.TrimPrefix(key, jobs.TeamPrefix), v)
+		return n.quota.Apply(strings.TrimPrefix(key, jobs.TeamPrefix), v, version)
 	case key == quota.ReservationsKey:
 		return n.quota.ApplyReservations(v)
 	case strings.HasPrefix(key, fleet.GroupPrefix), strings.HasPrefix(key, fleet.HostPrefix):
--- a/internal/server/scale_test.go
+++ b/internal/server/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"wheatspur/internal/config"
 	"wheatspur/internal/fleet"
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/member"
@@ -21,14 +22,14 @@
 func bigWorld(t testing.TB, labels ...string) *world {
 	t.Helper()
 	w := newWorld(t, labels...)
-	w.joinFleet()
+	w.joinFleet(fleetSize)
 	return w
 }
 
 // joinFleet lets the leader list the fleet, and every machine report.
-func (w *world) joinFleet() {
+func (w *world) joinFleet(machines int) {
 	l := w.leader()
-	for i := range fleetSize {
+	for i := range machines {
 		host := fmt.Sprintf("host-%06d", i)
 		w.cl.Listed = append(w.cl.Listed, wire.Host{Name: host, Address: "10.9.9.9:1", MachineType: "g", Zone: "z", State: wire.HostRunning, AgeS: 100})
 		role := place.Batch
@@ -159,7 +160,7 @@
 		}
 	}
 	l := w.leader()
-	revisions("3300 machines join", fleetSize/16, func() { w.joinFleet() })
+	revisions("3300 machines join", fleetSize/16, func() { w.joinFleet(fleetSize) })
 	const services, arrays = 150, 60
 	w.fill(services, arrays)
 	revisions("210 jobs are claimed", 2*(services+arrays), func() {
@@ -366,3 +367,75 @@
 	}
 	return out
 }
+
+// Forty teams, each with more waiting than its limit, on 4,000 machines of five
+// nodes whose writes are decided before any is stored: no limit is exceeded
+// after any write, each is used to the last unit, and an admission costs little
+// more than its own change.
+func TestManyTeamsRaceOn4000Machines(t *testing.T) {
+	const machines, teams, limit, jobsEach, tasks = 4000, 40, 48, 3, 24
+	for _, transfers := range []bool{false, true} {
+		w := newWorld(t, "a", "b", "c", "d", "e")
+		for _, n := range w.nodes {
+			n.set.Params.Teams = nil
+			for i := range teams {
+				n.set.Params.Teams = append(n.set.Params.Teams, config.Team{Name: fmt.Sprintf("team-%d", i), GPUsMax: limit})
+			}
+			n.set.Operator.QuotaTransfers = transfers
+			n.quota.Configure(quotaTeams(n.set.Params.Teams), quotaOptions(n.set))
+		}
+		w.raise()
+		w.joinFleet(machines)
+		l := w.leader()
+		for i := range teams * jobsEach {
+			wk := work(fmt.Sprintf("wk-%d", 1000+i), tasks)
+			wk.Team = fmt.Sprintf("team-%d", i%teams)
+			w.submit(l, wk)
+		}
+		used := func() (least, most, sum float64) {
+			least = limit
+			for i := range teams {
+				gpus := l.table.Used[fmt.Sprintf("team-%d", i)].GPUs
+				least, most, sum = min(least, gpus), max(most, gpus), sum+gpus
+			}
+			return least, most, sum
+		}
+		before := w.st.Revision
+		rounds := 0
+		for least := 0.0; least < limit && rounds < 60; rounds++ {
+			w.raceRound()
+			var most float64
+			if least, most, _ = used(); most > limit {
+				t.Fatalf("a team uses %v of %v", most, limit)
+			}
+			w.clk.add(tuning.ConflictPause)
+			w.tell()
+		}
+		least, _, sum := used()
+		changes := w.st.Revision - before
+		t.Logf("transfers %v: %v GPUs after %d rounds, %d changes", transfers, sum, rounds, changes)
+		if least < limit || changes > 3*teams*jobsEach {
+			t.Errorf("transfers %v: the least that a team uses is %v of %v, %d changes for %d jobs", transfers, least, limit, changes, teams*jobsEach)
+		}
+	}
+}
+
+// raceRound lets every node decide before any of the writes is stored.
+func (w *world) raceRound() {
+	type decided struct {
+		n *Node
+		t *txn
+	}
+	var all []decided
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		for _, x := range n.pass() {
+			all = append(all, decided{n, x})
+		}
+		n.mu.Unlock()
+	}
+	for _, d := range all {
+		d.n.commit(context.Background(), d.t)
+	}
+	w.sync()
+}
--- a/internal/server/scripted_test.go
+++ b/internal/server/scripted_test.go
@@ -24,14 +24,14 @@
 	due  time.Time // of the next report
 	node string    // it reports to
 
-	hung     bool
-	deaf     bool                  // answers and direct calls don't reach it
-	mute     bool                  // it reaches no node
-	cut      map[string]bool       // nodes that it does not reach
-	holding  bool                  // direct calls to it are held in the network
-	calls    []wire.CommandRequest // those
-	last     wire.Report           // its last report
-	sessions []session             // that have ended
+	hung        bool
+	inboundCut  bool                  // answers and direct calls don't reach it
+	outboundCut bool                  // it reaches no node
+	cut         map[string]bool       // nodes that it does not reach
+	holding     bool                  // direct calls to it are held in the network
+	calls       []wire.CommandRequest // those
+	last        wire.Report           // its last report
+	sessions    []session             // that have ended
 }
 
 // session is an ended session of a worker.
@@ -146,7 +146,7 @@
 	m.due = now.Add(3 * time.Second)
 	r := m.Report()
 	m.last = r
-	if m.mute {
+	if m.outboundCut {
 		return
 	}
 	labels := slices.Sorted(maps.Keys(x.nodes))
@@ -161,7 +161,7 @@
 		m.node = next
 		if code == 200 {
 			o := body.(wire.ReportResponse)
-			if !m.deaf && m.Answered(now, o) {
+			if !m.inboundCut && m.Answered(now, o) {
 				m.CarryOut(now, o.Commands)
 			}
 			return
@@ -188,7 +188,7 @@
 		switch {
 		case m.hung, m.holding:
 			m.calls = append(m.calls, c)
-		case !m.deaf:
+		case !m.inboundCut:
 			code, r := m.Take(x.clk.now(), c)
 			return code, &r, nil
 		}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -19,7 +19,8 @@
 
 // serveStatus shows operators, as plain text, what this node knows: the
 // membership with the version of each node, the splits with the gate that
-// blocks each, and why jobs wait; with ?job=ID, one job.
+// blocks each, the teams, and why jobs wait; with ?job=ID one job, with ?team=NAME
+// one team.
 func (n *Node) serveStatus(c *fasthttp.RequestCtx) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -30,13 +31,18 @@
 		c.SetBodyString(b.String())
 		return
 	}
+	if team := string(c.QueryArgs().Peek("team")); team != "" {
+		n.teamStatus(&b, team)
+		c.SetBodyString(b.String())
+		return
+	}
 	fmt.Fprintf(&b, "node %s version %s session %s state_service %v\n", n.self.Label, tuning.Version, n.session, n.hasState())
 	if at := n.knownUntil(); !at.IsZero() {
 		// What an outage is survived by: it stays short while all siblings attest.
 		fmt.Fprintf(&b, "cancellations known until %.1f s ago, leases renewed up to %.1f s\n", n.now().Sub(at).Seconds(), n.set.AnswerBound().Seconds())
 	}
 	if n.member != nil {
-		fmt.Fprintf(&b, "membership baton %d leader %s nodes", n.member.Token, n.member.Leader.Label)
+		fmt.Fprintf(&b, "membership token %d leader %s nodes", n.member.Token, n.member.Leader.Label)
 		for _, m := range n.member.Nodes {
 			fmt.Fprintf(&b, " %s", m.Label)
 		}
@@ -68,6 +74,7 @@
 			}
 		}
 	}
+	n.teamsStatus(&b)
 	rows(&b, "waiting", n.unmet, func(jobID string) string {
 		return fmt.Sprintf("waiting %s tasks %d because %s", jobID, n.unmet[jobID], n.why[jobID])
 	})
--- a/internal/server/storm_test.go
+++ b/internal/server/storm_test.go
@@ -113,10 +113,10 @@
 		on("hung", &m.hung, 3, 40)
 	}
 	if s.chance(25) {
-		on("deaf", &m.deaf, 3, 50)
+		on("inbound", &m.inboundCut, 3, 50)
 	}
 	if s.chance(25) {
-		on("mute", &m.mute, 3, 50)
+		on("outbound", &m.outboundCut, 3, 50)
 	}
 	if s.chance(20) {
 		on("holding", &m.holding, 2, 30)
--- /dev/null
+++ b/internal/server/teamstatus.go
@@ -0,0 +1,116 @@
+// This file shows operators the limits and guarantees of teams: on the status
+// page and in the metrics.
+
+package server
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wheatspur/internal/quota"
+)
+
+// summaries describe all teams, in the order of the settings; mu is held.
+func (n *Node) summaries() []*quota.Summary {
+	if n.member == nil {
+		return nil
+	}
+	view := n.quotaView()
+	var out []*quota.Summary
+	for _, l := range n.quota.Ledgers() {
+		name := l.Team().Name
+		out = append(out, n.quota.Summary(view, name, n.table.Used[name].Amount()))
+	}
+	return out
+}
+
+// waitingAmount is what the pending tasks of a team's open jobs take; mu is held.
+func (n *Node) waitingAmount(team string) quota.Amount {
+	var sum quota.Amount
+	for amount := range n.pendingAmounts(team) {
+		sum = sum.Add(amount)
+	}
+	return sum
+}
+
+// amountText writes an amount.
+func amountText(a quota.Amount) string { return fmt.Sprintf("%.4g/%.4g", a.CPUs, a.GPUs) }
+
+// teamLine is a team's line of the status page; amounts are CPUs/GPUs. mu is held.
+func (n *Node) teamLine(s *quota.Summary) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "team %s shares %q limit %s guarantee %s used %s borrowed %s waiting %s", s.Team.Name, s.Phase, amountText(s.Team.Limit),
+		amountText(s.Team.Guarantee), amountText(s.Used), amountText(s.Borrowed), amountText(n.waitingAmount(s.Team.Name)))
+	if !s.InFlight.IsZero() || !s.InDoubt.IsZero() {
+		fmt.Fprintf(&b, " in_flight %s in_doubt %s", amountText(s.InFlight), amountText(s.InDoubt))
+	}
+	if s.Reserved != nil {
+		since := n.now().Sub(time.UnixMilli(s.Reserved.Since))
+		fmt.Fprintf(&b, " reserved %s for %.0f s", amountText(s.Reserved.Amount()), since.Seconds())
+	}
+	if s.Damage != nil {
+		fmt.Fprintf(&b, " damage %q", s.Damage.Error())
+	}
+	return b.String()
+}
+
+// teamsStatus shows all teams, and whether their guarantees fit the fleet; mu is
+// held.
+func (n *Node) teamsStatus(b *strings.Builder) {
+	all := map[string]*quota.Summary{}
+	for _, s := range n.summaries() {
+		all[s.Team.Name] = s
+	}
+	promised, fleet := n.quota.Promised(), n.fleetAmount()
+	fmt.Fprintf(b, "guarantees %s machines_hold %s fit %v\n", amountText(promised), amountText(fleet), promised.Sub(fleet).Max(quota.Amount{}).IsZero())
+	rows(b, "team", all, func(team string) string { return n.teamLine(all[team]) })
+}
+
+// teamStatus shows one team with the share of each node; mu is held.
+func (n *Node) teamStatus(b *strings.Builder, team string) {
+	for _, s := range n.summaries() {
+		if s.Team.Name != team {
+			continue
+		}
+		fmt.Fprintln(b, n.teamLine(s))
+		for _, share := range s.Shares {
+			fmt.Fprintf(b, "share %s of %s held %s\n", share.Node, amountText(share.Share), amountText(share.Held))
+		}
+		return
+	}
+	fmt.Fprintf(b, "team %s is not known here\n", team)
+}
+
+var (
+	descTeam      = desc("team", "Amount of a resource of a team, by kind: limit, guarantee, used, borrowed, reserved, in_flight, in_doubt, waiting.", "team", "resource", "kind")
+	descTeamShare = desc("team_share", "A node's part of a team's limit, and what the claims on its machines hold of it.", "team", "node", "resource", "kind")
+	descTeamPhase = desc("team_shares_phase", "1 for the phase of a team's shares.", "team", "phase")
+)
+
+// collectTeams gathers the metrics of all teams; mu is held.
+func (n *Node) collectTeams(gauge func(d *prometheus.Desc, v float64, labels ...string)) {
+	for _, s := range n.summaries() {
+		team := s.Team.Name
+		var reserved quota.Amount
+		if s.Reserved != nil {
+			reserved = s.Reserved.Amount()
+		}
+		for kind, amount := range map[string]quota.Amount{
+			"limit": s.Team.Limit, "guarantee": s.Team.Guarantee, "used": s.Used, "borrowed": s.Borrowed, "reserved": reserved,
+			"in_flight": s.InFlight, "in_doubt": s.InDoubt, "waiting": n.waitingAmount(team),
+		} {
+			gauge(descTeam, amount.CPUs, team, "cpus", kind)
+			gauge(descTeam, amount.GPUs, team, "gpus", kind)
+		}
+		for _, share := range s.Shares {
+			for kind, amount := range map[string]quota.Amount{"share": share.Share, "held": share.Held} {
+				gauge(descTeamShare, amount.CPUs, team, share.Node, "cpus", kind)
+				gauge(descTeamShare, amount.GPUs, team, share.Node, "gpus", kind)
+			}
+		}
+		gauge(descTeamPhase, 1, team, string(s.Phase))
+	}
+}
--- a/internal/server/trouble_test.go
+++ b/internal/server/trouble_test.go
@@ -80,7 +80,7 @@
 }
 
 // It is replaced if it stays that way.
-func TestAMachineThatStaysMuteIsGivenBack(t *testing.T) {
+func TestAMachineThatStaysUnresponsiveIsGivenBack(t *testing.T) {
 	w := newWorld(t, "a")
 	n := w.nodes["a"]
 	w.addHost("h1", "service")
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -6,7 +6,7 @@
 import "time"
 
 // Version of the program.
-const Version = "0.2.0"
+const Version = "0.3.0"
 
 // Membership and the state service.
 const (
