--- a/internal/quota/summary.go
+++ b/internal/quota/summary.go
@@ -18,7 +18,8 @@
 	Shares   []NodeShare
 }
 
-// NodeShare is one node's part of a team's limit.
+// NodeShare is one node's part of a team's limit, in the resources that are
+// limited.
 type NodeShare struct {
 	Node  string
 	Share Amount
@@ -39,7 +40,8 @@
 		s.Reserved = &r
 	}
 	for _, node := range slices.Sorted(maps.Keys(l.record.Shares)) {
-		s.Shares = append(s.Shares, NodeShare{node, l.record.Shares[node].Amount(), v.Held[node][team]})
+		share := l.record.Shares[node].Amount().in(l.team.Limit)
+		s.Shares = append(s.Shares, NodeShare{node, share, v.Held[node][team].in(l.team.Limit)})
 	}
 	return s
 }
