--- a/internal/recovery/phase.go
+++ b/internal/recovery/phase.go
@@ -83,7 +83,9 @@
 	Since    time.Time // of the phase
 	Began    time.Time // when the node last became a member while it recovered
 	Machines Count
-	Left     Backlog // orders that wait
+	Left     Backlog   // starts that wait
+	work     bool      // open jobs have been seen
+	busy     time.Time // when starts last waited
 }
 
 // NewNode is the recovery of a node that begins.
@@ -102,6 +104,24 @@
 	return true
 }
 
+// Count enters how many machines are in each state, how many jobs are open, and
+// how many starts wait.
+func (n *Node) Count(machines Count, jobs int, left Backlog, now time.Time) {
+	n.Machines, n.Left = machines, left
+	n.work = n.work || jobs > 0
+	if left.Total() > 0 {
+		n.busy = now
+	}
+}
+
+// Quiet reports whether no start has waited for a time, in the present phase; a
+// node that has seen no open job since it began has nothing to wait for.
+// Guards against an end in the moment between the release of what an outage has
+// ended and its claims.
+func (n *Node) Quiet(now time.Time, d time.Duration) bool {
+	return !n.work || now.Sub(n.busy) >= d && now.Sub(n.Since) >= d
+}
+
 // Over reports whether ordinary operation goes on.
 func (n *Node) Over() bool { return n.Phase == Recovered }
 
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -28,14 +28,15 @@
 		return
 	}
 	n.recoveryEvent(recovery.Loaded, now)
-	r.Machines, r.Left = n.countMachines(now)
+	machines, left := n.countMachines(now)
+	r.Count(machines, len(n.table.Open), left, now)
 	n.pacer.SetBacklog(r.Left)
 	if r.Machines.Accounted() {
 		n.recoveryEvent(recovery.Accounted, now)
 	}
+	// Starts that can't be sent for a lease are none that a rate would help.
 	late := r.Phase == recovery.CatchingUp && now.Sub(r.Since) > n.set.Lease()
-	if r.Left.Total() == 0 || late {
-		// Starts that can't be sent for a lease are none that a rate would help.
+	if late || r.Quiet(now, time.Duration(tuning.RecoveryQuietReports*float64(n.set.Report()))) {
 		n.recoveryEvent(recovery.CaughtUp, now)
 	}
 }
@@ -51,8 +52,8 @@
 
 // countMachines counts this node's machines by what is known of them, and the
 // starts that are due on those that have been heard; mu is held.
-func (n *Node) countMachines(now time.Time) (recovery.Count, recovery.Backlog) {
-	count, left := recovery.Count{}, recovery.Backlog{}
+func (n *Node) countMachines(now time.Time) (count recovery.Count, left recovery.Backlog) {
+	count = recovery.Count{}
 	waited := now.Sub(n.recovery.Began)
 	patience := time.Duration(tuning.RecoveryReports * float64(n.set.Report()))
 	for host, rec := range n.reg.Hosts {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -173,6 +173,10 @@
 	SweepEvery = 500 * time.Millisecond
 	// PassPause is the least time between two passes; it batches events.
 	PassPause = 80 * time.Millisecond
+	// RecoveryQuietReports is how many report intervals without a start that waits
+	// end the catching up of a node: what an outage has ended is released with the
+	// reports, and claimed again after that.
+	RecoveryQuietReports = 2.0
 	// StartCallGrace is how long a direct call that holds a start may be under way
 	// before the answer to a report holds the start, too. Calls usually take
 	// milliseconds; one that takes longer may not arrive at all.
