--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,241 @@
+// This file chooses the machines for a demand: which of them hold its tasks, and
+// which are best.
+
+package place
+
+import (
+	"sort"
+
+	"wheatspur/internal/jobs"
+)
+
+// spread chooses machines of as few owners as it can, those with the most
+// places first: every owner stores the ends of its tasks by itself, so a job
+// spread thin over all of them costs several times the changes.
+func (in *Input) spread(d *Demand, tasks []int) []*Machine {
+	if w := d.Job.Record.Spec; w.SpreadZones || w.SameZone {
+		return in.fit(d, tasks, "") // zones count across owners
+	}
+	var parts [][]*Machine
+	for _, node := range in.Order(d.Job.ID) {
+		if p := in.fit(d, tasks, node); len(p) > 0 {
+			parts = append(parts, p)
+		}
+	}
+	sort.SliceStable(parts, func(a, b int) bool { return len(parts[a]) > len(parts[b]) })
+	var picks []*Machine
+	for _, p := range parts {
+		picks = append(picks, p[:min(len(p), len(tasks)-len(picks))]...)
+	}
+	return picks
+}
+
+// hold keeps the machine that comes closest to holding a task of the job from
+// what comes later in the pass. It guards against small tasks taking all room
+// as it comes free, so that a large one never finds enough on one machine.
+func (in *Input) hold(d *Demand) {
+	var best *Machine
+	for _, p := range in.Fleet.pools {
+		if !p.suits(d.Job) {
+			continue
+		}
+		for _, m := range p.machines {
+			if m.Open && !d.Avoid[m.Name] && d.Job.Need.Fits(m.Total) &&
+				(best == nil || m.Free.Share(m.Total) > best.Free.Share(best.Total)) {
+				best = m
+			}
+		}
+	}
+	if best != nil {
+		in.Fleet.change(best)
+		best.Free = jobs.Resources{}
+	}
+}
+
+// Suits reports whether the job may use the machine, leaving aside zones of
+// its other tasks.
+func Suits(j *jobs.Job, m *Machine) bool {
+	w := j.Record.Spec
+	switch {
+	case !jobs.Allowed(w, m.Type), w.Zone != nil && *w.Zone != m.Zone:
+		return false
+	case m.Spot:
+		return w.Spot && !j.Service()
+	case j.Service():
+		return m.Role == Service
+	}
+	return m.Role == Batch
+}
+
+// fit chooses a machine for each task, as many as fit, among those of one
+// node (or all): least free room left, among those with the shortest wait for
+// the image.
+func (in *Input) fit(d *Demand, tasks []int, node string) []*Machine {
+	cand := in.candidates(d, node)
+	if len(cand) == 0 {
+		return nil
+	}
+	w := d.Job.Record.Spec
+	zones := map[string]int{}
+	if w.SpreadZones || w.SameZone {
+		zones = in.Fleet.Zones(d.Job)
+		if zones[""] > 0 {
+			return nil
+		}
+	}
+	if w.SameZone {
+		return fitOneZone(d, tasks, cand, zones)
+	}
+	return greedy(d, tasks, cand, zones, "")
+}
+
+// candidates lists the machines of one node (or all) that a task of the demand
+// fits, in memory that the next call uses again. It notes what room is left in
+// the pools that it looks through.
+func (in *Input) candidates(d *Demand, node string) []candidate {
+	cand := in.Fleet.scratch[:0]
+	for _, p := range in.Fleet.pools {
+		if node != "" && p.Owner != node || !p.suits(d.Job) || !d.Job.Need.Fits(p.room) {
+			continue
+		}
+		var room jobs.Resources
+		for _, m := range p.machines {
+			if !m.Open {
+				continue
+			}
+			room = room.Max(m.Free)
+			if d.Job.Need.Fits(m.Free) && !d.Avoid[m.Name] && m.slots() > 0 {
+				cand = append(cand, candidate{m, m.wait(d.Job), m.Free.Sub(d.Job.Need).Share(m.Total)})
+			}
+		}
+		if in.track && p.room != room {
+			p.room, p.stale = room, true
+		}
+	}
+	in.Fleet.scratch = cand
+	return cand
+}
+
+// fitOneZone chooses machines in the zone that holds the most of the tasks; if
+// the job has tasks already, in theirs.
+func fitOneZone(d *Demand, tasks []int, cand []candidate, zones map[string]int) []*Machine {
+	var best []*Machine
+	seen := map[string]bool{}
+	for _, c := range cand {
+		zone := c.m.Zone
+		if seen[zone] || len(zones) > 0 && zones[zone] == 0 {
+			continue
+		}
+		seen[zone] = true
+		if picks := greedy(d, tasks, cand, zones, zone); len(picks) > len(best) {
+			best = picks
+		}
+	}
+	return best
+}
+
+// candidate is a machine that a task of the demand fits.
+type candidate struct {
+	m    *Machine
+	wait float64
+	left float64 // share that stays free
+}
+
+// before orders candidates: the shortest wait, least free room left, the name.
+func (c *candidate) before(o *candidate) bool {
+	if c.wait != o.wait {
+		return c.wait < o.wait
+	}
+	if c.left != o.left {
+		return c.left < o.left
+	}
+	return c.m.Name < o.m.Name
+}
+
+// ApartCap is the most tasks that an apart job may have in one zone.
+func ApartCap(tasks int) int { return (tasks + 1) / 2 }
+
+// greedy chooses machines for as many of the tasks as fit, in one zone if only
+// names it: the best candidate is filled before the next. zones counts the
+// job's tasks that have a place already, and stays as it is.
+func greedy(d *Demand, tasks []int, cand []candidate, zones map[string]int, only string) []*Machine {
+	used := zones
+	if d.Job.Record.Spec.SpreadZones {
+		// maps.Clone would move the callers' maps to the heap.
+		used = make(map[string]int, len(zones))
+		for zone, n := range zones {
+			used[zone] = n
+		}
+	}
+	picks := make([]*Machine, 0, len(tasks))
+	full := make([]bool, len(cand))
+	for len(picks) < len(tasks) {
+		// The best machine has less room after each task, so it stays the best
+		// until it is full: one look through the others for each machine.
+		best := bestCandidate(d.Job, cand, full, used, only)
+		if best < 0 {
+			break
+		}
+		full[best] = true
+		picks = fill(d.Job, cand[best].m, used, picks, len(tasks))
+	}
+	return picks
+}
+
+// bestCandidate is the index of the best candidate that is not full, -1 if
+// there is none.
+func bestCandidate(j *jobs.Job, cand []candidate, full []bool, used map[string]int, only string) int {
+	best := -1
+	for i := range cand {
+		zone := cand[i].m.Zone
+		if full[i] || only != "" && zone != only || spreadFull(j, used, zone) {
+			continue
+		}
+		if best < 0 || cand[i].before(&cand[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// fill picks the machine for as many tasks as it holds, until there are most
+// picks, and counts them in used if the job is to be spread over zones.
+func fill(j *jobs.Job, m *Machine, used map[string]int, picks []*Machine, most int) []*Machine {
+	free := m.Free
+	for n := 0; len(picks) < most && n < m.slots() && j.Need.Fits(free); n++ {
+		if spreadFull(j, used, m.Zone) {
+			break
+		}
+		if j.Record.Spec.SpreadZones {
+			used[m.Zone]++
+		}
+		picks = append(picks, m)
+		free = free.Sub(j.Need)
+	}
+	return picks
+}
+
+// spreadFull reports whether the job is to be spread over zones, and has as
+// many tasks in this one as it may.
+func spreadFull(j *jobs.Job, used map[string]int, zone string) bool {
+	return j.Record.Spec.SpreadZones && used[zone] >= ApartCap(j.Record.Tasks)
+}
+
+// Elsewhere finds another machine with room for a running task, given where
+// the job's other tasks are; nil if there is none.
+func Elsewhere(fleet *Fleet, j *jobs.Job, task int, from string) *Machine {
+	in := Input{Fleet: fleet}
+	// The task's own claim is released before it starts elsewhere.
+	others := *j
+	others.Live = make(map[int]jobs.Task, len(j.Live))
+	for i, t := range j.Live {
+		if i != task {
+			others.Live[i] = t
+		}
+	}
+	d := &Demand{Job: &others, Tasks: []int{task}, Avoid: map[string]bool{from: true}}
+	if picks := in.fit(d, d.Tasks, ""); len(picks) == 1 {
+		return picks[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/order.go
@@ -0,0 +1,67 @@
+// This file orders the demands of a pass.
+
+package place
+
+import (
+	"wheatspur/internal/jobs"
+)
+
+// pressed reports whether others' borrowed work may be stopped for the demand.
+func (d *Demand) pressed() bool { return d.guaranteed && d.Pressed }
+
+// less orders demands: priority, then pressed work within its team's guarantee,
+// then what has waited too long, by age; then other work within its guarantee,
+// then the latest start that keeps the deadline; what can't keep it any more, and what has none, by age
+// after that.
+func less(a, b *Demand) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.pressed() != b.pressed() {
+		// What others were stopped for takes the room that they leave. Guards
+		// against a livelock: the room went to the next in line, often to the very
+		// tasks that had been stopped, since their job was older, and they were
+		// stopped again.
+		return a.pressed()
+	}
+	if a.Aged != b.Aged {
+		// Guards against starving a team without a guarantee, or a job that
+		// can't keep its deadline, by an endless stream of others.
+		return a.Aged
+	}
+	if a.Aged && a.Job.Ready != b.Job.Ready {
+		return a.Job.Ready < b.Job.Ready
+	}
+	if a.guaranteed != b.guaranteed {
+		return a.guaranteed
+	}
+	if a.latest != b.latest {
+		return a.latest < b.latest
+	}
+	return a.Job.ID < b.Job.ID
+}
+
+// latest is when a job's tasks must start to keep its deadline, and those of
+// the jobs that depend on it, in Unix milliseconds.
+func (in *Input) latest(j *jobs.Job) int64 {
+	if j.Deadline == 0 {
+		return j.Ready + noDeadline
+	}
+	run := int64(j.Record.Spec.EstimateS * 1000)
+	if in.Now.UnixMilli()+run/2 > j.Deadline {
+		// Even a run of half the estimate would be late.
+		return j.Ready + noDeadline
+	}
+	return j.Deadline - run
+}
+
+// noDeadline puts a job behind all that have a deadline to keep, by age.
+const noDeadline = int64(1) << 50
+
+func (in *Input) guaranteed(j *jobs.Job) bool {
+	t := in.Teams[j.Record.Spec.Team]
+	return t != nil && t.WithinGuarantee(t.Used.Add(j.Need.Amount()))
+}
+
+// noPriority is beyond the lowest priority.
+const noPriority = 1 << 10
--- /dev/null
+++ b/internal/server/chunks.go
@@ -0,0 +1,87 @@
+// This file changes the chunk records of jobs.
+
+package server
+
+import (
+	"time"
+
+	"wheatspur/internal/jobs"
+)
+
+// chunkChange is what becomes of some tasks of one chunk.
+type chunkChange struct {
+	job    *jobs.Job
+	chunk  int
+	events map[int]jobs.TaskEvent // by task number
+	bytes  int                    // bounds the record's JSON with claims that were added by claim
+}
+
+// claim adds the claim of a task; false if the record would be too large.
+func (c *chunkChange) claim(task int, e jobs.TaskEvent, limit int) bool {
+	if c.bytes == 0 {
+		c.bytes = jobs.ChunkRecord{Tasks: c.job.ChunkCopy(c.chunk)}.Bytes()
+	}
+	more := jobs.ClaimBytes(e)
+	if c.bytes+more > limit {
+		return false
+	}
+	c.bytes += more
+	c.events[task] = e
+	return true
+}
+
+// apply returns the chunk's tasks after the events; false if one is not due.
+func (c *chunkChange) apply() ([]jobs.Task, bool) {
+	tasks := c.job.ChunkCopy(c.chunk)
+	for i, e := range c.events {
+		k := i - c.chunk*c.job.Record.Chunk
+		t, err := tasks[k].Next(e)
+		if err != nil {
+			return nil, false
+		}
+		tasks[k] = t
+	}
+	return tasks, true
+}
+
+func (n *Node) chunkBytes(j *jobs.Job) int { return min(j.Record.Chunk, j.Record.Tasks)*56 + 600 }
+
+// putChunk stores a chunk; the write that makes a job's last task done also
+// ends the job and drops the chunk.
+func (n *Node) putChunk(t *txn, c *chunkChange, key string, tasks []jobs.Task) {
+	j := c.job
+	done, live := 0, 0
+	for _, task := range tasks {
+		switch task.State {
+		case jobs.Completed:
+			done++
+		case jobs.Claimed:
+			live++
+		}
+	}
+	before := 0
+	for _, task := range j.Chunks[c.chunk] {
+		if task.State == jobs.Completed {
+			before++
+		}
+	}
+	if j.Phase == jobs.Open && j.Counts[jobs.Completed]-before+done == j.Record.Tasks {
+		t.set(jobs.JobKey(j.ID), finalRecord(j, jobs.JobCompleted, n.now()))
+		t.drop(key)
+		return
+	}
+	if j.Phase == jobs.Cancelled && live == 0 {
+		t.drop(key)
+		return
+	}
+	t.set(key, jobs.ChunkRecord{Tasks: tasks})
+}
+
+// finalRecord is the short record kept forever.
+func finalRecord(j *jobs.Job, e jobs.JobEvent, now time.Time) jobs.Record {
+	phase, err := j.Phase.Next(e)
+	if err != nil {
+		return j.Record
+	}
+	return jobs.Record{Phase: phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: now.UnixMilli(), Via: j.Via}
+}
--- /dev/null
+++ b/internal/server/claims.go
@@ -0,0 +1,120 @@
+// This file stores claims.
+
+package server
+
+import (
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+	"wheatspur/internal/quota"
+)
+
+// jobClaims are the claims of one job that a pass has placed.
+type jobClaims struct {
+	job    *jobs.Job
+	claims []place.Claim
+}
+
+// byJob groups claims by job, in the order of the first of each.
+func byJob(list []place.Claim) []*jobClaims {
+	var groups []*jobClaims
+	known := map[string]*jobClaims{}
+	for _, c := range list {
+		g := known[c.Job.ID]
+		if g == nil {
+			g = &jobClaims{job: c.Job}
+			known[c.Job.ID] = g
+			groups = append(groups, g)
+		}
+		g.claims = append(g.claims, c)
+	}
+	return groups
+}
+
+// claims turns placements into guarded writes, one for each job: its chunks,
+// and for constraints that span chunks its record. One write a job: if one
+// loses a race, the others stand. A claim stays within this node's share of
+// the team's limit; the leader, which also claims on others' machines, hands
+// their owners the part of the limit that the claims take in the same write.
+// mu is held.
+func (n *Node) claims(txns []*txn, list []place.Claim, most *float64) []*txn {
+	for _, g := range byJob(list) {
+		if *most < 1 {
+			break
+		}
+		if n.busyJob[g.job.ID] || n.quota.Of(g.job.Record.Spec.Team).Writing() {
+			continue
+		}
+		if t := n.claimJob(g); t != nil {
+			txns = n.under(txns, t, g.job.ID, most)
+		}
+	}
+	return txns
+}
+
+// claimJob is the write of a job's claims; nil if there is none to make now.
+func (n *Node) claimJob(g *jobClaims) *txn {
+	j := g.job
+	t := n.newTxn("claim")
+	changes, amount, others := n.chooseClaims(t, g)
+	jobKey := jobs.JobKey(j.ID)
+	t.guards[jobKey] = n.cache.Version(jobKey)
+	claimed := 0
+	for key, c := range changes {
+		tasks, due := c.apply()
+		if !due {
+			return nil
+		}
+		claimed += len(c.events)
+		t.guards[key] = n.cache.Version(key)
+		t.set(key, jobs.ChunkRecord{Tasks: tasks})
+		for id, e := range c.events {
+			t.note("task claimed", "task", jobs.TaskID{Job: j.ID, Task: id}, "host", e.Host, "role", string(n.reg.Hosts[e.Host].Role))
+		}
+	}
+	if claimed == 0 || j.Gang() && claimed < len(g.claims) || !n.admit(t, j.Record.Spec.Team, amount, others) {
+		return nil
+	}
+	if j.SpansChunks() {
+		rec := j.Record
+		rec.Serial++
+		t.set(jobKey, rec)
+	}
+	return t
+}
+
+// chooseClaims takes as many of a job's claims as one write may hold: the changes
+// of its chunks, what the claims take in all, and the part of it on others'
+// machines. It adds the guards on the machines' records to the write.
+func (n *Node) chooseClaims(t *txn, g *jobClaims) (changes map[string]*chunkChange, amount quota.Amount, others map[string]quota.Amount) {
+	j := g.job
+	changes, others = map[string]*chunkChange{}, map[string]quota.Amount{}
+	for _, claim := range g.claims {
+		chunk := claim.Task / j.Record.Chunk
+		key, machineKey := jobs.ChunkKey(j.ID, chunk), n.reg.Key(claim.Host)
+		c := changes[key]
+		if c == nil {
+			if !n.room(t, len(changes)+3, (len(changes)+1)*n.chunkBytes(j), len(changes)+5) {
+				break
+			}
+			c = &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
+			changes[key] = c
+		}
+		if _, ok := t.guards[machineKey]; !ok && !n.room(t, 0, 0, len(changes)+4) {
+			continue // more machines than one write may name
+		}
+		if !c.claim(claim.Task, jobs.TaskEvent{Kind: jobs.Claim, Host: claim.Host, Session: claim.Session}, int(n.limits.ValueKB*1024)) {
+			continue // its turn comes when others of the chunk are over
+		}
+		t.guards[machineKey] = n.cache.Version(machineKey)
+		amount = amount.Add(j.Need.Amount())
+		if owner := n.ownerOf(claim.Host); owner != n.self.Label {
+			others[owner] = others[owner].Add(j.Need.Amount())
+		}
+	}
+	for key, c := range changes {
+		if len(c.events) == 0 {
+			delete(changes, key) // no room in its record
+		}
+	}
+	return changes, amount, others
+}
--- a/internal/server/coldstart_test.go
+++ b/internal/server/coldstart_test.go
@@ -51,6 +51,7 @@
 // stopAll ends the processes of all nodes at the same moment.
 func (x *trial) stopAll() {
 	for _, n := range x.nodes {
+		n.awaitCalls() // else one may reach its machine after the links are repaired
 		x.end(n)
 	}
 	x.nodes = map[string]*Node{}
--- /dev/null
+++ b/internal/server/displace.go
@@ -0,0 +1,53 @@
+// This file moves service tasks off machines that are to lose them.
+
+package server
+
+import (
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/place"
+)
+
+// displace moves service tasks off machines that are to lose them, one at a
+// time, each once another machine has room; mu is held.
+func (n *Node) displace(f *place.Fleet) {
+	machines, tries := f.Machines, 0
+	for _, m := range machines {
+		for _, r := range m.Tasks {
+			if r.Stopping && r.Job.Service() && r.Job.Phase == jobs.Open {
+				return // one at a time
+			}
+		}
+	}
+	for jobID := range n.unmet {
+		if j := n.table.Jobs[jobID]; j != nil && j.Service() {
+			return // those that wait come first
+		}
+	}
+	for _, m := range machines {
+		if m.Owner != n.self.Label {
+			continue
+		}
+		rec := n.reg.Hosts[m.Name]
+		w := n.workers[m.Name]
+		if w == nil || m.Role == place.Service && rec.Phase == fleet.In && w.TakenAt.IsZero() {
+			continue
+		}
+		for _, r := range m.Tasks {
+			if !r.Job.Service() || r.Stopping || r.Job.Phase != jobs.Open {
+				continue
+			}
+			if tries++; tries > displaceTries {
+				return
+			}
+			if place.Elsewhere(f, r.Job, r.ID.Task, m.Name) != nil {
+				n.stopTask(w, r.ID)
+				n.log.Info("service task moves", "task", r.ID, "host", m.Name, "role", string(m.Role), "phase", string(rec.Phase))
+				return
+			}
+		}
+	}
+}
+
+// displaceTries bounds the tasks that a pass tries to move.
+const displaceTries = 16
--- /dev/null
+++ b/internal/server/releases.go
@@ -0,0 +1,221 @@
+// This file stores the ends of tasks and of jobs.
+
+package server
+
+import (
+	"sort"
+	"time"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
+)
+
+// earlyShare is the part of the changes that may be written now which ends may
+// take before claims: half. If that is less than one each, they take turns:
+// with passes that come often, a single change is due at a time, and ends took
+// every one. mu is held.
+func (n *Node) earlyShare(changes float64) float64 {
+	if changes < 2 && n.claimsWaited {
+		return 0
+	}
+	return (changes + 1) / 2
+}
+
+// pendingRelease is what may be stored of the ends of one chunk's tasks.
+type pendingRelease struct {
+	*chunkChange
+	key      string
+	since    time.Time
+	priority releasePriority
+}
+
+// releasePriority orders the ends of tasks.
+type releasePriority int
+
+const (
+	releaseJobEnd  releasePriority = iota // the job is over: its user and what depends on it wait for that
+	releaseRestart                        // a task waits for a new start, or this node's part of the job is over
+	releaseRoutine                        // the rest
+)
+
+// releases lists the ends of tasks on this node's machines that may be stored now,
+// by chunk; what matters most comes first. workers are those that may have any.
+// mu is held.
+func (n *Node) releases(workers map[string]*fleet.Worker, now time.Time) []pendingRelease {
+	changes := n.provenEnds(workers, now)
+	for key := range n.dueSince {
+		if changes[key] == nil {
+			delete(n.dueSince, key)
+		}
+	}
+	var out []pendingRelease
+	for key, c := range changes {
+		since, ok := n.dueSince[key]
+		if !ok {
+			since = now
+			n.dueSince[key] = now
+		}
+		if priority, ok := n.releasePriority(c, changes, now.Sub(since)); ok {
+			out = append(out, pendingRelease{c, key, since, priority})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].before(&out[b]) })
+	return out
+}
+
+// provenEnds collects the claims whose end is proven on this node's machines, by
+// chunk.
+func (n *Node) provenEnds(workers map[string]*fleet.Worker, now time.Time) map[string]*chunkChange {
+	changes := map[string]*chunkChange{}
+	add := func(id jobs.TaskID, kind jobs.TaskEventKind) {
+		j := n.table.Jobs[id.Job]
+		chunk := id.Task / j.Record.Chunk
+		key := jobs.ChunkKey(id.Job, chunk)
+		if changes[key] == nil {
+			changes[key] = &chunkChange{job: j, chunk: chunk, events: map[int]jobs.TaskEvent{}}
+		}
+		changes[key].events[id.Task] = jobs.TaskEvent{Kind: kind}
+	}
+	first := map[string]bool{} // jobs whose first node this is
+	for host := range n.view.returned {
+		// The proof is stored, so any node may release: the job's first
+		// does, in one write for the machines of all owners.
+		for id := range n.table.Hosts[host] {
+			mine, ok := first[id.Job]
+			if !ok {
+				mine = n.member.Order(id.Job)[0] == n.self.Label
+				first[id.Job] = mine
+			}
+			if mine {
+				add(id, jobs.Release)
+			}
+		}
+	}
+	lease := n.set.Lease()
+	for host, w := range workers {
+		if w.NothingToProve(now, lease) || n.ownerOf(host) != n.self.Label || n.reg.Hosts[host].Phase == fleet.Returned {
+			continue
+		}
+		for _, r := range w.Proofs(n.table.Hosts[host], now, lease) {
+			add(r.ID, r.Kind)
+		}
+	}
+	return changes
+}
+
+// releasePriority says how urgent the ends of a chunk's tasks are that have waited
+// so long; false if they are gathered, or can't be stored, for now.
+func (n *Node) releasePriority(c *chunkChange, changes map[string]*chunkChange, wait time.Duration) (releasePriority, bool) {
+	over, again := 0, false
+	for _, e := range c.events {
+		if e.Kind == jobs.Complete {
+			over++
+		} else {
+			again = true // it waits for a new start
+		}
+	}
+	j := c.job
+	last := j.Counts[jobs.Completed]+over == j.Record.Tasks
+	if n.busyJob[j.ID] || n.now().Before(n.notUntil[j.ID]) || !last && len(c.events) < len(j.Live) && wait < tuning.ReleaseGather {
+		return releaseRoutine, false
+	}
+	switch {
+	case last:
+		return releaseJobEnd, true
+	case j.Service() || again || wait > tuning.ReleaseLate || n.partOver(j, changes):
+		return releaseRestart, true
+	}
+	return releaseRoutine, true
+}
+
+// before orders ends by priority; routine ones by how many there are of the chunk;
+// then by age.
+func (r *pendingRelease) before(o *pendingRelease) bool {
+	if r.priority != o.priority {
+		return r.priority < o.priority
+	}
+	if len(r.events) != len(o.events) && r.priority == releaseRoutine {
+		return len(r.events) > len(o.events)
+	}
+	if !r.since.Equal(o.since) {
+		return r.since.Before(o.since)
+	}
+	return r.key < o.key
+}
+
+// partOver reports whether the ends that are due leave no task of the job on
+// this node's machines, and none waits: the node that stores the job's end
+// waits for these. Guards against jobs whose last end came 12 s late because
+// the ends on other nodes' machines were thought to free room only.
+func (n *Node) partOver(j *jobs.Job, due map[string]*chunkChange) bool {
+	if j.Counts[jobs.Pending] > 0 {
+		return false
+	}
+	for i, t := range j.Live {
+		if n.ownerOf(t.Host) != n.self.Label {
+			continue
+		}
+		c := due[jobs.ChunkKey(j.ID, i/j.Record.Chunk)]
+		if c == nil {
+			return false
+		}
+		if _, ends := c.events[i]; !ends {
+			return false
+		}
+	}
+	return true
+}
+
+// release adds the write of one chunk's ends, if the budget has room for it.
+func (n *Node) release(txns []*txn, d pendingRelease, most *float64) []*txn {
+	if *most < 1 || n.busyJob[d.job.ID] {
+		return txns
+	}
+	tasks, ok := d.apply()
+	if !ok {
+		return txns
+	}
+	t := n.newTxn("release")
+	t.guards[d.key] = n.cache.Version(d.key)
+	t.guards[jobs.JobKey(d.job.ID)] = n.cache.Version(jobs.JobKey(d.job.ID))
+	n.putChunk(t, d.chunkChange, d.key, tasks)
+	for id, e := range d.events {
+		t.note("task released", "task", jobs.TaskID{Job: d.job.ID, Task: id}, "as", string(e.Kind), "host", d.job.Live[id].Host)
+	}
+	return n.under(txns, t, d.job.ID, most)
+}
+
+// finished ends jobs whose chunks were completed by different owners; the
+// job's first node does it.
+func (n *Node) finished(txns []*txn, most *float64) []*txn {
+	for jobID, j := range n.table.Open {
+		if *most < 1 || !j.AllDone() || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
+			continue
+		}
+		t := n.newTxn("finish")
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), finalRecord(j, jobs.JobCompleted, n.now()))
+		txns = n.under(txns, t, jobID, most)
+	}
+	for jobID, j := range n.table.Unrecorded {
+		// It says nothing new: it lets intake records go, and tells old versions.
+		if *most < 2 || n.busyJob[jobID] || n.member.Order(jobID)[0] != n.self.Label {
+			continue
+		}
+		t := n.newTxn("cancelled with another")
+		t.guards[jobs.JobKey(jobID)] = n.cache.Version(jobs.JobKey(jobID))
+		t.set(jobs.JobKey(jobID), jobs.Record{Phase: j.Phase, At: j.Record.At, Tasks: j.Record.Tasks, Chunk: j.Record.Chunk, End: n.now().UnixMilli(), Via: j.Via})
+		txns = n.under(txns, t, jobID, most)
+	}
+	for key := range n.table.Intakes {
+		// Nothing needs it any more: guards against reading it for ever.
+		if *most >= 1 && !n.busyJob[key] && n.table.Over(key) && n.member.Order(key)[0] == n.self.Label {
+			t := n.newTxn("intake over")
+			t.guards[key] = n.cache.Version(key)
+			t.drop(key)
+			txns = n.under(txns, t, key, most)
+		}
+	}
+	return txns
+}
--- a/internal/server/scripted_test.go
+++ b/internal/server/scripted_test.go
@@ -219,14 +219,19 @@
 			_ = n.sync.Refresh(ctx)
 		}
 		x.pass(n)
-		for len(n.calls) > 0 {
-			time.Sleep(100 * time.Microsecond) // direct calls end at once
-		}
+		n.awaitCalls()
 	}
 	x.tell()
 	x.check()
 }
 
+// awaitCalls waits for the direct calls that are under way: they end at once.
+func (n *Node) awaitCalls() {
+	for len(n.calls) > 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
 // run lets the world go on for a while.
 func (x *trial) run(d time.Duration) {
 	x.t.Helper()
