--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -143,34 +143,27 @@
 
 // Touch renews a lease.
 func (c *Client) Touch(ctx context.Context, leaseID uint64) error {
-	if err := c.lim.Acquire(ctx, ClassLease, 0); err != nil {
-		return err
-	}
-	status, err := c.call("POST", fmt.Sprintf("/leases/%d/touch", leaseID), nil, nil, tuning.StateCallTimeout)
-	switch {
-	case err != nil:
-		return err
-	case status == 404:
-		return ErrNoLease
-	case status != 200:
-		return fmt.Errorf("%w: touch: status %d", ErrBad, status)
-	}
-	return nil
+	return c.ofLease(ctx, "POST", fmt.Sprintf("/leases/%d/touch", leaseID))
 }
 
 // End ends a lease at once.
 func (c *Client) End(ctx context.Context, leaseID uint64) error {
+	return c.ofLease(ctx, "DELETE", fmt.Sprintf("/leases/%d", leaseID))
+}
+
+// ofLease sends a request about a lease that has no answer but its status.
+func (c *Client) ofLease(ctx context.Context, method, path string) error {
 	if err := c.lim.Acquire(ctx, ClassLease, 0); err != nil {
 		return err
 	}
-	status, err := c.call("DELETE", fmt.Sprintf("/leases/%d", leaseID), nil, nil, tuning.StateCallTimeout)
+	status, err := c.call(method, path, nil, nil, tuning.StateCallTimeout)
 	switch {
 	case err != nil:
 		return err
 	case status == 404:
 		return ErrNoLease
 	case status != 200:
-		return fmt.Errorf("%w: end of a lease: status %d", ErrBad, status)
+		return fmt.Errorf("%w: %s %s: status %d", ErrBad, method, path, status)
 	}
 	return nil
 }
