Of the tasks that may be stopped, a node stops first what loses the least

Need: what a team gives back of borrowed room was chosen by rank and age of the job alone, so a task that had run for minutes went before one that had not begun. Change: with quota.reservations, the owner of the machine stops, within a rank, what has not begun, then what loses the least run time; a task that can save loses the time to save. Which machine is emptied goes by what every node knows, as before: nodes that chose by what only owners know would each choose another. Measured: TestWhatLosesTheLeastIsStoppedFirst; tests of server, place and fleet pass.

--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -83,12 +83,13 @@
 	Reported    uint64 // of the newest report; answers to direct calls come between
 	ShownToken  uint64 // highest that the worker has shown
 	Tasks       map[jobs.TaskID]wire.TaskReport
-	Heard       time.Time            // arrival of the last message
-	First       time.Time            // arrival of the first message
-	Answered    time.Time            // arrival of the last report that we answered with 200
-	ProvenAt    time.Time            // arrival of the message that proved the session
-	TakenAt     time.Time            // when the cloud takes the machine; zero: no notice
-	Stopping    map[jobs.TaskID]bool // tasks that we want off this machine
+	Began       map[jobs.TaskID]time.Time // arrival of the first message that showed the task running
+	Heard       time.Time                 // arrival of the last message
+	First       time.Time                 // arrival of the first message
+	Answered    time.Time                 // arrival of the last report that we answered with 200
+	ProvenAt    time.Time                 // arrival of the message that proved the session
+	TakenAt     time.Time                 // when the cloud takes the machine; zero: no notice
+	Stopping    map[jobs.TaskID]bool      // tasks that we want off this machine
 
 	// Token of our commands to this worker; the membership's, or above it once
 	// starts had to be made void (InvalidateStarts).
@@ -178,7 +179,7 @@
 
 // NewWorker returns the view of a machine that has not been heard.
 func NewWorker(host string) *Worker {
-	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.TaskID]wire.TaskReport{}, Stopping: map[jobs.TaskID]bool{},
+	return &Worker{Host: host, State: Unproven, Tasks: map[jobs.TaskID]wire.TaskReport{}, Began: map[jobs.TaskID]time.Time{}, Stopping: map[jobs.TaskID]bool{},
 		unanswered: map[sentStart]int{}, started: map[Attempt]uint64{}, Errors: map[string]bool{}, Sent: map[CommandKey]time.Time{}}
 }
 
@@ -258,9 +259,24 @@
 		}
 		w.Tasks[id] = s
 	}
+	w.noteBegun(now)
 	return true
 }
 
+// noteBegun notes since when the listed tasks have run.
+func (w *Worker) noteBegun(now time.Time) {
+	for id := range w.Began {
+		if w.Tasks[id].State != wire.TaskRunning {
+			delete(w.Began, id)
+		}
+	}
+	for id, s := range w.Tasks {
+		if _, noted := w.Began[id]; s.State == wire.TaskRunning && !noted {
+			w.Began[id] = now
+		}
+	}
+}
+
 // KeepStopping forgets the wish to stop tasks whose claim is released. Until
 // then it stands, also for an exited task: its room is about to be free, and
 // stopping others for the same room would be in vain.
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"time"
 
 	"wheatspur/internal/jobs"
 	"wheatspur/internal/tuning"
@@ -24,6 +25,7 @@
 	ID       jobs.TaskID
 	Job      *jobs.Job
 	Stopping bool
+	Began    time.Time // since when it runs, as its machine's owner knows; zero: it does not, or nobody knows here
 
 	evicted bool // Stopping was set by the pass
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -40,6 +40,10 @@
 	// MostJobs bounds the jobs that are placed in one pass, and with them its
 	// processor time; the rest has its turn when those are stored.
 	MostJobs int
+	// LeastLoss lets this node stop, on its own machines, those tasks first of a
+	// rank that lose the least by it. Which machine is emptied does not depend on
+	// it, since other nodes can't know.
+	LeastLoss bool
 
 	held  int  // priority from which borrowed room is kept for a guarantee; see one
 	scans int  // how often makeRoom may still look through the machines
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -1,7 +1,9 @@
 package place
 
 import (
+	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -443,3 +445,43 @@
 		t.Fatalf("%d claims", len(out.Claims))
 	}
 }
+
+// On its own machines a node stops what loses the least: what has not begun, what
+// can save, then what has run the shortest; never a lower rank after a higher, and
+// no more tasks than are needed. Other nodes' machines go by age alone.
+func TestWhatLosesTheLeastIsStoppedFirst(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	for _, owner := range []string{"a", "b"} {
+		m := machine("m", owner, "z", Batch, 4)
+		m.Free = jobs.Resources{}
+		began := []time.Duration{50 * time.Second, 300 * time.Second, 0, 400 * time.Second}
+		for i, ran := range began {
+			j := job(fmt.Sprintf("wk-%d", 10+i), wire.KindArray, wire.PriorityNormal, 1, nil)
+			j.Ready = int64(1000 * (i + 1))
+			if i == 1 {
+				j.Record.Spec.CheckpointS, j.Record.Spec.SaveS = 30, 4
+			}
+			r := Resident{ID: jobs.TaskID{Job: j.ID}, Job: j}
+			if ran > 0 {
+				r.Began = now.Add(-ran)
+			}
+			m.Tasks = append(m.Tasks, r)
+		}
+		m.Enter()
+		waiting := job("wk-1", wire.KindArray, wire.PriorityUrgent, 3, nil)
+		in := input("a", []*Machine{m}, waiting)
+		in.Now, in.LeastLoss = now, true
+		in.Teams["x"] = &quota.Allowance{}
+		var stopped []string
+		for _, e := range Pass(in).Evict {
+			stopped = append(stopped, e.ID.Job)
+		}
+		want := []string{"wk-12", "wk-11", "wk-10"}
+		if owner == "b" {
+			want = nil // its owner stops them
+		}
+		if !slices.Equal(stopped, want) {
+			t.Errorf("on a machine of %s: %v are stopped, want %v", owner, stopped, want)
+		}
+	}
+}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"wheatspur/internal/jobs"
 )
@@ -61,7 +62,7 @@
 			if d.PreemptedFor {
 				continue
 			}
-			if list := in.victims(d, m, room); list != nil && (best == nil || len(list) < len(victims)) {
+			if list := in.victims(d, m, room, younger); list != nil && (best == nil || len(list) < len(victims)) {
 				best, victims = m, list
 			}
 		}
@@ -106,6 +107,9 @@
 // preempt stops tasks of the machine and reserves their room for one task of
 // the demand.
 func (in *Input) preempt(d *Demand, m *Machine, victims []Resident, out *Output) {
+	if in.LeastLoss && m.Owner == in.Me {
+		victims = in.victims(d, m, m.Free.Add(m.Freeing), in.cheaper)
+	}
 	in.Fleet.change(m)
 	for _, victim := range victims {
 		m.markEvicted(victim.ID)
@@ -127,9 +131,36 @@
 	}
 }
 
-// victims is the shortest list of tasks whose stop makes room for a task of
-// the job, the lowest priority and the youngest first; nil if there is none.
-func (in *Input) victims(d *Demand, m *Machine, room jobs.Resources) []Resident {
+// younger orders the tasks of a rank that could be stopped by the age of their
+// jobs, which every node knows: the youngest first.
+func younger(a, b *Resident) bool { return a.Job.Ready > b.Job.Ready }
+
+// cheaper orders the tasks of a rank that could be stopped on this node's machines:
+// those that have not begun first, then by what a stop loses.
+func (in *Input) cheaper(a, b *Resident) bool {
+	if x, y := in.loss(a), in.loss(b); x != y {
+		return x < y
+	}
+	return younger(a, b)
+}
+
+// loss is the run time that a stop of the task loses: all of it, or what it takes
+// to save for a task that can.
+func (in *Input) loss(r *Resident) time.Duration {
+	if r.Began.IsZero() {
+		return 0
+	}
+	ran := in.Now.Sub(r.Began)
+	if spec := r.Job.Record.Spec; spec != nil && spec.CheckpointS > 0 {
+		ran = min(ran, time.Duration(spec.SaveS*float64(time.Second)))
+	}
+	return ran
+}
+
+// victims is the shortest list of tasks whose stop makes room for a task of the
+// job, the lowest priority first, and in a rank in the given order; nil if there
+// is none.
+func (in *Input) victims(d *Demand, m *Machine, room jobs.Resources, before func(a, b *Resident) bool) []Resident {
 	var list []Resident
 	for _, r := range m.Tasks {
 		if !r.Stopping && in.mayPreempt(d, r) {
@@ -140,7 +171,7 @@
 		if ra, rb := list[a].Job.Priority, list[b].Job.Priority; ra != rb {
 			return ra > rb
 		}
-		return list[a].Job.Ready > list[b].Job.Ready
+		return before(&list[a], &list[b])
 	})
 	for i, r := range list {
 		if room = room.Add(r.Job.Need); d.Job.Need.Fits(room) {
--- a/internal/server/fleetview.go
+++ b/internal/server/fleetview.go
@@ -231,7 +231,11 @@
 	m.Tasks = m.Tasks[:0]
 	for id, j := range n.table.Hosts[m.Name] {
 		stopping := j.Phase != jobs.Open || n.workers[m.Name] != nil && n.workers[m.Name].Leaves(id)
-		m.Tasks = append(m.Tasks, place.Resident{ID: id, Job: j, Stopping: stopping})
+		resident := place.Resident{ID: id, Job: j, Stopping: stopping}
+		if m.worker != nil {
+			resident.Began = m.worker.Began[id]
+		}
+		m.Tasks = append(m.Tasks, resident)
 		if stopping {
 			m.Freeing = m.Freeing.Add(j.Need)
 		}
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -188,7 +188,8 @@
 // placeInput builds the pass's input; mu is held.
 func (n *Node) placeInput(fleet *place.Fleet, now time.Time) place.Input {
 	in := place.Input{Me: n.self.Label, Leader: n.member.Leader.Label, Order: n.member.Order,
-		Fleet: fleet, Teams: n.allowances(), Now: now, MostJobs: tuning.JobsPerPass}
+		Fleet: fleet, Teams: n.allowances(), Now: now, MostJobs: tuning.JobsPerPass,
+		LeastLoss: n.set.Operator.QuotaReservations}
 	avoid := map[string]map[string]bool{}
 	for host, w := range n.failing {
 		for jobID := range w.Errors {
