--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"sync"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/wire"
+)
+
+// Cloud is a stand-in for the cloud that has no capacity beside the machines it
+// lists. It implements fleet.Cloud.
+type Cloud struct {
+	Mu        sync.Mutex // guards all below
+	Machines  []wire.MachineType
+	Listed    []wire.Host
+	Returned  []string
+	Rentals   []wire.RentRequest
+	OnReturn  func(hosts []string) // called with Mu held; nil: by nobody
+	keepsList bool
+}
+
+// NewCloud returns a cloud with the types of machines. With keepsList, machines
+// stay listed when they are returned.
+func NewCloud(types []wire.MachineType, keepsList bool) *Cloud {
+	return &Cloud{Machines: types, keepsList: keepsList}
+}
+
+// Types lists the types of machines.
+func (c *Cloud) Types() ([]wire.MachineType, error) { return c.Machines, nil }
+
+// Rent notes the request and refuses it.
+func (c *Cloud) Rent(r wire.RentRequest) ([]string, error) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	c.Rentals = append(c.Rentals, r)
+	return nil, fleet.ErrNoCapacity
+}
+
+// Return takes machines back.
+func (c *Cloud) Return(hosts []string) error {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	c.Returned = append(c.Returned, hosts...)
+	if c.OnReturn != nil {
+		c.OnReturn(hosts)
+	}
+	if c.keepsList {
+		return nil
+	}
+	gone := map[string]bool{}
+	for _, host := range hosts {
+		gone[host] = true
+	}
+	var left []wire.Host
+	for _, h := range c.Listed {
+		if !gone[h.Name] {
+			left = append(left, h)
+		}
+	}
+	c.Listed = left
+	return nil
+}
+
+// List lists the machines.
+func (c *Cloud) List() ([]wire.Host, error) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	return c.Listed, nil
+}
--- /dev/null
+++ b/internal/standin/cluster/quota_race_test.go
@@ -0,0 +1,329 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"wheatspur/internal/config"
+	"wheatspur/internal/standin"
+	"wheatspur/wire"
+)
+
+func TestMain(m *testing.M) {
+	Main()
+	os.Exit(m.Run())
+}
+
+// Variables that make the race longer than in CI, and choose its seed and the
+// operators' properties:
+//
+//	WHEATSPUR_RACE_FOR=1h WHEATSPUR_RACE_SEED=7 go test -run TestRaceOfAdmissions -timeout 90m -v ./internal/standin/cluster
+const (
+	raceFor        = "WHEATSPUR_RACE_FOR"
+	raceSeed       = "WHEATSPUR_RACE_SEED"
+	raceProperties = "WHEATSPUR_RACE_PROPERTIES"
+)
+
+// raceLimits are the GPUs that each team may use at once: less than the
+// machines have, so that every team is at its limit most of the time.
+var raceLimits = map[string]float64{"x": 7, "y": 5, "z": 11}
+
+// race is users that submit more than the limits allow, and troubles.
+type race struct {
+	*Cluster
+	t       *testing.T
+	checker *standin.UsageChecker
+	random  *rand.Rand
+	client  fasthttp.Client
+
+	mu       sync.Mutex
+	runs     map[string]time.Duration // of a job's tasks
+	accepted map[string]time.Time
+	begun    map[string]bool
+	waits    *hdrhistogram.Histogram // from acceptance to the first start, in milliseconds
+	serial   int
+	kills    int
+	cuts     int
+}
+
+func newRace(t *testing.T, seed uint64, properties string) *race {
+	t.Helper()
+	r := &race{t: t, checker: standin.NewUsageChecker(raceLimits), random: rand.New(rand.NewPCG(seed, 1)), runs: map[string]time.Duration{},
+		accepted: map[string]time.Time{}, begun: map[string]bool{}, waits: hdrhistogram.New(1, 600_000, 3)}
+	var teams []config.Team
+	for _, name := range []string{"x", "y", "z"} {
+		teams = append(teams, config.Team{Name: name, GPUsMax: raceLimits[name]})
+	}
+	cluster, err := Start(t.TempDir(), Options{Controllers: 5, Machines: 8, Teams: teams, Properties: properties, Seed: seed,
+		Types:  []wire.MachineType{{Label: "g", CPUs: 64, GPUs: 8, RAMGB: 64, FetchGBPerS: 10, Price: 1, SpotPrice: 1, StartupS: 30, Zones: []string{"z"}}},
+		Begins: r.begins,
+		Ended:  func(_ *standin.Worker, t *standin.Task) { r.checker.Ends(t.TaskReport.Task, t.JobID) },
+	}, r.checker.Applied)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Cluster = cluster
+	t.Cleanup(cluster.Close)
+	return r
+}
+
+// begins takes the start of a task and says how long it runs.
+func (r *race) begins(w *standin.Worker, t *standin.Task) time.Duration {
+	r.checker.Starts(w.Host, t.TaskReport.Task, t.JobID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.accepted[t.JobID]; ok && !r.begun[t.JobID] {
+		r.begun[t.JobID] = true
+		_ = r.waits.RecordValue(max(1, time.Since(at).Milliseconds()))
+	}
+	return r.runs[t.JobID]
+}
+
+// post sends a user's request to a controller; 0 if there is no answer.
+func (r *race) post(controller int, path string, body any) (int, wire.Status) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + r.Address(controller) + path)
+	if body != nil {
+		req.Header.SetMethod("POST")
+		req.SetBody(wire.MustMarshal(body))
+	}
+	var status wire.Status
+	if err := r.client.DoTimeout(req, resp, 2*time.Second); err != nil {
+		return 0, status
+	}
+	_ = wire.Unmarshal(resp.Body(), &status)
+	return resp.StatusCode(), status
+}
+
+// submit submits a job until a controller has accepted it, at one after the
+// other.
+func (r *race) submit(ctx context.Context, spec wire.JobSpec, runs time.Duration, first int) {
+	r.mu.Lock()
+	r.runs[spec.ID] = runs
+	r.mu.Unlock()
+	r.checker.Submitted(spec)
+	for try := 0; ctx.Err() == nil; try++ {
+		if status, _ := r.post((first+try)%len(r.controllers), "/work", spec); status == 200 || status == 201 {
+			r.mu.Lock()
+			r.accepted[spec.ID] = time.Now()
+			r.mu.Unlock()
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// job is a job of a few tasks, or now and then as large as its team's limit.
+func (r *race) job() (wire.JobSpec, time.Duration) {
+	r.serial++
+	team := []string{"x", "y", "z"}[r.random.IntN(3)]
+	tasks := 1 + r.random.IntN(4)
+	if r.random.IntN(12) == 0 {
+		tasks = int(raceLimits[team])
+	}
+	spec := wire.JobSpec{ID: fmt.Sprintf("wk-%d", r.serial), Class: "c", Team: team, Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: tasks, CPUs: 1, GPUs: 1, RAMGB: 1, Image: "img", ImageGB: 1, Spot: true, EstimateS: 1}
+	return spec, time.Duration(50+r.random.IntN(500)) * time.Millisecond
+}
+
+// users keeps submitting while not too much waits.
+func (r *race) users(ctx context.Context) {
+	var submissions sync.WaitGroup
+	defer submissions.Wait()
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(20+r.random.IntN(80)) * time.Millisecond)
+		r.mu.Lock()
+		waiting := len(r.accepted) - len(r.begun)
+		r.mu.Unlock()
+		if waiting > 40 {
+			continue
+		}
+		for range 1 + r.random.IntN(3) { // in the same instant, at different controllers
+			spec, runs := r.job()
+			first := r.random.IntN(len(r.controllers))
+			submissions.Go(func() { r.submit(ctx, spec, runs, first) })
+		}
+	}
+}
+
+// pause waits for a while between two times, or until ctx ends.
+func pause(ctx context.Context, random *rand.Rand, least, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(least + time.Duration(random.Int64N(int64(most-least)))):
+	}
+}
+
+// count adds one to a number that other goroutines may read.
+func (r *race) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
+// killControllers kills one controller after the other.
+func (r *race) killControllers(ctx context.Context, random *rand.Rand) {
+	for pause(ctx, random, time.Second, 5*time.Second); ctx.Err() == nil; pause(ctx, random, time.Second, 5*time.Second) {
+		i := random.IntN(len(r.controllers))
+		if !r.Kill(i) {
+			r.t.Errorf("%s had ended by itself", r.Label(i))
+		}
+		r.count(&r.kills)
+		pause(ctx, random, 50*time.Millisecond, 1500*time.Millisecond)
+		if err := r.StartController(i); err != nil {
+			r.t.Error(err)
+		}
+	}
+}
+
+// cutStore lets the link of one controller to the state service fail at a time.
+func (r *race) cutStore(ctx context.Context, random *rand.Rand) {
+	faults := []standin.Faults{{Refuse: true}, {Cut: true}, {Lost: 0.5}, {Late: 0.5}, {Lost: 0.2, Late: 0.2, Delay: 30 * time.Millisecond}}
+	for pause(ctx, random, 300*time.Millisecond, 2*time.Second); ctx.Err() == nil; pause(ctx, random, 300*time.Millisecond, 2*time.Second) {
+		link := r.State(random.IntN(len(r.controllers)))
+		link.Set(faults[random.IntN(len(faults))])
+		r.count(&r.cuts)
+		pause(ctx, random, 500*time.Millisecond, 4*time.Second)
+		link.Set(standin.Faults{})
+	}
+}
+
+// cutMachines lets one machine not reach one controller at a time.
+func (r *race) cutMachines(ctx context.Context, random *rand.Rand) {
+	for pause(ctx, random, 300*time.Millisecond, 2*time.Second); ctx.Err() == nil; pause(ctx, random, 300*time.Millisecond, 2*time.Second) {
+		link := r.Machines[random.IntN(len(r.Machines))].Link(r.Label(random.IntN(len(r.controllers))))
+		link.Set(standin.Faults{Cut: true})
+		r.count(&r.cuts)
+		pause(ctx, random, 500*time.Millisecond, 8*time.Second)
+		link.Set(standin.Faults{})
+	}
+}
+
+// unfinished lists accepted jobs that no controller calls done.
+func (r *race) unfinished() (out []string) {
+	r.mu.Lock()
+	jobIDs := make([]string, 0, len(r.accepted))
+	for jobID := range r.accepted {
+		jobIDs = append(jobIDs, jobID)
+	}
+	r.mu.Unlock()
+	for i, jobID := range jobIDs {
+		if status, answer := r.post(i%len(r.controllers), "/work/"+jobID, nil); status != 200 || answer.State != wire.StateDone {
+			out = append(out, fmt.Sprintf("%s (%d %s)", jobID, status, answer.State))
+		}
+	}
+	return out
+}
+
+// Five controllers admit work of three teams, each with more waiting than its
+// limit allows, while controllers are killed and links fail. No limit is
+// exceeded, by claims in the state service or by tasks on the machines; the
+// limits are reached; and everything that was accepted is done in the end.
+func TestRaceOfAdmissions(t *testing.T) {
+	length, seed := 10*time.Second, uint64(1)
+	if text := os.Getenv(raceFor); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		length = d
+	}
+	if text := os.Getenv(raceSeed); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seed = n
+	}
+	r := newRace(t, seed, os.Getenv(raceProperties))
+	ctx, stop := context.WithTimeout(context.Background(), length)
+	defer stop()
+	var all sync.WaitGroup
+	all.Go(func() { r.users(ctx) })
+	for i, trouble := range []func(context.Context, *rand.Rand){r.killControllers, r.cutStore, r.cutMachines} {
+		all.Go(func() { trouble(ctx, rand.New(rand.NewPCG(seed, uint64(10+i)))) })
+	}
+	for ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		if seen := r.checker.Seen(); len(seen.Faults) > 0 {
+			t.Fatalf("%d faults: %v", len(seen.Faults), seen.Faults[:min(5, len(seen.Faults))])
+		}
+	}
+	all.Wait()
+	left := r.unfinished()
+	for deadline := time.Now().Add(60 * time.Second); len(left) > 0 && time.Now().Before(deadline); left = r.unfinished() {
+		time.Sleep(500 * time.Millisecond)
+	}
+	seen := r.checker.Seen()
+	if len(seen.Faults) > 0 {
+		t.Fatalf("%d faults: %v", len(seen.Faults), seen.Faults[:min(5, len(seen.Faults))])
+	}
+	if len(left) > 0 {
+		t.Fatalf("%d of %d accepted jobs are not done: %v", len(left), len(r.accepted), left[:min(10, len(left))])
+	}
+	for team, limit := range raceLimits {
+		if seen.Highest[team] < limit {
+			t.Errorf("%s never had more than %v of %v: its limit was not tested", team, seen.Highest[team], limit)
+		}
+		if seen.Claimed[team] != 0 {
+			t.Errorf("%s has claims of %v GPUs when all is done", team, seen.Claimed[team])
+		}
+	}
+	if least := int(length.Seconds()); seen.Admitted < 2*least || r.kills < 1 || r.cuts < 2 {
+		t.Errorf("%d admissions, %d kills and %d cuts in %v: too few to test anything", seen.Admitted, r.kills, r.cuts, length)
+	}
+	t.Logf("seed %d, %v: %d jobs, %d admissions, %d starts, %d kills, %d cuts; most claimed %v of %v; wait from acceptance to first start p50 %d ms p90 %d ms p99 %d ms max %d ms",
+		seed, length, len(r.accepted), seen.Admitted, seen.Started, r.kills, r.cuts, seen.Highest, raceLimits,
+		r.waits.ValueAtQuantile(50), r.waits.ValueAtQuantile(90), r.waits.ValueAtQuantile(99), r.waits.Max())
+}
+
+// The checker must see what it is there for.
+func TestTheUsageCheckerSeesPlantedViolations(t *testing.T) {
+	spec := wire.JobSpec{ID: "wk-1", Team: "x", GPUs: 2}
+	chunk := func(claimed int) []wire.Change {
+		tasks := make([][5]any, claimed)
+		for i := range tasks {
+			tasks[i] = [5]any{1, 1, "host", 1, 0}
+		}
+		return []wire.Change{{Set: "w/task/wk-1/0", Value: wire.MustMarshal(map[string]any{"t": tasks})}}
+	}
+	for name, plant := range map[string]func(*standin.UsageChecker){
+		"claims beyond the limit": func(u *standin.UsageChecker) { u.Applied(chunk(4)) },
+		"a task on two machines": func(u *standin.UsageChecker) {
+			u.Starts("h1", "wk-1/0", "wk-1")
+			u.Starts("h2", "wk-1/0", "wk-1")
+		},
+		"tasks beyond the limit": func(u *standin.UsageChecker) {
+			for i := range 4 {
+				u.Starts("h1", fmt.Sprintf("wk-1/%d", i), "wk-1")
+			}
+		},
+		"a job that nobody submitted": func(u *standin.UsageChecker) {
+			u.Applied([]wire.Change{{Set: "w/task/wk-2/0", Value: wire.MustMarshal(map[string]any{"t": []any{}})}})
+		},
+	} {
+		checker := standin.NewUsageChecker(map[string]float64{"x": 7})
+		checker.Submitted(spec)
+		checker.Applied(chunk(3))
+		checker.Starts("h1", "wk-1/7", "wk-1")
+		checker.Ends("wk-1/7", "wk-1")
+		if seen := checker.Seen(); len(seen.Faults) != 0 || seen.Admitted != 3 || seen.Highest["x"] != 6 {
+			t.Errorf("%s: before it: %+v", name, seen)
+		}
+		plant(checker)
+		if len(checker.Seen().Faults) == 0 {
+			t.Errorf("%s is not seen", name)
+		}
+	}
+}
