--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -115,6 +115,9 @@
 	QuotaTransfers   bool
 
 	QuotaReservations bool
+
+	RecoveryHold   bool
+	RecoveryStarts int // a second; 0: no bound
 }
 
 // DefaultOperator returns the defaults of package tuning.
@@ -279,6 +282,8 @@
 		return fmt.Errorf("%q is none of error, warn, info, debug", v)
 	}, "error, warn, info or debug; LOG_LEVEL wins"},
 	"roles.advisory":      flag(func(o *Operator) *bool { return &o.RoleAdvisory }, "record proposals, move nothing"),
+	"recovery.hold":       flag(func(o *Operator) *bool { return &o.RecoveryHold }, "nothing is stopped, moved or rented while machines have not reported after a start"),
+	"recovery.starts":     whole(0, 100000, func(o *Operator) *int { return &o.RecoveryStarts }, "starts of tasks a second and node while it recovers, 0: no bound"),
 	"quota.reservations":  flag(func(o *Operator) *bool { return &o.QuotaReservations }, "the leader stores how long teams have waited within their guarantees"),
 	"quota.transfers":     flag(func(o *Operator) *bool { return &o.QuotaTransfers }, "nodes give shares of a team's limit that they do not need to one that is short"),
 	"roles.expand":        number(0.01, 100, func(o *Operator) *float64 { return &o.RoleExpand }, "batch load that permits a mixed-pressure move"),
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/recovery"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -120,7 +121,12 @@
 
 // KeyOf returns the key of a command.
 func KeyOf(o wire.Command) CommandKey {
-	return CommandKey{o.Verb, o.Task + "#" + strconv.FormatUint(o.Attempt, 10)}
+	return CommandKey{o.Verb, commandTask(o.Task, o.Attempt)}
+}
+
+// commandTask names an attempt of a task in a command's key.
+func commandTask(task string, attempt uint64) string {
+	return task + "#" + strconv.FormatUint(attempt, 10)
 }
 
 // Copy reports whether a report is a late copy of one that this node has seen,
@@ -415,72 +421,118 @@
 	return w.NoPendingCommands && w.nothingToProve && len(w.Stopping) == 0 && len(w.unanswered) == 0
 }
 
+// claimOf is a claim on the machine as package recovery takes it; j is nil if there
+// is none.
+func claimOf(j *jobs.Job, t jobs.Task) recovery.Claim {
+	if j == nil {
+		return recovery.Claim{}
+	}
+	return recovery.Claim{Stored: true, Open: j.Phase == jobs.Open, Cancelled: j.Phase == jobs.Cancelled, Attempt: t.Attempt, Session: t.Session}
+}
+
+// listedOf is a task of a report as package recovery takes it.
+func listedOf(s wire.TaskReport, on bool) recovery.Listed {
+	l := recovery.Listed{Attempt: s.Attempt}
+	switch {
+	case !on:
+		return recovery.Listed{}
+	case s.State == wire.TaskExited:
+		l.State = recovery.Exited
+	case s.State == wire.TaskFlushing:
+		l.State = recovery.Saving
+	default:
+		l.State = recovery.Alive
+	}
+	switch s.ExitCause {
+	case wire.ExitCauseDone:
+		l.Cause = recovery.ExitDone
+	case wire.ExitCauseError, wire.ExitCauseUnknown:
+		l.Cause = recovery.ExitFailed
+	}
+	return l
+}
+
+// session is the worker's session as package recovery takes it.
+func (w *Worker) session() recovery.Session {
+	s := recovery.Session{Number: w.Session}
+	switch w.State {
+	case Proven:
+		s.State = recovery.Proven
+	case Expired:
+		s.State = recovery.Ended
+	}
+	return s
+}
+
 // Proofs returns the claims on the machine whose attempts have surely ended.
 // claims are those stored for this machine.
 func (w *Worker) Proofs(claims map[jobs.TaskID]*jobs.Job, now time.Time, lease time.Duration) []Release {
-	over := w.LeaseOver(now, lease)
+	w.LeaseOver(now, lease)
+	session := w.session()
 	var out []Release
 	defer func() { w.nothingToProve = len(out) == 0 }()
 	for id, j := range claims {
 		t := j.Live[id.Task]
-		switch s, on := w.Tasks[id]; {
-		case over && t.Session <= w.Session:
-			out = append(out, Release{id, jobs.Release, "lease ended"})
-		case w.State != Proven:
-			// A former owner's commands may still be under way.
-		case t.Session < w.Session:
-			out = append(out, Release{id, jobs.Release, "new session"})
-		case on && s.Attempt == t.Attempt && s.State == wire.TaskExited:
-			kind := jobs.Release
-			switch s.ExitCause {
-			case wire.ExitCauseDone:
-				kind = jobs.Complete
-			case wire.ExitCauseError, wire.ExitCauseUnknown:
-				kind = jobs.Fail
-			}
-			out = append(out, Release{id, kind, s.ExitCause})
-		case j.Phase == jobs.Cancelled && (!on || s.Attempt < t.Attempt) && w.neverRan(Attempt{id, t.Attempt}):
-			// Nobody starts a cancelled job's task any more. Guards against a
-			// claim that counted against its team, and filled its machine, for
-			// as long as the machine's session lasted.
-			out = append(out, Release{id, jobs.Release, "never started"})
+		s, on := w.Tasks[id]
+		session.NeverRan = j.Phase == jobs.Cancelled && w.neverRan(Attempt{id, t.Attempt})
+		record, reason := recovery.Proof(claimOf(j, t), listedOf(s, on), session)
+		if record == recovery.NoRecord {
+			continue
 		}
-	}
-	sort.Slice(out, func(a, b int) bool {
-		if out[a].ID.Job != out[b].ID.Job {
-			return out[a].ID.Job < out[b].ID.Job
+		cause := string(reason)
+		if reason == recovery.ReasonExited {
+			cause = s.ExitCause
 		}
-		return out[a].ID.Task < out[b].ID.Task
-	})
+		out = append(out, Release{id, releaseKinds[record], cause})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID.Less(out[b].ID) })
 	return out
 }
 
-// Commands returns the commands that the stored claims call for. mayStart is
-// false while the state service can't be read. Reaps in it may travel in
-// report responses only: a start in the response to an earlier report is then
-// surely over, while a direct reap could overtake it.
-func (w *Worker) Commands(claims map[jobs.TaskID]*jobs.Job, mayStart bool) []wire.Command {
+// releaseKinds are the events of a claim's task that the proofs lead to.
+var releaseKinds = map[recovery.Record]jobs.TaskEventKind{
+	recovery.RecordDone: jobs.Complete, recovery.RecordFailed: jobs.Fail, recovery.RecordFree: jobs.Release,
+}
+
+// Channel is a way to tell a worker something.
+type Channel int
+
+// Channels to a worker.
+const (
+	InAnswer Channel = iota // the answer to a report
+	Direct                  // a call of ours
+)
+
+// CommandOptions say how commands are about to go, and which starts may.
+type CommandOptions struct {
+	Channel  Channel
+	MayStart bool // the state service can be read
+	Now      time.Time
+	// AwaitCall keeps a start out of an answer while a direct call that holds it
+	// has just been sent.
+	AwaitCall bool
+	// Resend is how long a start that went directly is not sent so again.
+	Resend time.Duration
+	// Repeat is how long a start that went in an answer to a report is not sent
+	// again directly: until the next report shows what came of it.
+	Repeat time.Duration
+	// Admit takes a start that is due from the rate of starts; false if it has to
+	// wait. nil: there is no bound.
+	Admit func(j *jobs.Job) bool
+}
+
+// Commands returns the commands that the stored claims call for. postponed says
+// that there are starts which have to wait, or are under way. Reaps in it may
+// travel in report responses only: a start in the response to an earlier report
+// is then surely over, while a direct reap could overtake it.
+func (w *Worker) Commands(claims map[jobs.TaskID]*jobs.Job, o CommandOptions) (out []wire.Command, postponed bool) {
 	if w.State == Expired {
-		return nil
+		return nil, false
 	}
-	var out []wire.Command
-	ids := make([]jobs.TaskID, 0, len(claims)+len(w.Tasks))
-	for id := range claims {
-		if _, on := w.Tasks[id]; !on {
-			ids = append(ids, id)
-		}
-	}
-	for id := range w.Tasks {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool {
-		if ids[a].Job != ids[b].Job {
-			return ids[a].Job < ids[b].Job
-		}
-		return ids[a].Task < ids[b].Task
-	})
+	session := w.session()
+	session.MayStart = o.MayStart
 	zero := 0.0
-	for _, id := range ids {
+	for _, id := range w.taskIDs(claims) {
 		if len(out) >= tuning.TasksPerMachine {
 			break // the next answer holds the rest
 		}
@@ -490,37 +542,66 @@
 			t = j.Live[id.Task]
 		}
 		s, on := w.Tasks[id]
-		wanted := j != nil && t.Session == w.Session && j.Phase == jobs.Open
-		switch {
-		case wanted && (!on || s.Attempt < t.Attempt):
-			if on && s.State != wire.TaskExited {
-				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
-			} else if on && !w.mayStart(Attempt{id, s.Attempt}) && w.State == Proven {
-				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
-			}
-			if mayStart {
-				out = append(out, wire.Command{Verb: wire.VerbStart, Task: id.String(), Attempt: t.Attempt})
-			}
-		case !on:
-		case s.State == wire.TaskExited:
-			// Reap only once the release is stored: no claim names the attempt.
-			if (j == nil || t.Attempt != s.Attempt) && w.State == Proven && !w.mayStart(Attempt{id, s.Attempt}) {
-				out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
-			}
-		case wanted && s.Attempt == t.Attempt:
-			if w.Stopping[id] && s.State != wire.TaskFlushing {
-				leeway := 0.0
-				if w := j.Record.Spec; w != nil {
-					leeway = w.SaveS
-				}
-				out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &leeway})
-			}
-		default:
-			// No stored claim covers it, or its job is over.
+		session.StartHeld = on && w.mayStart(Attempt{id, s.Attempt})
+		session.Stopping = w.Stopping[id]
+		d := recovery.Orders(claimOf(j, t), listedOf(s, on), session)
+		switch d.Stop {
+		case recovery.Kill:
 			out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &zero})
+		case recovery.KillSaving:
+			grace := 0.0
+			if spec := j.Record.Spec; spec != nil {
+				grace = spec.SaveS
+			}
+			out = append(out, wire.Command{Verb: wire.VerbKill, Task: s.Task, Attempt: s.Attempt, GracePeriodS: &grace})
+		case recovery.Reap:
+			out = append(out, wire.Command{Verb: wire.VerbReap, Task: s.Task, Attempt: s.Attempt})
+		}
+		if !d.Start {
+			continue
+		}
+		if w.startUnderWay(Attempt{id, t.Attempt}, o) || o.Admit != nil && !o.Admit(j) {
+			postponed = true
+			continue
 		}
+		out = append(out, wire.Command{Verb: wire.VerbStart, Task: id.String(), Attempt: t.Attempt})
 	}
-	return out
+	return out, postponed
+}
+
+// startUnderWay reports whether a start of the attempt has gone to the worker,
+// and what came of it will show by itself: a direct call that has not ended, or
+// the answer to a report that no later one has followed. Guards against telling
+// workers twice what they are about to do: after an outage of all nodes, a fifth
+// of the starts were.
+func (w *Worker) startUnderWay(a Attempt, o CommandOptions) bool {
+	if o.Channel == InAnswer {
+		// The report is newer than any answer before it. A call that takes long
+		// may never arrive, while answers do.
+		return o.AwaitCall && w.Calling && w.mayStart(a) && o.Now.Sub(w.Called) < tuning.StartCallGrace
+	}
+	start := CommandKey{wire.VerbStart, commandTask(a.ID.String(), a.Number)}
+	if sent, ok := w.Sent[start]; ok && o.Now.Sub(sent) <= o.Resend {
+		return true
+	}
+	_, answered := w.started[a]
+	return answered && o.Now.Sub(w.Answered) < o.Repeat
+}
+
+// taskIDs lists the tasks that are claimed for the machine or listed by it, in
+// order.
+func (w *Worker) taskIDs(claims map[jobs.TaskID]*jobs.Job) []jobs.TaskID {
+	ids := make([]jobs.TaskID, 0, len(claims)+len(w.Tasks))
+	for id := range claims {
+		if _, on := w.Tasks[id]; !on {
+			ids = append(ids, id)
+		}
+	}
+	for id := range w.Tasks {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a].Less(ids[b]) })
+	return ids
 }
 
 // Starts lists the attempts that a list of commands starts.
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -174,4 +174,12 @@
 	Task int
 }
 
+// Less orders tasks by job and number.
+func (id TaskID) Less(o TaskID) bool {
+	if id.Job != o.Job {
+		return id.Job < o.Job
+	}
+	return id.Task < o.Task
+}
+
 func (id TaskID) String() string { return fmt.Sprintf("%s/%d", id.Job, id.Task) }
--- a/internal/peer/fb/Status.go
+++ b/internal/peer/fb/Status.go
@@ -205,8 +205,20 @@
 	return rcv._tab.MutateUint64Slot(30, n)
 }
 
+func (rcv *Status) Recovering() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Status) MutateRecovering(n bool) bool {
+	return rcv._tab.MutateBoolSlot(32, n)
+}
+
 func StatusStart(builder *flatbuffers.Builder) {
-	builder.StartObject(14)
+	builder.StartObject(15)
 }
 func StatusAddLabel(builder *flatbuffers.Builder, label flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(label), 0)
@@ -253,6 +265,9 @@
 func StatusAddCancelled(builder *flatbuffers.Builder, cancelled uint64) {
 	builder.PrependUint64Slot(13, cancelled, 0)
 }
+func StatusAddRecovering(builder *flatbuffers.Builder, recovering bool) {
+	builder.PrependBoolSlot(14, recovering, false)
+}
 func StatusEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,6 +55,8 @@
 	// it Counts them: earlier versions don't.
 	Counts    bool
 	Cancelled uint64
+	// Recovering says that the sender does not know its machines yet.
+	Recovering bool
 }
 
 // Seen is the view that a node has of another node's machines.
@@ -99,6 +101,7 @@
 	fb.StatusAddHosts(b, vec)
 	fb.StatusAddCounts(b, s.Counts)
 	fb.StatusAddCancelled(b, s.Cancelled)
+	fb.StatusAddRecovering(b, s.Recovering)
 	b.Finish(fb.StatusEnd(b))
 	return b.FinishedBytes()
 }
@@ -136,7 +139,7 @@
 	}
 	f := fb.GetRootAsStatus(b, 0)
 	s = Status{Label: string(f.Label()), Incarnation: f.Incarnation(), Token: f.Baton(), Revision: f.Epoch(), HasState: f.HasState(),
-		Counts: f.Counts(), Cancelled: f.Cancelled(), QueuedChanges: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
+		Counts: f.Counts(), Cancelled: f.Cancelled(), Recovering: f.Recovering(), QueuedChanges: f.Want(), View: f.View(), Whole: f.Whole(), Seen: Seen{f.Seen(), f.SeenBaton(), f.SeenIncarnation()}}
 	if f.HostsLength() > len(b)/4 {
 		return Status{}, ErrMalformed
 	}
--- /dev/null
+++ b/internal/recovery/pacer.go
@@ -0,0 +1,66 @@
+package recovery
+
+import "time"
+
+// Class orders starts by what they protect.
+type Class int
+
+// Classes of starts, the most urgent first.
+const (
+	ServiceStart Class = iota
+	ArrayStart
+	classes
+)
+
+// Backlog is how many starts wait, by class.
+type Backlog [classes]int
+
+// Total is the sum of all classes.
+func (b Backlog) Total() (sum int) {
+	for _, k := range b {
+		sum += k
+	}
+	return sum
+}
+
+// Pacer bounds the rate of starts of one node: so many a second, and at most a
+// second's worth at once. Starts of a class leave what more urgent ones that wait
+// need. Orders that protect limits and cancellations, kills and reaps, are not
+// paced. The zero value lets everything pass.
+type Pacer struct {
+	rate   float64 // starts a second; 0: no bound
+	tokens float64
+	at     time.Time // of the last refill
+	left   Backlog
+}
+
+// NewPacer returns a pacer of a rate.
+func NewPacer(rate float64, now time.Time) *Pacer {
+	return &Pacer{rate: rate, tokens: rate, at: now}
+}
+
+// SetBacklog tells how many starts wait of each class.
+func (p *Pacer) SetBacklog(b Backlog) { p.left = b }
+
+// Admit takes one start of a class; false if it has to wait.
+func (p *Pacer) Admit(c Class, now time.Time) bool {
+	if p.rate <= 0 {
+		return true
+	}
+	p.refill(now)
+	urgent := 0
+	for _, waiting := range p.left[:c] {
+		urgent += waiting
+	}
+	if p.tokens-float64(urgent) < 1 {
+		return false
+	}
+	p.tokens--
+	p.left[c] = max(0, p.left[c]-1)
+	return true
+}
+
+func (p *Pacer) refill(now time.Time) {
+	p.tokens = min(p.rate, p.tokens+p.rate*max(0, now.Sub(p.at).Seconds()))
+	p.at = now
+}
--- /dev/null
+++ b/internal/recovery/phase.go
@@ -0,0 +1,109 @@
+package recovery
+
+import "time"
+
+// Phase is how far a node is in knowing its machines.
+type Phase string
+
+// Phases of a node's recovery.
+const (
+	// Loading: the stored state is not read yet, or the node is no member.
+	Loading Phase = "loading"
+	// Reconciling: machines with claims have not all reported yet. What runs is
+	// kept; nothing is stopped, moved or rented on a picture with gaps.
+	Reconciling Phase = "reconciling"
+	// CatchingUp: every machine is accounted for; orders that have piled up go
+	// out at a bounded rate.
+	CatchingUp Phase = "catching up"
+	// Recovered: ordinary operation.
+	Recovered Phase = "recovered"
+)
+
+// Event changes a node's phase.
+type Event string
+
+// Events of a node's recovery.
+const (
+	Loaded    Event = "loaded"    // the stored state is read, and the node is a member
+	Accounted Event = "accounted" // every machine has reported or is missing
+	CaughtUp  Event = "caught up" // no orders are left over
+	Lost      Event = "lost"      // the node is a member no longer
+)
+
+// Next is the one function that changes a node's phase.
+func (p Phase) Next(e Event) Phase {
+	switch {
+	case p == Loading && e == Loaded:
+		return Reconciling
+	case p == Reconciling && e == Accounted:
+		return CatchingUp
+	case p == CatchingUp && e == CaughtUp:
+		return Recovered
+	case (p == Reconciling || p == CatchingUp) && e == Lost:
+		return Loading
+	}
+	return p
+}
+
+// MachineState is what a node knows of one of its machines.
+type MachineState string
+
+// States of a machine.
+const (
+	Unknown    MachineState = "unknown"    // not heard since the node began
+	Reported   MachineState = "reported"   // heard; its session is not proven yet
+	Reconciled MachineState = "reconciled" // heard and proven: what it runs is known
+	Missing    MachineState = "missing"    // not heard though it had the time
+)
+
+// StateOf is a machine's state. heard says whether it has been heard since the
+// node became a member, proven whether its session is, waited how long ago the
+// node became a member, and patience how long a machine has time to report.
+func StateOf(heard, proven bool, waited, patience time.Duration) MachineState {
+	switch {
+	case heard && proven:
+		return Reconciled
+	case waited > patience:
+		return Missing
+	case heard:
+		return Reported
+	}
+	return Unknown
+}
+
+// Count is how many machines are in each state.
+type Count map[MachineState]int
+
+// Accounted reports whether every machine is reconciled or missing.
+func (c Count) Accounted() bool { return c[Unknown] == 0 && c[Reported] == 0 }
+
+// Node is the state of a node's recovery.
+type Node struct {
+	Phase    Phase
+	Since    time.Time // of the phase
+	Began    time.Time // when the node last became a member while it recovered
+	Machines Count
+	Left     Backlog // orders that wait
+}
+
+// NewNode is the recovery of a node that begins.
+func NewNode(now time.Time) *Node { return &Node{Phase: Loading, Since: now, Machines: Count{}} }
+
+// Apply enters an event; true if it has changed the phase.
+func (n *Node) Apply(e Event, now time.Time) bool {
+	next := n.Phase.Next(e)
+	if next == n.Phase {
+		return false
+	}
+	n.Phase, n.Since = next, now
+	if next == Reconciling {
+		n.Began = now
+	}
+	return true
+}
+
+// Over reports whether ordinary operation goes on.
+func (n *Node) Over() bool { return n.Phase == Recovered }
+
+// Blind reports whether machines that may hold work are not accounted for.
+func (n *Node) Blind() bool { return n.Phase == Loading || n.Phase == Reconciling }
--- a/internal/server/lead.go
+++ b/internal/server/lead.go
@@ -49,7 +49,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, tuning.PlanEvery)
 		n.mu.Lock()
-		if !n.leads() || !n.hasState() || len(n.types) == 0 {
+		if !n.leads() || !n.hasState() || len(n.types) == 0 || n.blind() {
 			n.mu.Unlock()
 			continue
 		}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -56,7 +56,7 @@
 
 func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descToken, descLeader, descState, descJobs, descWaiting, descInfo, descNodes, descTasks, descUnmet, descHosts, descSplit, descEvidence,
-		descTeam, descTeamShare, descTeamPhase} {
+		descTeam, descTeamShare, descTeamPhase, descRecoveryPhase, descRecoveryMachines, descRecoveryStarts} {
 		ch <- d
 	}
 }
@@ -72,6 +72,7 @@
 		gauge(descToken, float64(n.member.Token))
 	}
 	n.collectTeams(gauge)
+	n.collectRecovery(gauge)
 	leads := n.leads()
 	gauge(descLeader, flag(leads))
 	gauge(descState, flag(n.hasState()))
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -22,6 +22,7 @@
 	"wheatspur/internal/member"
 	"wheatspur/internal/peer"
 	"wheatspur/internal/quota"
+	"wheatspur/internal/recovery"
 	"wheatspur/internal/store"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
@@ -70,6 +71,8 @@
 	siblings      map[string]*sibling
 	busyJob       map[string]bool // a write about the job is under way
 	quota         *quota.Book
+	recovery      *recovery.Node
+	pacer         *recovery.Pacer      // of starts while this node recovers
 	queuedChanges float64              // changes that wait for the budget, a mean over the last passes
 	storing       int                  // changes of machine records that the leader has yet to write
 	claimsWaited  bool                 // the last pass wrote ends, and no claim though some were due
@@ -146,6 +149,8 @@
 		intake:       make(chan *submission, set.Operator.IntakeQueue),
 	}
 	n.self.Label = set.Label
+	n.recovery = recovery.NewNode(now())
+	n.pacer = recovery.NewPacer(float64(set.Operator.RecoveryStarts), now())
 	n.open = func() int { return 0 }
 	n.metrics = newMetrics(n)
 	n.table = jobs.NewTable(now)
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -85,6 +85,10 @@
 	now := n.now()
 	n.refreshRecords()
 	workers, all := n.sweep(now)
+	if all {
+		n.recover(now)
+	}
+	blind := n.blind()
 	for host, w := range workers {
 		if len(w.Stopping) > 0 && w.KeepStopping(n.table.Hosts[host]) {
 			n.view.touch(host)
@@ -114,6 +118,9 @@
 	in := n.placeInput(fleet, now)
 	out := place.Pass(in)
 	n.noteUnmet(out, now)
+	if blind {
+		out.Evict = nil
+	}
 	for _, r := range out.Evict {
 		if w := n.workers[n.hostOf(r.Resident)]; w != nil {
 			n.stopTask(w, r.ID)
@@ -121,7 +128,7 @@
 			n.log.Debug("task stopped for a job of higher claim", "task", r.ID, "host", w.Host, "for", r.For)
 		}
 	}
-	if all {
+	if all && !blind {
 		n.displace(fleet)
 	}
 	// Ends of jobs and of tasks that are to start again come first, but no more
--- /dev/null
+++ b/internal/server/recovery.go
@@ -0,0 +1,141 @@
+// This file carries out what package recovery decides: how far this node is in
+// knowing its machines, and which starts may go now.
+
+package server
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wheatspur/internal/fleet"
+	"wheatspur/internal/jobs"
+	"wheatspur/internal/recovery"
+	"wheatspur/internal/tuning"
+)
+
+// recover takes the node's recovery a step on. It looks at all of the node's
+// machines, and only until recovery is over; mu is held.
+func (n *Node) recover(now time.Time) {
+	r := n.recovery
+	if r.Over() {
+		return
+	}
+	if !n.entitled() {
+		n.recoveryEvent(recovery.Lost, now)
+		return
+	}
+	n.recoveryEvent(recovery.Loaded, now)
+	r.Machines, r.Left = n.countMachines(now)
+	n.pacer.SetBacklog(r.Left)
+	if r.Machines.Accounted() {
+		n.recoveryEvent(recovery.Accounted, now)
+	}
+	late := r.Phase == recovery.CatchingUp && now.Sub(r.Since) > n.set.Lease()
+	if r.Left.Total() == 0 || late {
+		// Starts that can't be sent for a lease are none that a rate would help.
+		n.recoveryEvent(recovery.CaughtUp, now)
+	}
+}
+
+// recoveryEvent enters an event and logs what it changes; mu is held.
+func (n *Node) recoveryEvent(e recovery.Event, now time.Time) {
+	before, since := n.recovery.Phase, n.recovery.Since
+	if n.recovery.Apply(e, now) {
+		n.log.Info("recovery", "phase", string(n.recovery.Phase), "after", string(before), "took", now.Sub(since).Round(time.Millisecond),
+			"machines", len(n.reg.Hosts), "missing", n.recovery.Machines[recovery.Missing], "starts_left", n.recovery.Left.Total())
+	}
+}
+
+// countMachines counts this node's machines by what is known of them, and the
+// starts that are due on those that have been heard; mu is held.
+func (n *Node) countMachines(now time.Time) (recovery.Count, recovery.Backlog) {
+	count, left := recovery.Count{}, recovery.Backlog{}
+	waited := now.Sub(n.recovery.Began)
+	patience := time.Duration(tuning.RecoveryReports * float64(n.set.Report()))
+	for host, rec := range n.reg.Hosts {
+		if rec.Phase == fleet.Returned || n.ownerOf(host) != n.self.Label {
+			continue
+		}
+		w := n.workers[host]
+		heard := w != nil && !w.Heard.IsZero()
+		state := recovery.StateOf(heard, heard && w.State == fleet.Proven, waited, patience)
+		count[state]++
+		if !heard {
+			continue
+		}
+		for id, j := range n.table.Hosts[host] {
+			t := j.Live[id.Task]
+			if s, on := w.Tasks[id]; j.Phase == jobs.Open && t.Session == w.Session && (!on || s.Attempt < t.Attempt) {
+				left[startClass(j)]++
+			}
+		}
+	}
+	return count, left
+}
+
+// startClass orders the start of a job's tasks among others.
+func startClass(j *jobs.Job) recovery.Class {
+	if j.Service() {
+		return recovery.ServiceStart
+	}
+	return recovery.ArrayStart
+}
+
+// admitStart takes a start from this node's rate of starts while it recovers, if
+// operators have set one; mu is held.
+func (n *Node) admitStart(j *jobs.Job) bool {
+	class := startClass(j)
+	switch {
+	case n.recovery.Over():
+		return true
+	case n.recovery.Phase == recovery.Loading && class != recovery.ServiceStart && n.set.Operator.RecoveryStarts > 0:
+		return false // what is more urgent has not been counted yet
+	}
+	return n.pacer.Admit(class, n.now())
+}
+
+// blind reports whether decisions that need a whole picture of the machines have
+// to wait: this node, or another member, does not know its machines yet. Guards against work that is stopped, moved or rented for because free
+// machines have not reported yet. mu is held.
+func (n *Node) blind() bool {
+	if !n.set.Operator.RecoveryHold {
+		return false
+	}
+	if n.recovery.Blind() {
+		return true
+	}
+	for _, m := range n.member.Nodes {
+		if s := n.siblings[m.Label]; s != nil && n.freshSibling(s) && s.status.Incarnation == m.Incarnation && s.status.Recovering {
+			return true
+		}
+	}
+	return false
+}
+
+// recoveryStatus shows operators how far recovery is; mu is held.
+func (n *Node) recoveryStatus(b *strings.Builder) {
+	r := n.recovery
+	fmt.Fprintf(b, "recovery %q for %.0f s machines unknown %d reported %d reconciled %d missing %d starts_left services %d arrays %d hold %v\n",
+		r.Phase, n.now().Sub(r.Since).Seconds(), r.Machines[recovery.Unknown], r.Machines[recovery.Reported], r.Machines[recovery.Reconciled],
+		r.Machines[recovery.Missing], r.Left[recovery.ServiceStart], r.Left[recovery.ArrayStart], n.blind())
+}
+
+var (
+	descRecoveryPhase    = desc("recovery_phase", "1 for the phase of this node's recovery.", "phase")
+	descRecoveryMachines = desc("recovery_machines", "This node's machines by what was known of them when it last recovered.", "state")
+	descRecoveryStarts   = desc("recovery_starts_left", "Starts that wait while this node recovers.", "class")
+)
+
+// collectRecovery gathers the metrics of recovery; mu is held.
+func (n *Node) collectRecovery(gauge func(d *prometheus.Desc, v float64, labels ...string)) {
+	r := n.recovery
+	gauge(descRecoveryPhase, 1, string(r.Phase))
+	for _, state := range []recovery.MachineState{recovery.Unknown, recovery.Reported, recovery.Reconciled, recovery.Missing} {
+		gauge(descRecoveryMachines, float64(r.Machines[state]), string(state))
+	}
+	gauge(descRecoveryStarts, float64(r.Left[recovery.ServiceStart]), "service")
+	gauge(descRecoveryStarts, float64(r.Left[recovery.ArrayStart]), "array")
+}
--- a/internal/server/siblings.go
+++ b/internal/server/siblings.go
@@ -140,6 +140,7 @@
 		n.viewAt = now
 		n.refreshPublished(now)
 	}
+	st.Recovering = n.recovery.Blind()
 	st.Counts, st.Cancelled = n.cache.Settled(), n.cancelled
 	st.QueuedChanges = uint32(math.Ceil(n.queuedChanges))
 	st.View = n.publishedView
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -74,6 +74,7 @@
 			}
 		}
 	}
+	n.recoveryStatus(&b)
 	n.teamsStatus(&b)
 	rows(&b, "waiting", n.unmet, func(jobID string) string {
 		return fmt.Sprintf("waiting %s tasks %d because %s", jobID, n.unmet[jobID], n.why[jobID])
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -61,7 +61,13 @@
 		return 503, wire.Failure{Error: "session has ended"}
 	}
 	n.observe(w, r, now)
-	commands := w.Commands(n.table.Hosts[r.Host], stale < tuning.StateStale && n.startable(r.Host))
+	commands, _ := w.Commands(n.table.Hosts[r.Host], fleet.CommandOptions{
+		Channel:   fleet.InAnswer,
+		MayStart:  stale < tuning.StateStale && n.startable(r.Host),
+		Now:       now,
+		AwaitCall: !n.recovery.Over(),
+		Admit:     n.admitStart,
+	})
 	if commands == nil {
 		commands = []wire.Command{}
 	}
@@ -202,11 +208,25 @@
 	if w.Calling || w.Address == "" || w.State == fleet.Expired || !n.hasState() {
 		return
 	}
+	if !n.recovery.Over() && len(n.calls) >= cap(n.calls)*3/4 {
+		return // guards against starts that are taken from the rate and can't go
+	}
 	var commands []wire.Command
 	silent := now.Sub(w.Heard) >= n.silentAfter()
 	if !w.NoPendingCommands && w.Session > 0 {
 		w.NoPendingCommands = true
-		for _, o := range w.Commands(n.table.Hosts[w.Host], n.startable(w.Host)) {
+		due, postponed := w.Commands(n.table.Hosts[w.Host], fleet.CommandOptions{
+			Channel:  fleet.Direct,
+			MayStart: n.startable(w.Host) && !silent,
+			Now:      now,
+			Resend:   n.set.Report(),
+			Repeat:   n.set.Report() * 3 / 2,
+			Admit:    n.admitStart,
+		})
+		if postponed {
+			w.NoPendingCommands = false
+		}
+		for _, o := range due {
 			if o.Verb == wire.VerbReap {
 				continue // see fleet.Worker.Commands
 			}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"wheatspur/internal/config"
@@ -65,18 +66,16 @@
 	Types       []wire.MachineType // machines are of the first
 	Properties  string             // text of the operators' properties file
 	Seed        uint64
-	Log         io.Writer // of the controllers; nil: nowhere
+	Lease       time.Duration     // of the workers
+	Log         io.Writer         // of the controllers; nil: nowhere
+	Orders      *standin.OrderLog // what the workers are told; nil: not noted
 	// Begins and Ended watch the tasks (see standin.Worker).
 	Begins func(w *standin.Worker, t *standin.Task) time.Duration
 	Ended  func(w *standin.Worker, t *standin.Task)
 }
 
-// Times of the workers in a cluster: short, so that a test sees leases end.
-const (
-	reportEvery = 500 * time.Millisecond
-	leaseTime   = 6 * time.Second
-	cancelTime  = 20 * time.Second
-)
+// reportEvery is how often workers report.
+const reportEvery = 500 * time.Millisecond
 
 // Cluster is controllers with their surroundings.
 type Cluster struct {
@@ -84,6 +83,7 @@
 	Cloud    *standin.Cloud
 	Machines []*standin.Machine
 
+	users       fasthttp.Client
 	options     Options
 	dir         string
 	controllers []*controller
@@ -214,7 +214,7 @@
 	s.Endpoints.State, s.Endpoints.Cloud = state, cloud
 	p := &s.Params
 	p.Count, p.Zones, p.TimeBoundMs, p.Teams = c.options.Controllers, []string{"z"}, 25, c.options.Teams
-	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = reportEvery.Seconds(), leaseTime.Seconds(), cancelTime.Seconds()
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = reportEvery.Seconds(), c.options.Lease.Seconds(), 3*c.options.Lease.Seconds()
 	p.State.Limits = config.Limits{RPS: 2000, WriteRPS: 600, ValueKB: 8, TxnOps: 32}
 	p.Cloud.RPS, p.Cloud.ListLagS = 50, 1
 	p.Limits.CPUShare, p.Limits.MemMB, p.Limits.MaxConnections = 1, 512, 2000
@@ -236,10 +236,10 @@
 		return err
 	}
 	w := &standin.Worker{Host: fmt.Sprintf("host-%06d", i), Address: l.Addr().String(), Type: c.options.Types[0].Label, Zone: "z", Spot: true,
-		Begins: c.options.Begins, Ended: c.options.Ended}
+		Begins: c.options.Begins, Ended: c.options.Ended, Orders: c.options.Orders}
 	c.Cloud.Listed = append(c.Cloud.Listed, wire.Host{Name: w.Host, Address: w.Address, MachineType: w.Type, Zone: w.Zone, Spot: true,
 		State: wire.HostRunning, AgeS: 100})
-	m := standin.NewMachine(w, &c.workers, c.nodes(), c.options.Seed+uint64(1000*(i+1)), reportEvery, leaseTime)
+	m := standin.NewMachine(w, &c.workers, c.nodes(), c.options.Seed+uint64(1000*(i+1)), reportEvery, c.options.Lease)
 	c.Machines = append(c.Machines, m)
 	c.group.Go(func() error { return m.Serve(l) })
 	c.group.Go(func() error { return m.Run(ctx) })
@@ -297,6 +297,26 @@
 // State is a controller's link to the state service.
 func (c *Cluster) State(i int) *standin.Link { return c.controllers[i].state }
 
+// Ask sends a user's request to a controller; the status is 0 if there is no
+// answer.
+func (c *Cluster) Ask(controller int, method, path string, body any) (int, []byte) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.Address(controller) + path)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.SetBody(wire.MustMarshal(body))
+	}
+	if err := c.users.DoTimeout(req, resp, askTimeout); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...)
+}
+
+// askTimeout is how long a user waits for an answer.
+const askTimeout = 2 * time.Second
+
 // Address is where a controller takes users' requests.
 func (c *Cluster) Address(i int) string { return c.controllers[i].settings.Bind }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,7 @@
 	// Begins is called when a task is about to run, and says for how long; 0: it
 	// does not end by itself.
 	Begins func(w *Worker, t *Task) time.Duration
+	Orders *OrderLog // takes what the worker is told; nil: nobody does
 	// Ended is called when a task that ran is over; nil: by nobody.
 	Ended func(w *Worker, t *Task)
 }
@@ -51,6 +52,9 @@
 
 // CarryOut carries out commands in their order.
 func (w *Worker) CarryOut(now time.Time, commands []wire.Command) {
+	if w.Orders != nil {
+		w.Orders.Note(now, w, commands)
+	}
 	for _, c := range commands {
 		key := fmt.Sprintf("%s#%d", c.Task, c.Attempt)
 		t := w.Tasks[key]
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -173,6 +173,14 @@
 	SweepEvery = 500 * time.Millisecond
 	// PassPause is the least time between two passes; it batches events.
 	PassPause = 80 * time.Millisecond
+	// StartCallGrace is how long a direct call that holds a start may be under way
+	// before the answer to a report holds the start, too. Calls usually take
+	// milliseconds; one that takes longer may not arrive at all.
+	StartCallGrace = 500 * time.Millisecond
+	// RecoveryReports is how many report intervals a machine has to report after
+	// a node that has begun anew became a member. A report comes within one and a
+	// quarter, at a node that sends it on, and again after the token has changed.
+	RecoveryReports = 4.0
 	// ConflictPause is the mean wait after a placement lost a race for a
 	// record; jittered, so that two nodes don't meet again.
 	ConflictPause = 120 * time.Millisecond
