--- a/internal/server/coldstart_test.go
+++ b/internal/server/coldstart_test.go
@@ -316,6 +316,21 @@
 	}
 }
 
+// The status page is answered at any time, also before a node has read anything.
+func TestTheStatusPageIsThereFromTheBeginning(t *testing.T) {
+	w := newWorld(t, "a")
+	set := settings("b", []string{"a", "b"})
+	set.Operator.RecoveryHold, set.Operator.QuotaReservations = true, true
+	n := newNode(set, w.nodes["a"].log, w.clk.now, w.st, w.nodes["a"].lim, w.cl, unanswered{})
+	code, _, c := ask(n, "GET", "/status", nil)
+	if page := string(c.Response.Body()); code != 200 || !strings.Contains(page, `recovery "loading"`) || !strings.Contains(page, "hold true") {
+		t.Fatalf("%d %s", code, page)
+	}
+	if code, _, _ := ask(n, "GET", "/metrics", nil); code != 200 {
+		t.Fatalf("metrics: %d", code)
+	}
+}
+
 // Cold starts at random: machines hang, reboot or stay away, tasks end meanwhile,
 // jobs are cancelled in the last second, nodes come back one by one and go down
 // again. The rules hold (trial.check), and everything is done in the end.
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -118,10 +118,14 @@
 func (n *Node) runSession(ctx context.Context) error {
 	var due time.Time // of the next renewal
 	for ctx.Err() == nil {
+		n.beat(sessionLoop)
 		n.mu.Lock()
 		state, leaseID := n.session, n.self.Incarnation
 		n.mu.Unlock()
 		if state == member.NoLease {
+			if n.draining() {
+				return nil // ended for good
+			}
 			n.openSession(ctx)
 			due = n.now().Add(tuning.SessionTouch)
 			continue
@@ -168,6 +172,7 @@
 // membership.
 func (n *Node) runMember(ctx context.Context) error {
 	for ctx.Err() == nil {
+		n.beat(memberLoop)
 		n.mu.Lock()
 		leaseID := n.self.Incarnation
 		ready := n.session != member.NoLease && n.cache.Settled()
--- a/internal/server/node.go
+++ b/internal/server/node.go
@@ -89,6 +89,9 @@
 	certain   time.Time
 	leading   leading
 
+	stopping atomic.Bool // the node takes nothing new (Drain)
+	beats    heartbeats
+
 	open       func() int // connections of users and workers
 	hostWrites sync.Mutex // held while the leader stores machine records
 
@@ -170,7 +173,7 @@
 	return n
 }
 
-// Run serves until ctx ends or a listener fails.
+// Run serves until ctx ends or a listener fails. It returns nil in the first case.
 func (n *Node) Run(ctx context.Context) error {
 	ul, err := net.Listen("tcp4", n.set.Bind)
 	if err != nil {
@@ -181,6 +184,7 @@
 		ul.Close()
 		return fmt.Errorf("peer_listen: %w", err)
 	}
+	asked := ctx
 	g, ctx := errgroup.WithContext(ctx)
 	user := n.httpServer(n.serveUser, n.userConns())
 	bounded := &boundedListener{Listener: ul, most: int64(n.userConns()), after: n.set.Operator.RetryAfterSecond}
@@ -208,7 +212,10 @@
 		g.Go(func() error { return n.runPeer(ctx, s) })
 	}
 	n.log.Info("serving", "node", n.set.Label, "bind", n.set.Bind, "peers", len(n.siblings))
-	return g.Wait()
+	if err := g.Wait(); asked.Err() == nil {
+		return err
+	}
+	return nil // what the closed listeners say
 }
 
 // userConns is how many connections of users and workers this node takes.
@@ -255,6 +262,9 @@
 // Guards against a cut-off node, which refuses every request and closes its
 // connections, drawing all users as the one with the fewest.
 func (n *Node) healthy() bool {
+	if n.draining() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.hasState() {
--- a/internal/server/pass.go
+++ b/internal/server/pass.go
@@ -18,6 +18,7 @@
 		case <-n.passWake:
 		case <-time.After(tuning.TickEvery):
 		}
+		n.beat(passLoop)
 		start := time.Now()
 		n.mu.Lock()
 		txns := n.pass()
@@ -35,14 +36,14 @@
 // pass computes the writes of this node and sends what is due to workers; mu
 // is held.
 func (n *Node) pass() []*txn {
-	if !n.entitled() || !n.hasState() {
+	if !n.entitled() || !n.hasState() || n.draining() {
 		return nil
 	}
 	now := n.now()
 	n.refreshRecords()
 	workers, all := n.sweep(now)
 	if all {
-		n.recover(now)
+		n.stepRecovery(now)
 	}
 	n.forgetOver(workers, now)
 	// What can't be written now is not decided now: it would wait in the
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -16,9 +16,9 @@
 	"wheatspur/internal/tuning"
 )
 
-// recover takes the node's recovery a step on. It looks at all of the node's
+// stepRecovery takes the node's recovery a step on. It looks at all of the node's
 // machines, and only until recovery is over; mu is held.
-func (n *Node) recover(now time.Time) {
+func (n *Node) stepRecovery(now time.Time) {
 	r := n.recovery
 	if r.Over() {
 		return
@@ -99,13 +99,14 @@
 }
 
 // blind reports whether decisions that need a whole picture of the machines have
-// to wait: this node, or another member, does not know its machines yet. Guards against work that is stopped, moved or rented for because free
-// machines have not reported yet. mu is held.
+// to wait: this node, or another member, does not know its machines yet. Guards
+// against work that is stopped, moved or rented for because free machines have
+// not reported yet. mu is held.
 func (n *Node) blind() bool {
 	if !n.set.Operator.RecoveryHold {
 		return false
 	}
-	if n.recovery.Blind() {
+	if n.member == nil || n.recovery.Blind() {
 		return true
 	}
 	for _, m := range n.member.Nodes {
--- /dev/null
+++ b/internal/server/stop_test.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"wheatspur/internal/member"
+	"wheatspur/internal/tuning"
+)
+
+// A clean stop refuses what is new and says when to come back, lets what is under
+// way end, and ends the session: the other node takes the machines without
+// waiting for it to run out.
+func TestADrainedNodeHandsOver(t *testing.T) {
+	w := twoNodes(t, 8, 8)
+	leaving, staying := w.leader(), w.nodes["a"]
+	if staying == leaving {
+		staying = w.nodes["b"]
+	}
+	w.submit(leaving, work("wk-1", 2))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	leaving.takes <- struct{}{} // a submission is under way
+	if err := leaving.Drain(ctx); !errors.Is(err, ErrUnderWay) {
+		t.Fatalf("drained with a submission under way: %v", err)
+	}
+	<-leaving.takes
+	for path, body := range map[string]any{"/work": work("wk-2", 1), "/work/wk-1/cancel": nil} {
+		if code, _, c := ask(leaving, "POST", path, body); code != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s at a node that stops: %d", path, code)
+		}
+	}
+	if code, _, _ := ask(leaving, "GET", "/up", nil); code != 503 {
+		t.Errorf("/up at a node that stops: %d", code)
+	}
+	if code, _ := leaving.take(w.report("h0", 1, 0)); code == 200 {
+		t.Error("a report is answered after the session has ended")
+	}
+	for range 4 {
+		w.settle()
+	}
+	if w.leader() != staying || len(staying.member.Nodes) != 1 {
+		t.Fatalf("membership %+v after the stop", staying.member)
+	}
+	if leaving.session != member.NoLease {
+		t.Fatalf("session %s", leaving.session)
+	}
+	if err := leaving.runSession(context.Background()); err != nil {
+		t.Fatal(err) // it ends, and opens no new session
+	}
+	if err := leaving.Drain(context.Background()); err != nil {
+		t.Fatalf("drained again: %v", err)
+	}
+}
+
+// A node that has lost the state service stops all the same, and says that its
+// session runs out by itself.
+func TestADrainWithoutTheStateService(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	w.st.Down = true
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	begin := time.Now()
+	_ = n.Drain(ctx)
+	if took := time.Since(begin); took > 2*tuning.StateCallTimeout {
+		t.Fatalf("it took %v", took)
+	}
+}
+
+// Progress names the loop that stands still.
+func TestProgressOfTheLoops(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	if err := n.Progress(); err != nil {
+		t.Fatalf("before the loops have begun: %v", err)
+	}
+	for l := range loops {
+		n.beat(l)
+	}
+	w.clk.add(tuning.StallAfter / 2)
+	n.beat(sessionLoop)
+	n.beat(memberLoop)
+	if err := n.Progress(); err != nil {
+		t.Fatal(err)
+	}
+	w.clk.add(tuning.StallAfter/2 + time.Second)
+	if err := n.Progress(); !errors.Is(err, ErrStalled) || err.Error() != "loop stalled: passes, for 21s" {
+		t.Fatalf("%v", err)
+	}
+}
--- a/internal/server/users.go
+++ b/internal/server/users.go
@@ -73,6 +73,10 @@
 		refuse(c, 405, "method not allowed")
 		return "other"
 	}
+	if n.draining() && method == "POST" && path != "/checkin" {
+		n.later(c, 503, "this node is stopping")
+		return "stopping"
+	}
 	switch path {
 	case "/up":
 		if n.healthy() {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -54,6 +54,9 @@
 		s.transaction(c)
 	case path == "/leases":
 		s.openLease(c)
+	case c.IsDelete():
+		id, _ := strconv.ParseUint(strings.TrimPrefix(path, "/leases/"), 10, 64)
+		answer(c, struct{}{}, s.store.End(c, id))
 	case strings.HasSuffix(path, "/touch"):
 		s.touch(c, strings.TrimSuffix(strings.TrimPrefix(path, "/leases/"), "/touch"))
 	case path == "/watch":
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -194,6 +194,15 @@
 	return nil
 }
 
+// End ends a lease at its holder's wish.
+func (s *Store) End(ctx context.Context, id uint64) error {
+	if err := s.Touch(ctx, id); err != nil {
+		return err
+	}
+	s.Expire(id)
+	return nil
+}
+
 // Expire ends a lease and drops its keys.
 func (s *Store) Expire(id uint64) {
 	s.Mu.Lock()
--- a/internal/standin/usage.go
+++ b/internal/standin/usage.go
@@ -33,6 +33,7 @@
 	area  map[string]float64     // GPU seconds claimed up to then, by team
 	freed map[string][]time.Time // when units of room were freed that are not used again
 	reuse *hdrhistogram.Histogram
+	full  map[string]time.Time // when each team last had all of its limit
 }
 
 // reuseMax bounds the times from room freed to room used, in milliseconds.
@@ -42,7 +43,7 @@
 func NewUsageChecker(limits map[string]float64) *UsageChecker {
 	return &UsageChecker{limits: limits, jobs: map[string]wire.JobSpec{}, claimed: map[string]float64{}, running: map[string]string{},
 		byTeam: map[string]float64{}, stored: map[string]float64{}, highest: map[string]float64{},
-		begun: time.Now(), at: time.Now(), area: map[string]float64{}, freed: map[string][]time.Time{}, reuse: hdrhistogram.New(1, reuseMax, 3)}
+		begun: time.Now(), at: time.Now(), area: map[string]float64{}, freed: map[string][]time.Time{}, full: map[string]time.Time{}, reuse: hdrhistogram.New(1, reuseMax, 3)}
 }
 
 // move enters a change of what a team has claimed, in GPUs. Each unit that is
@@ -54,6 +55,9 @@
 	}
 	u.at = now
 	u.stored[team] += by
+	if u.stored[team] >= u.limits[team] {
+		u.full[team] = now
+	}
 	for ; by < 0; by++ {
 		u.freed[team] = append(u.freed[team], now)
 	}
@@ -142,6 +146,19 @@
 	u.faults = append(u.faults, fmt.Sprintf(format, args...))
 }
 
+// FullSince reports whether every team has had all of its limit at some time after
+// the given one.
+func (u *UsageChecker) FullSince(at time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for team := range u.limits {
+		if !u.full[team].After(at) {
+			return false
+		}
+	}
+	return true
+}
+
 // Usage is what a checker has seen.
 type Usage struct {
 	Admitted int                // claims that were stored
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -39,6 +39,7 @@
 	Multi(ctx context.Context, c Class, guards []wire.Guard, changes []wire.Change) (uint64, error)
 	Lease(ctx context.Context, ttl time.Duration) (uint64, error)
 	Touch(ctx context.Context, leaseID uint64) error
+	End(ctx context.Context, leaseID uint64) error
 	Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error)
 }
 
@@ -157,6 +158,23 @@
 	return nil
 }
 
+// End ends a lease at once.
+func (c *Client) End(ctx context.Context, leaseID uint64) error {
+	if err := c.lim.Acquire(ctx, ClassLease, 0); err != nil {
+		return err
+	}
+	status, err := c.call("DELETE", fmt.Sprintf("/leases/%d", leaseID), nil, nil, tuning.StateCallTimeout)
+	switch {
+	case err != nil:
+		return err
+	case status == 404:
+		return ErrNoLease
+	case status != 200:
+		return fmt.Errorf("%w: end of a lease: status %d", ErrBad, status)
+	}
+	return nil
+}
+
 // Watch waits for changes after the given revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error) {
 	var out wire.Events
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -185,6 +185,15 @@
 	// a node that has begun anew became a member. A report comes within one and a
 	// quarter, at a node that sends it on, and again after the token has changed.
 	RecoveryReports = 4.0
+	// StallAfter is how long a loop of a node may stand still before the service
+	// manager is not told any more that it goes on: a call to the state service
+	// that waits for its whole time, several times over.
+	StallAfter = 20 * time.Second
+	// DrainLimit is how long a clean stop waits for what is under way: a decision
+	// write takes DecisionWait at most, and what follows from it once more.
+	DrainLimit = 8 * time.Second
+	// DrainPoll is how often a clean stop looks whether all has ended.
+	DrainPoll = 20 * time.Millisecond
 	// ConflictPause is the mean wait after a placement lost a race for a
 	// record; jittered, so that two nodes don't meet again.
 	ConflictPause = 120 * time.Millisecond
