--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -32,6 +32,7 @@
 	Cloud   *Cloud
 	State   *State
 	Users   *Users
+	Gates   []*Gate // from each controller to the state service
 
 	dir         string
 	root        string
@@ -66,15 +67,17 @@
 	c.Options = &WorkerOptions{Nodes: c.nodes(), ReportS: site.ReportS, LeaseS: site.LeaseS, FetchGBs: site.FetchGBs, Record: record, Spec: c.Users.Spec}
 	c.State = NewState(site.State)
 	c.Cloud = NewCloud(site.Types, site.Capacity, boot, time.Duration(site.ListLagS*float64(time.Second)), site.CloudRPS, c.Options)
-	state, err := c.serve(c.State)
-	if err != nil {
-		return c, err
-	}
 	cloud, err := c.serve(c.Cloud)
 	if err != nil {
 		return c, err
 	}
 	for i := range c.controllers {
+		gate := &Gate{service: c.State}
+		c.Gates = append(c.Gates, gate)
+		state, err := c.serve(gate)
+		if err != nil {
+			return c, err
+		}
 		if err := c.writeSettings(i, state, cloud); err != nil {
 			return c, err
 		}
@@ -123,7 +126,7 @@
 	var siblings, teams []map[string]any
 	for j, other := range c.controllers {
 		if j != i {
-			siblings = append(siblings, map[string]any{"label": other.label, "domain": site.Domains[j], "endpoint": other.peers})
+			siblings = append(siblings, map[string]any{"label": other.label, "domain": site.Domains[j], "endpoint": c.peerAddress(i, j)})
 		}
 	}
 	for _, team := range site.Teams {
@@ -147,6 +150,17 @@
 	return os.WriteFile(own.settings, text, settingsMode)
 }
 
+// PeerHook, if set, returns the address at which controller i reaches controller j.
+var PeerHook func(i, j int, address string) string
+
+// peerAddress returns the address at which controller i reaches controller j.
+func (c *Cluster) peerAddress(i, j int) string {
+	if PeerHook == nil {
+		return c.controllers[j].peers
+	}
+	return PeerHook(i, j, c.controllers[j].peers)
+}
+
 // runCommand returns the words of the command in the deploy file that starts a controller.
 func (c *Cluster) runCommand() ([]string, error) {
 	text, err := os.ReadFile(filepath.Join(c.root, "deploy", "service.toml"))
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -59,6 +59,8 @@
 	// Hold returns how long a direct command is held up on its way; it is then carried out once,
 	// and nobody hears its answer. 0: it is not held. May be nil.
 	Hold func(machine string, request wire.CommandRequest) time.Duration
+	// Report, if set, decides about a report on its way: whether it is lost, or its answer. It may block.
+	Report func(machine string, report wire.Heartbeat, node Node) (lost, answerLost bool)
 	// OnChange is called with every new state of an attempt, and at its end with the cause. May be nil.
 	OnChange func(machine string, status wire.TaskStatus)
 }
@@ -92,6 +94,7 @@
 	w := &Worker{Machine: machine, Address: listener.Addr().String(), options: options, listener: listener,
 		stint: 1, renewedAt: time.Now(), images: map[string]bool{}}
 	serveOn(listener, w)
+	go w.timeLoop()
 	go w.reportLoop()
 	return w, nil
 }
@@ -275,6 +278,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if w.stopped {
+		return
+	}
 	if now.Sub(w.renewedAt) > time.Duration(w.options.LeaseS*float64(time.Second)) {
 		for _, attempt := range w.attempts {
 			if attempt.alive() {
@@ -301,6 +307,20 @@
 	}
 }
 
+// timeLoop lets time pass until the machine is gone; it doesn't wait for answers.
+func (w *Worker) timeLoop() {
+	for !w.gone() {
+		time.Sleep(workerTick)
+		w.advance()
+	}
+}
+
+func (w *Worker) gone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stopped
+}
+
 // reportLoop reports until the machine is gone.
 func (w *Worker) reportLoop() {
 	client := NewClient()
@@ -309,7 +329,6 @@
 	var sent, due time.Time
 	for {
 		time.Sleep(workerTick)
-		w.advance()
 		now := time.Now()
 		reportNow, stopped := w.reportDue(now.Sub(sent), !now.Before(due))
 		if stopped {
@@ -344,7 +363,19 @@
 	report := w.report()
 	w.mu.Unlock()
 	sent := time.Now()
+	lost, answerLost := false, false
+	if w.options.Report != nil {
+		lost, answerLost = w.options.Report(w.Name, report, w.options.Nodes[node])
+	}
+	if lost {
+		time.Sleep(reportTimeout)
+		return (node + 1) % len(w.options.Nodes), nextNodePause
+	}
 	status, body := client.Do(http.MethodPost, w.options.Nodes[node].Address, "/checkin", report, reportTimeout)
+	if answerLost {
+		time.Sleep(reportTimeout)
+		status = 0
+	}
 	var redirect wire.Redirect
 	switch {
 	case status == http.StatusOK:
