--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
-
-	"wheatspur/wire"
 )
 
 // errNotReady means that the controllers did not begin to serve.
@@ -32,7 +30,6 @@
 	Cloud   *Cloud
 	State   *State
 	Users   *Users
-	Gates   []*Gate // from each controller to the state service
 
 	dir         string
 	root        string
@@ -67,17 +64,15 @@
 	c.Options = &WorkerOptions{Nodes: c.nodes(), ReportS: site.ReportS, LeaseS: site.LeaseS, FetchGBs: site.FetchGBs, Record: record, Spec: c.Users.Spec}
 	c.State = NewState(site.State)
 	c.Cloud = NewCloud(site.Types, site.Capacity, boot, time.Duration(site.ListLagS*float64(time.Second)), site.CloudRPS, c.Options)
+	state, err := c.serve(c.State)
+	if err != nil {
+		return c, err
+	}
 	cloud, err := c.serve(c.Cloud)
 	if err != nil {
 		return c, err
 	}
 	for i := range c.controllers {
-		gate := &Gate{service: c.State}
-		c.Gates = append(c.Gates, gate)
-		state, err := c.serve(gate)
-		if err != nil {
-			return c, err
-		}
 		if err := c.writeSettings(i, state, cloud); err != nil {
 			return c, err
 		}
@@ -126,7 +121,7 @@
 	var siblings, teams []map[string]any
 	for j, other := range c.controllers {
 		if j != i {
-			siblings = append(siblings, map[string]any{"label": other.label, "domain": site.Domains[j], "endpoint": c.peerAddress(i, j)})
+			siblings = append(siblings, map[string]any{"label": other.label, "domain": site.Domains[j], "endpoint": other.peers})
 		}
 	}
 	for _, team := range site.Teams {
@@ -150,17 +145,6 @@
 	return os.WriteFile(own.settings, text, settingsMode)
 }
 
-// PeerHook, if set, returns the address at which controller i reaches controller j.
-var PeerHook func(i, j int, address string) string
-
-// peerAddress returns the address at which controller i reaches controller j.
-func (c *Cluster) peerAddress(i, j int) string {
-	if PeerHook == nil {
-		return c.controllers[j].peers
-	}
-	return PeerHook(i, j, c.controllers[j].peers)
-}
-
 // runCommand returns the words of the command in the deploy file that starts a controller.
 func (c *Cluster) runCommand() ([]string, error) {
 	text, err := os.ReadFile(filepath.Join(c.root, "deploy", "service.toml"))
@@ -207,33 +191,6 @@
 	return nil
 }
 
-// Signal sends a signal to the process of controller i.
-func (c *Cluster) Signal(i int, signal syscall.Signal) {
-	p := c.controllers[i]
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.command != nil {
-		c.Record.Printf("controller %s: signal %v", p.label, signal)
-		_ = p.command.Process.Signal(signal) // it fails if the process has ended
-	}
-}
-
-// Running reports whether the process of controller i has not ended.
-func (c *Cluster) Running(i int) bool {
-	p := c.controllers[i]
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.command == nil {
-		return false
-	}
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // Kill kills the process of controller i and waits for its end.
 func (c *Cluster) Kill(i int) {
 	p := c.controllers[i]
@@ -282,22 +239,6 @@
 	return condition()
 }
 
-// Type returns a machine type of the site.
-func (s *Site) Type(label string) wire.MachineType {
-	for _, t := range s.Types {
-		if t.Label == label {
-			return t
-		}
-	}
-	return wire.MachineType{}
-}
-
-// Log returns the log of controller i.
-func (c *Cluster) Log(i int) string {
-	text, _ := os.ReadFile(filepath.Join(c.dir, c.controllers[i].label+".log")) // no log: empty
-	return string(text)
-}
-
 // Close ends all processes and stand-ins, and removes the temporary folder unless it is to be kept.
 func (c *Cluster) Close() {
 	for i := range c.controllers {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -59,8 +59,6 @@
 	// Hold returns how long a direct command is held up on its way; it is then carried out once,
 	// and nobody hears its answer. 0: it is not held. May be nil.
 	Hold func(machine string, request wire.CommandRequest) time.Duration
-	// Report, if set, decides about a report on its way: whether it is lost, or its answer. It may block.
-	Report func(machine string, report wire.Heartbeat, node Node) (lost, answerLost bool)
 	// OnChange is called with every new state of an attempt, and at its end with the cause. May be nil.
 	OnChange func(machine string, status wire.TaskStatus)
 }
@@ -363,19 +361,7 @@
 	report := w.report()
 	w.mu.Unlock()
 	sent := time.Now()
-	lost, answerLost := false, false
-	if w.options.Report != nil {
-		lost, answerLost = w.options.Report(w.Name, report, w.options.Nodes[node])
-	}
-	if lost {
-		time.Sleep(reportTimeout)
-		return (node + 1) % len(w.options.Nodes), nextNodePause
-	}
 	status, body := client.Do(http.MethodPost, w.options.Nodes[node].Address, "/checkin", report, reportTimeout)
-	if answerLost {
-		time.Sleep(reportTimeout)
-		status = 0
-	}
 	var redirect wire.Redirect
 	switch {
 	case status == http.StatusOK:
