review: a job whose claims got no response is never started

Cause: a claim in doubt counts against the share of the controller that made it, at that controller alone. It leaves the job to the leader, and all others leave it to the controller. The case resets the connection of one transaction; the job then waits for 90 s beside machines with room, its team at nothing of its limit.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,11 +1,10 @@
-// Command 2 is the second case of the review: direct starts are held up and their jobs cancelled,
-// one after the other on one machine. From the sixteenth on, the start is not made void: it starts
-// the task of a job that was cancelled longer ago than cancel_s.
+// Command 2 is the second case of the review: one transaction of a controller gets no response, and the job
+// that it was about is never started.
 package main
 
 import (
 	"fmt"
-	"strings"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,164 +13,124 @@
 )
 
 const (
-	// rounds is how many starts are held up.
-	rounds = 16
-	// maxRounds bounds the rounds, with those in which the start came with the answer to a report.
-	maxRounds = 24
-	// heldFor is how late the starts of all rounds but the last arrive.
-	heldFor = 5 * time.Second
-	// zone has one machine; the jobs are bound to it.
-	zone = "aalsmeer"
-	// firstJob runs on the machine all the time.
-	firstJob = "wk-000001"
-)
+	// waitLimit is how long the rule lets a job wait.
+	waitLimit = 90 * time.Second
+	// spell is how long transactions get lost.
+	spell = time.Second
+	// machines is how many machines are up.
+	machines = 12
+	// node is the controller whose transactions get lost. It owns enough machines for the job, and
+	// it starts last, so it does not lead.
+	node = 1
 
-// link is the way from the controllers to the machine.
-type link struct {
-	mu       sync.Mutex
-	trouble  bool
-	holding  bool
-	late     time.Duration   // how late the next start arrives
-	held     map[string]bool // jobs whose start was held up
-	runs     map[string]bool // jobs whose task has begun to run
-	breaches []string        // tasks that began to run too late
-	told     map[string]time.Time
-	cancelS  float64
-}
+	longJob = "wk-000001" // keeps each machine busy, with room left
+	jobID   = "wk-000008"
+	tasks   = 11
+)
 
-// hold decides about one direct command.
-func (l *link) hold(_ string, request wire.CommandRequest) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, command := range request.Commands {
-		jobID, _, _ := strings.Cut(command.Task, "/")
-		if l.trouble && l.holding && command.Verb == wire.VerbStart && !l.held[jobID] {
-			l.held[jobID] = true
-			return l.late
-		}
-	}
-	return 0
+// counter counts the tasks that began to run, by job.
+type counter struct {
+	mu  sync.Mutex
+	ran map[string]int
 }
 
-// changed notes when tasks run.
-func (l *link) changed(machine string, status wire.TaskStatus) {
-	if status.State != wire.TaskRunning {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	jobID, _, _ := strings.Cut(status.Task, "/")
-	l.runs[jobID] = true
-	if told, cancelled := l.told[jobID]; cancelled && time.Since(told).Seconds() > l.cancelS {
-		l.breaches = append(l.breaches, fmt.Sprintf("%s started on %s %.1f s after its user was told that the job is cancelled (cancel_s is %g)",
-			status.Task, machine, time.Since(told).Seconds(), l.cancelS))
+func (n *counter) changed(_ string, status wire.TaskStatus) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if status.State == wire.TaskRunning {
+		n.ran[status.Task[:len(jobID)]]++
 	}
 }
 
-func (l *link) setLate(late time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.late = late
-}
-
-func (l *link) setHolding(holding bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.holding = holding
+func (n *counter) hasRun(jobID string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ran[jobID]
 }
 
-// begun reports whether the start of a job was held up, and whether the task runs.
-func (l *link) begun(jobID string) (held, runs bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.held[jobID], l.runs[jobID]
-}
-
-func (l *link) cancelled(jobID string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.told[jobID] = time.Now()
-}
-
-func (l *link) found() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.breaches
+func runTime(_ string, _ wire.TaskStatus, spec *wire.JobSpec) (time.Duration, string) {
+	if spec.ID == longJob {
+		return 10 * time.Minute, wire.ExitCauseDone
+	}
+	return 5 * time.Second, wire.ExitCauseDone
 }
 
-func job(number int) *wire.JobSpec {
-	plot := zone
-	return &wire.JobSpec{ID: fmt.Sprintf("wk-%06d", number), Class: "kiemtelling", Team: "kasdienst-00", Kind: wire.KindArray, Priority: wire.PriorityNormal,
-		Tasks: 1, CPUs: 10, GPUs: 1, RAMGB: 72, Image: "img-01", ImageGB: 0.1, Zone: &plot, Spot: true, EstimateS: 100}
-}
-
-// warmUp runs a job that goes on for the whole case, so that the machine holds the image and stays.
-func warmUp(c *standin.Cluster, l *link) bool {
-	l.setHolding(false)
-	if !c.Users.Submit(job(1)) || !standin.WaitFor(15*time.Second, func() bool { _, runs := l.begun(firstJob); return runs }) {
-		return false
-	}
-	l.setHolding(true)
-	return true
+func array(id, team string, tasks int, cpus, cards, ram float64) *wire.JobSpec {
+	return &wire.JobSpec{ID: id, Class: "khalighor", Team: team, Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: tasks, CPUs: cpus, GPUs: cards, RAMGB: ram, Image: "img-" + id, ImageGB: 0.3, MachineTypes: []string{"boro-ghar"}, Spot: true, EstimateS: 60}
 }
 
 func run(c *standin.Cluster, trouble bool) (standin.Result, string) {
-	l := &link{trouble: trouble, late: heldFor, held: map[string]bool{}, runs: map[string]bool{}, told: map[string]time.Time{}, cancelS: c.Site.CancelS}
-	c.Options.Hold, c.Options.OnChange = l.hold, l.changed
-	c.Options.Run = func(string, wire.TaskStatus, *wire.JobSpec) (time.Duration, string) {
-		return 5 * time.Minute, wire.ExitCauseDone
-	}
-	for _, z := range c.Site.Zones {
-		if _, err := c.Cloud.AddRunning(standin.Kind{Type: "kasrek", Zone: z, Spot: true}, 10*time.Minute); err != nil {
+	n := &counter{ran: map[string]int{}}
+	c.Options.Run, c.Options.OnChange = runTime, n.changed
+	for i := range machines {
+		zone := []string{"durgapur", "kolkata-uttor", "sundarban"}[i%3]
+		if _, err := c.Cloud.AddRunning(standin.Kind{Type: "boro-ghar", Zone: zone, Spot: true}, 10*time.Minute); err != nil {
 			return standin.NotRun, err.Error()
 		}
 	}
-	if err := c.StartAll(10 * time.Second); err != nil {
+	if err := c.Start(10*time.Second, 0, 2); err != nil {
 		return standin.NotRun, err.Error()
 	}
-	if !warmUp(c, l) {
-		return standin.NotRun, "the first job did not run"
+	time.Sleep(time.Second)
+	if err := c.Start(10*time.Second, node); err != nil {
+		return standin.NotRun, err.Error()
 	}
-	cancelLate := time.Duration(c.Site.CancelS*float64(time.Second)) + 2*time.Second
-	lastRound := 0
-	for number, done := 2, 0; done < rounds && number <= maxRounds+1; number++ {
-		if done == rounds-1 {
-			l.setLate(cancelLate)
-		}
-		spec := job(number)
-		if !c.Users.Submit(spec) {
-			return standin.NotRun, spec.ID + " was not accepted"
-		}
-		if !standin.WaitFor(10*time.Second, func() bool { held, runs := l.begun(spec.ID); return held || runs }) {
-			return standin.NotRun, spec.ID + " was not started"
-		}
-		if c.Users.Cancel(spec.ID) != wire.StateCancelled {
-			return standin.NotRun, spec.ID + " was not cancelled"
+	if !c.Users.Submit(array(longJob, "hisabkhana", machines, 13, 1, 40)) || !standin.WaitFor(15*time.Second, func() bool { return n.hasRun(longJob) == machines }) {
+		return standin.NotRun, "the long job did not start on all machines"
+	}
+	job := array(jobID, "dwarpal", tasks, 3, 1, 20)
+	c.Gates[node].LoseTransactions(trouble)
+	if !c.Users.Submit(job) {
+		return standin.NotRun, "the job was not accepted"
+	}
+	time.Sleep(spell)
+	c.Gates[node].LoseTransactions(false)
+	// The trouble is over.
+	over := time.Now()
+	var roomSince time.Time
+	for time.Since(over) < waitLimit+2*time.Second {
+		time.Sleep(500 * time.Millisecond)
+		if n.hasRun(jobID) == tasks {
+			return standin.Held, fmt.Sprintf("the job's tasks ran within %.0f s", time.Since(over).Seconds())
 		}
-		l.cancelled(spec.ID)
-		if held, _ := l.begun(spec.ID); held || !trouble {
-			done++
+		free := withRoom(c, job)
+		switch {
+		case free < tasks || n.hasRun(jobID) > 0:
+			roomSince = time.Time{}
+		case roomSince.IsZero():
+			roomSince = time.Now()
 		}
-		if lastRound = done; done < rounds {
-			// The sender gives the call up after a while; until then the start is in flight.
-			time.Sleep(2300 * time.Millisecond)
+		if int(time.Since(over).Seconds()*2)%20 == 0 {
+			c.Record.Printf("the job waits; the machines have room for %d of its %d tasks", free, tasks)
+			c.Users.Poll(jobID)
 		}
 	}
-	if lastRound < rounds {
-		return standin.NotRun, fmt.Sprintf("only %d starts were held up", lastRound)
-	}
-	time.Sleep(cancelLate + 2*time.Second)
-	if breaches := l.found(); len(breaches) > 0 {
-		return standin.Broken, strings.Join(breaches, "; ")
+	if status, state := c.Users.Poll(jobID); status != http.StatusOK || state.State != wire.StateQueued || roomSince.IsZero() || time.Since(roomSince) < waitLimit {
+		return standin.Held, "the job did not wait that long"
 	}
+	return standin.Broken, fmt.Sprintf("the job has waited %.0f s while the machines had room for all its tasks and its team used nothing of its limit", time.Since(roomSince).Seconds())
+}
+
+// withRoom returns how many tasks of the job have room on machines that report and are answered.
+func withRoom(c *standin.Cluster, spec *wire.JobSpec) int {
+	count := 0
 	for _, w := range c.Cloud.Workers() {
-		for _, status := range w.Listed() {
-			if status.State != wire.TaskExited && !strings.HasPrefix(status.Task, firstJob+"/") {
-				return standin.Broken, fmt.Sprintf("%s holds %s of a cancelled job", w.Name, status.Task)
-			}
+		if !w.AnsweredWithin(10 * time.Second) {
+			continue
 		}
+		cpus, cards, ram, _ := w.Used()
+		count += int(min((w.Type.CPUs-cpus)/spec.CPUs, (w.Type.GPUs-cards)/spec.GPUs, (w.Type.RAMGB-ram)/spec.RAMGB))
 	}
-	return standin.Held, "no task of a cancelled job started or was left"
+	return count
 }
 
-func main() { standin.Main(standin.Groenhof(), 60*time.Second, run) }
+func main() {
+	site := standin.SonarAtithi()
+	for kind := range site.Capacity {
+		if kind.Type == "boro-ghar" {
+			site.Capacity[kind] = 0 // all that the cloud has is up
+		}
+	}
+	standin.Main(site, 30*time.Second, run)
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -30,6 +30,7 @@
 	Cloud   *Cloud
 	State   *State
 	Users   *Users
+	Gates   []*Gate // from each controller to the state service
 
 	dir         string
 	root        string
@@ -64,15 +65,17 @@
 	c.Options = &WorkerOptions{Nodes: c.nodes(), ReportS: site.ReportS, LeaseS: site.LeaseS, FetchGBs: site.FetchGBs, Record: record, Spec: c.Users.Spec}
 	c.State = NewState(site.State)
 	c.Cloud = NewCloud(site.Types, site.Capacity, boot, time.Duration(site.ListLagS*float64(time.Second)), site.CloudRPS, c.Options)
-	state, err := c.serve(c.State)
-	if err != nil {
-		return c, err
-	}
 	cloud, err := c.serve(c.Cloud)
 	if err != nil {
 		return c, err
 	}
 	for i := range c.controllers {
+		gate := &Gate{service: c.State, node: c.controllers[i].label, record: record}
+		c.Gates = append(c.Gates, gate)
+		state, err := c.serve(gate)
+		if err != nil {
+			return c, err
+		}
 		if err := c.writeSettings(i, state, cloud); err != nil {
 			return c, err
 		}
@@ -207,7 +210,16 @@
 
 // StartAll starts all controllers and waits until all are healthy.
 func (c *Cluster) StartAll(limit time.Duration) error {
-	for i := range c.controllers {
+	all := make([]int, len(c.controllers))
+	for i := range all {
+		all[i] = i
+	}
+	return c.Start(limit, all...)
+}
+
+// Start starts some controllers and waits until they are healthy.
+func (c *Cluster) Start(limit time.Duration, which ...int) error {
+	for _, i := range which {
 		if err := c.StartController(i); err != nil {
 			return err
 		}
@@ -215,7 +227,8 @@
 	client := NewClient()
 	defer client.CloseIdle()
 	deadline := time.Now().Add(limit)
-	for _, p := range c.controllers {
+	for _, i := range which {
+		p := c.controllers[i]
 		for {
 			if status, _ := client.Do(http.MethodGet, p.bind, "/up", nil, time.Second); status == http.StatusOK {
 				break
