review: a few mistaken services close all machines to new ones

Change: review/6 shows a graver fault of the same rule than before: machines on which tasks of two jobs failed stay closed until a task ends there with done, which no service does. The stand-ins end their processes also when a case is interrupted or takes too long.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,5 +1,5 @@
-// Command case6 shows that a replica of a service that has failed once is never started again,
-// although two other machines have room for it.
+// Command case6 shows that a few services that were submitted with a mistake and then cancelled leave
+// all machines closed to new services, although the machines have room.
 package main
 
 import (
@@ -12,9 +12,13 @@
 
 const (
 	team       = "kasdienst-00"
+	newJob     = "wk-000610"
 	machines   = 3
-	failsAfter = time.Second
-	settle     = 2 * time.Second  // from the failure until the wait is counted
+	mistaken   = 3 // services that fail on every machine
+	replicas   = 3 // of each
+	failsAfter = 500 * time.Millisecond
+	cancelled  = 8 * time.Second  // after their submission
+	settle     = time.Second      // from their cancellation to the submission of the sound service
 	waitLimit  = 90 * time.Second // of the page
 )
 
@@ -27,49 +31,53 @@
 }
 
 func play(site *standin2.Site, trouble bool) (string, error) {
-	// Large replicas of another service, one on each machine, make the cloud rent its machines.
-	filler := &standin2.Job{Spec: standin2.Service("wk-000600", team, machines)}
-	filler.Spec.CPUs = 60
-	if !site.Submit(0, filler) {
+	// Large replicas of a sound service, one on each machine, make the cloud rent its machines.
+	sound := &standin2.Job{Spec: standin2.Service("wk-000600", team, machines)}
+	sound.Spec.CPUs = 60
+	if !site.Submit(0, sound) {
 		return "", errors.New("the first service was not accepted")
 	}
-	if !standin2.Await(20*time.Second, func() bool { return site.AllRun(filler.Spec) }) {
+	if !standin2.Await(20*time.Second, func() bool { return site.AllRun(sound.Spec) }) {
 		return "", errors.New("the first service did not run")
 	}
-	jobID, err := jobOfSmallShard(site)
-	if err != nil {
-		return "", err
-	}
-	job := &standin2.Job{Spec: standin2.Service(jobID, team, 1)}
 	if trouble {
-		job.FirstRunTime, job.Fails = failsAfter, func(string, uint64) bool { return true }
+		if err := submitAndCancelMistaken(site); err != nil {
+			return "", err
+		}
 	}
+	time.Sleep(settle)
+	// From here on nothing is in trouble any more.
+	job := &standin2.Job{Spec: standin2.Service(newJob, team, 1)}
 	if !site.Submit(1, job) {
-		return "", errors.New("the job was not accepted")
-	}
-	task := standin2.TaskName(jobID, 0)
-	if !standin2.Await(10*time.Second, func() bool { return site.HasBegun(jobID) }) {
-		return "", errors.New("the job did not begin")
+		return "", errors.New("the last service was not accepted")
 	}
-	time.Sleep(failsAfter + settle)
-	// From here on nothing is in trouble any more.
 	waiting := time.Now()
-	if standin2.Await(waitLimit, func() bool { return len(site.Running(task)) > 0 }) {
+	if standin2.Await(waitLimit, func() bool { return site.HasBegun(newJob) }) {
 		return "", nil
 	}
-	phase, free := site.Poll(0, jobID), site.WithRoom(job.Spec)
+	phase, free := site.Poll(0, newJob), site.WithRoom(job.Spec)
 	if len(free) == 0 {
 		return "", errors.New("no machine has room")
 	}
-	return fmt.Sprintf("no job left waiting: %s has waited %.0f s and is %s; machines with room: %v", task, time.Since(waiting).Seconds(), phase, free), nil
+	return fmt.Sprintf("left waiting: %s has waited %.0f s and is %s; machines with room: %v", newJob, time.Since(waiting).Seconds(), phase, free), nil
 }
 
-// jobOfSmallShard returns the ID of a job that is first taken by a controller with a single machine.
-func jobOfSmallShard(site *standin2.Site) (string, error) {
-	for _, node := range site.Nodes() {
-		if len(site.OwnedBy(node.Label)) == 1 {
-			return site.JobIDs(node.Label, 601, 1)[0], nil
+// submitAndCancelMistaken submits the services that fail on every machine, and cancels them.
+func submitAndCancelMistaken(site *standin2.Site) error {
+	fails := func(string, uint64) bool { return true }
+	var ids []string
+	for i := range mistaken {
+		id := fmt.Sprintf("wk-%06d", 601+i)
+		ids = append(ids, id)
+		if !site.Submit(i, &standin2.Job{Spec: standin2.Service(id, team, replicas), RunTime: failsAfter, Fails: fails}) {
+			return errors.New("a service was not accepted")
+		}
+	}
+	time.Sleep(cancelled)
+	for i, id := range ids {
+		if site.Cancel(i, id) != "cancelled" {
+			return errors.New("a service was not cancelled")
 		}
 	}
-	return "", errors.New("no controller has a single machine")
+	return nil
 }
--- a/review/standin2/case.go
+++ b/review/standin2/case.go
@@ -3,7 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
 
 	"wheatspur/wire"
 )
@@ -15,6 +19,9 @@
 	exitNotRun = 2
 )
 
+// timeLimit ends a case that takes too long.
+const timeLimit = 118 * time.Second
+
 // Case plays a case on a site. It returns how the rule was broken, "" if it held, or an error if the
 // case could not run. Without trouble it leaves the disruption out.
 type Case func(site *Site, trouble bool) (broken string, err error)
@@ -22,6 +29,8 @@
 // Main runs a case and exits with its result. The arguments of the program are the repository's root
 // and the case's folder.
 func Main(options Options, play Case) {
+	// The controllers end with the thread that started them, whatever ends this process.
+	runtime.LockOSThread()
 	os.Exit(run(options, play))
 }
 
@@ -41,6 +50,7 @@
 	site, err := Start(os.Args[1], record, options)
 	if site != nil {
 		defer site.Stop()
+		go endEarly(site)
 	}
 	broken := ""
 	if err == nil {
@@ -61,6 +71,19 @@
 	return exitHeld
 }
 
+// endEarly ends the case and its processes when the time is up or a signal asks for it.
+func endEarly(site *Site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	site.Record.Log("the case could not run to its end")
+	site.Stop()
+	os.Exit(exitNotRun)
+}
+
 // Kasrek is the machine type of the plant counters, with a short boot.
 func Kasrek(startupS float64) wire.MachineType {
 	return wire.MachineType{Label: "kasrek", CPUs: 96, GPUs: 8, RAMGB: 768, LocalGB: 120, FetchGBPerS: 0.2,
--- a/review/standin2/owners.go
+++ b/review/standin2/owners.go
@@ -16,17 +16,6 @@
 	return &record
 }
 
-// OwnedBy returns the machines that are up and belong to a controller.
-func (s *Site) OwnedBy(label string) []string {
-	var machines []string
-	for _, worker := range s.Cloud.Workers() {
-		if s.members().ShardOwner(worker.Name) == label {
-			machines = append(machines, worker.Name)
-		}
-	}
-	return machines
-}
-
 // JobIDs returns IDs, the lowest ones from wk-first on, of jobs that a controller takes first.
 func (s *Site) JobIDs(label string, first, count int) []string {
 	var ids []string
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -52,6 +53,8 @@
 
 	mu   sync.Mutex // guards the jobs
 	jobs map[string]*Job
+
+	processes sync.Mutex // guards the nodes' processes
 }
 
 // Node is a controller process.
@@ -150,6 +153,7 @@
 	arguments := append(append([]string{}, command[1:]...), path)
 	node.process = exec.CommandContext(context.Background(), filepath.Join(root, command[0]), arguments...)
 	node.process.Dir, node.process.Stderr = root, log
+	node.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	node.process.Env = append(os.Environ(), "LOG_LEVEL=debug")
 	return node.process.Start()
 }
@@ -195,9 +199,6 @@
 	return errors.New("the controllers did not come up")
 }
 
-// Nodes returns the controllers.
-func (s *Site) Nodes() []*Node { return s.nodes }
-
 // Node returns the controller with a label, nil if there is none.
 func (s *Site) Node(label string) *Node {
 	for _, node := range s.nodes {
@@ -210,6 +211,8 @@
 
 // Kill ends a controller's process.
 func (s *Site) Kill(node *Node) {
+	s.processes.Lock()
+	defer s.processes.Unlock()
 	if node.process == nil || node.process.Process == nil {
 		return
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -92,13 +92,6 @@
 	return w.site.nodes[w.node].Label
 }
 
-// Baton returns the highest token that the worker has seen.
-func (w *Worker) Baton() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.baton
-}
-
 // Calls returns the direct calls that the worker carried out and that held commands.
 func (w *Worker) Calls() []Call {
 	w.mu.Lock()
