review: tasks with their image run at once, and cases keep to an address of their own

Change: a worker runs such a task with its start; controllers listen on a loopback address that their case alone uses.

--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -132,9 +132,11 @@
 	return command, nil
 }
 
-// freeAddress returns an address with a port that was free.
+// freeAddress returns a loopback address with a port that was free. Its host is this process's own, so
+// that no other one takes the port meanwhile.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", loopback)
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	if err != nil {
 		return "", err
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -218,9 +218,11 @@
 		return
 	}
 	t.readyAt = time.Now()
-	if !w.images[t.job.Spec.Image] {
-		t.readyAt = t.readyAt.Add(fetchTime)
+	if w.images[t.job.Spec.Image] {
+		w.run(t, t.readyAt)
+		return
 	}
+	t.readyAt = t.readyAt.Add(fetchTime)
 }
 
 // report returns the next report; w.mu is held.
