review: the controllers' ports differ

Cause: in 3 of 90 starts of a case a controller found its port taken, by another of the same case. Change: all ports are chosen before the first is given free.

--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -89,6 +89,10 @@
 	if err != nil {
 		return err
 	}
+	addresses, err := freeAddresses(2 * nodeCount)
+	if err != nil {
+		return err
+	}
 	for i := range nodeCount {
 		node := &Node{Label: fmt.Sprintf("kheti-%d", i), root: root}
 		if i < s.Production {
@@ -97,12 +101,7 @@
 		if node.State, err = NewLink(stateAddress); err != nil {
 			return err
 		}
-		if node.Address, err = freeAddress(); err != nil {
-			return err
-		}
-		if node.peerAddress, err = freeAddress(); err != nil {
-			return err
-		}
+		node.Address, node.peerAddress = addresses[2*i], addresses[2*i+1]
 		s.nodes = append(s.nodes, node)
 	}
 	for _, node := range s.nodes {
@@ -132,15 +131,22 @@
 	return command, nil
 }
 
-// freeAddress returns a loopback address with a port that was free. Its host is this process's own, so
-// that no other one takes the port meanwhile.
-func freeAddress() (string, error) {
+// freeAddresses returns loopback addresses with different ports that were free. Their host is this
+// process's own, so that no other one takes a port meanwhile.
+func freeAddresses(count int) ([]string, error) {
 	pid := os.Getpid()
-	listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
-	if err != nil {
-		return "", err
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp4", host)
+		if err != nil {
+			return nil, err
+		}
+		//revive:disable-next-line:defer // all stay open until the last is chosen, so that all differ
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return listener.Addr().String(), listener.Close()
+	return addresses, nil
 }
 
 // startNode writes a controller's settings and starts its process.
