--- a/review/4/main.go
+++ b/review/4/main.go
@@ -14,7 +14,8 @@
 const (
 	team       = "kasdienst-00"
 	cards      = 8 // of each task: a whole machine
-	shortRun   = 6 * time.Second
+	shortRun   = 6 * time.Second // of the first urgent task
+	secondRun  = 9 * time.Second // of the second, so that the first one's machine is free before
 	longRun    = 10 * time.Minute
 	tries      = 3                      // to have a start sent by a direct call
 	beginLimit = 20 * time.Second       // for a task to begin
@@ -69,7 +70,7 @@
 	task := standin2.TaskName(low.Spec.ID, 0)
 	// A second urgent task takes the place of the one of low priority, which then runs on the other
 	// machine, once that is free.
-	preemptor := newJob(410, wire.PriorityCritical, shortRun)
+	preemptor := newJob(410, wire.PriorityCritical, secondRun)
 	if err := submit(site, 0, preemptor); err != nil {
 		return "", err
 	}
