--- a/review/4/main.go
+++ b/review/4/main.go
@@ -13,7 +13,7 @@
 
 const (
 	team       = "kasdienst-00"
-	cards      = 8 // of each task: a whole machine
+	cards      = 8               // of each task: a whole machine
 	shortRun   = 6 * time.Second // of the first urgent task
 	secondRun  = 9 * time.Second // of the second, so that the first one's machine is free before
 	longRun    = 10 * time.Minute
