--- a/review/standin2/users.go
+++ b/review/standin2/users.go
@@ -71,6 +71,9 @@
 // Cancel cancels a job, and returns its phase.
 func (s *Site) Cancel(node int, jobID string) string {
 	_, job := s.request(node, http.MethodPost, "/work/"+jobID+"/cancel", nil, submitTimeout)
+	if job.State == wire.StateCancelled {
+		s.checks.tell(jobID)
+	}
 	return job.State
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -44,6 +44,8 @@
 	batonChangeAt time.Time // when a higher token last counted as a change
 	node          int       // index of the node that gets the reports
 	calls         []Call
+	holding       string // the job whose direct starts are held up; "": none
+	held          *Call  // the first of them
 }
 
 // task is an attempt on a machine.
@@ -350,6 +352,9 @@
 		answer(rw, http.StatusBadRequest, wire.ErrorResponse{Error: "malformed"})
 		return
 	}
+	if w.holdUp(request) {
+		panic(http.ErrAbortHandler) // the caller gets no answer
+	}
 	if request.FencingToken < w.baton || request.Incarnation != w.stint {
 		w.site.Record.Log("%s: direct call with token %d and session %d refused, at %d and %d: %v", w.Name, request.FencingToken, request.Incarnation, w.baton, w.stint, request.Commands)
 		answer(rw, http.StatusConflict, w.report())
@@ -378,3 +383,43 @@
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(w.tasks, func(t *task) bool { return t.Task == taskName })
 }
+
+// HoldUp holds up direct calls that start a task of a job on their way: they get no answer.
+func (w *Worker) HoldUp(jobID string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holding, w.held = jobID, nil
+}
+
+// Held returns the first direct call that was held up, nil if there is none.
+func (w *Worker) Held() *Call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held
+}
+
+// holdUp reports whether a call is held up; w.mu is held.
+func (w *Worker) holdUp(request wire.CommandRequest) bool {
+	starts := func(command wire.Command) bool {
+		jobID, _, _ := strings.Cut(command.Task, "/")
+		return command.Verb == wire.VerbStart && jobID == w.holding
+	}
+	if w.holding == "" || !slices.ContainsFunc(request.Commands, starts) {
+		return false
+	}
+	if w.held == nil {
+		w.held = &Call{Request: request, Body: wire.MustMarshal(request), At: time.Now()}
+	}
+	w.site.Record.Log("%s: a direct call with token %d is held up: %v", w.Name, request.FencingToken, request.Commands)
+	return true
+}
+
+// Deliver lets a direct call that was held up arrive, and returns the status of its answer, which its
+// sender no longer waits for.
+func (w *Worker) Deliver(call *Call) int {
+	w.HoldUp("")
+	w.site.Record.Log("%s: the direct call with token %d that was held up for %.1f s arrives: %v", w.Name, call.Request.FencingToken, time.Since(call.At).Seconds(), call.Request.Commands)
+	status, _ := send(w.client, http.MethodPost, w.Address, "/commands", call.Body)
+	w.site.Record.Log("%s: it was answered with %d", w.Name, status)
+	return status
+}
