membership: the range of tokens lies below the one that older versions read

An owner raises the token of one machine to make a held start void. The range for it lay above the membership's token and was stored only if every session told that it knows ranges, with 15 raises a machine, since an older version that takes the lead gives its membership the token after the one it reads.

The range now ends with the token that is stored as the membership's: an older version uses that one for its own machines and takes the one after it when it leads, both above every raised token. So a range needs nobody's consent, raises are steps of one, and a membership has 2^24.

TestAMissedMembershipVoidsAcknowledgedTokens had a case in which an older version's membership begins within the range; that now takes a record of the earlier layout, and the new layout has a case of its own. The other tests check the first, the last and the number of tokens of each membership instead of the first alone. The golden pages differ in the numbers of tokens and the lengths that follow from them.

--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -53,17 +53,6 @@
 	return cs.Membership != nil && cs.Membership.AllSupportFormat(membership.FormatDependencies, cs.StoredSessions)
 }
 
-// AllSessionsSupportTokenRanges reports whether every controller with a session supports
-// memberships that span several fencing tokens. The lock is held.
-func (cs *State) AllSessionsSupportTokenRanges() bool {
-	for label, node := range cs.Sessions {
-		if stored := cs.StoredSessions[label]; stored.Controller != node || stored.Format < membership.FormatTokenRanges {
-			return false
-		}
-	}
-	return true
-}
-
 // SetMembership applies a new membership. The lock is held.
 func (cs *State) SetMembership(record *membership.Record) {
 	cs.Membership = record
--- a/internal/controller/fixture_test.go
+++ b/internal/controller/fixture_test.go
@@ -315,10 +315,11 @@
 	env.refreshAll()
 }
 
+// fencingToken returns the token with which the controller begins to command its machines.
 func (c *Controller) fencingToken() uint64 {
 	c.Lock()
 	defer c.Unlock()
-	return c.Membership.FencingToken
+	return c.Membership.FirstToken()
 }
 
 func (c *Controller) jobRecord(jobID string) jobs.Record {
--- a/internal/controller/worker_leases_test.go
+++ b/internal/controller/worker_leases_test.go
@@ -206,20 +206,35 @@
 	controller := env.controllers["a"]
 	env.addMachine("h1", "batch")
 	env.acknowledgeToken("h1", 1)
+	ranged := func(first uint64) membership.Record {
+		return membership.Record{FencingToken: first + tuning.TokenRange - 1, TokensBelow: tuning.TokenRange - 1}
+	}
 	for _, tc := range []struct {
-		name string
-		next func(*membership.Record) uint64
-		want worker.TokenState
+		name     string
+		previous membership.Record // its tokens
+		next     func(*membership.Record) membership.Record
+		want     worker.TokenState
 	}{
-		{"the next membership", func(record *membership.Record) uint64 { return record.LastToken() + 1 }, worker.TokenAcknowledged},
-		{"a membership after a missed one", func(record *membership.Record) uint64 { return record.LastToken() + 2 }, worker.TokenUnacknowledged},
-		{"a membership by an older version, with a token of the previous range", func(record *membership.Record) uint64 { return record.FencingToken + 1 }, worker.TokenUnacknowledged},
+		{"the next membership", ranged(1001), func(previous *membership.Record) membership.Record { return ranged(previous.LastToken() + 1) }, worker.TokenAcknowledged},
+		{"a membership after a missed one", ranged(1001), func(previous *membership.Record) membership.Record { return ranged(previous.LastToken() + 2) }, worker.TokenUnacknowledged},
+		{"the next membership by an older version", ranged(1001), func(previous *membership.Record) membership.Record {
+			return membership.Record{FencingToken: previous.FencingToken + 1}
+		}, worker.TokenAcknowledged},
+		{"a membership by an older version, with a token of the previous range", membership.Record{FencingToken: 1001, TokenCount: 100}, func(previous *membership.Record) membership.Record {
+			return membership.Record{FencingToken: previous.FencingToken + 1}
+		}, worker.TokenUnacknowledged},
 	} {
 		controller.Lock()
-		record := *controller.Membership
+		apply := func(tokens membership.Record) error {
+			record := *controller.Membership
+			record.FencingToken, record.TokensBelow, record.TokenCount = tokens.FencingToken, tokens.TokensBelow, tokens.TokenCount
+			return applyMembership(controller, record)
+		}
+		err := apply(tc.previous)
 		controller.Workers.ByMachine["h1"].State = worker.TokenAcknowledged
-		record.FencingToken, record.TokenCount = tc.next(controller.Membership), tuning.TokenRange
-		err := applyMembership(controller, record)
+		if err == nil {
+			err = apply(tc.next(controller.Membership))
+		}
 		got := controller.Workers.ByMachine["h1"].State
 		controller.Unlock()
 		if err != nil || got != tc.want {
--- a/internal/election/membershipwrite.go
+++ b/internal/election/membershipwrite.go
@@ -26,12 +26,11 @@
 	now := el.Now()
 	unreachable := el.reachability(now).CountsAsUnreachable()
 	action := membership.Decide(membership.View{
-		Self:                          el.Self,
-		Sessions:                      el.Sessions,
-		Unreachable:                   el.Unreachable,
-		Leader:                        el.Leader,
-		Membership:                    el.Membership,
-		AllSessionsSupportTokenRanges: el.AllSessionsSupportTokenRanges(),
+		Self:        el.Self,
+		Sessions:    el.Sessions,
+		Unreachable: el.Unreachable,
+		Leader:      el.Leader,
+		Membership:  el.Membership,
 	})
 	switch {
 	case unreachable != el.Unreachable[el.Self.Label]:
--- a/internal/fleet/directcalls.go
+++ b/internal/fleet/directcalls.go
@@ -54,7 +54,7 @@
 // isRaisedTokenUnacknowledged reports whether a worker has yet to acknowledge a fencing token
 // that was raised above the membership's token for this worker only. The lock is held.
 func (wm *WorkerManager) isRaisedTokenUnacknowledged(w *worker.Worker) bool {
-	return w.FencingToken > max(w.AcknowledgedToken, wm.Membership.FencingToken)
+	return w.FencingToken > max(w.AcknowledgedToken, wm.Membership.FirstToken())
 }
 
 // canCall reports whether a worker may be called now. During recovery it may not be called
@@ -147,7 +147,7 @@
 	wm.CallSlots <- struct{}{} // never blocks: slots are taken with the lock held only, after a check that one is free
 	wm.recordSentCommands(w, commands, now)
 	starts := worker.StartedAttempts(commands)
-	w.FencingToken = max(w.FencingToken, wm.Membership.FencingToken)
+	w.FencingToken = max(w.FencingToken, wm.Membership.FirstToken())
 	w.RecordStartsSent(starts, w.FencingToken)
 	w.LastCallAt, w.CallInFlight = now, true
 	if commands == nil {
@@ -205,7 +205,7 @@
 		return // the response may still arrive
 	}
 	for _, attempt := range w.UnreleasableClaims(wm.Table.ClaimsByMachine[w.Machine]) {
-		if w.FencePendingStarts(wm.Membership.LastToken()) {
+		if w.FencePendingStarts(wm.Membership.FencingToken) {
 			wm.Log.Debug(logging.EventPendingStartFenced, logging.KeyTask, attempt.Task, logging.KeyAttempt, attempt.Number, logging.KeyMachine, w.Machine, logging.KeyToken, w.FencingToken)
 		}
 	}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -126,7 +126,7 @@
 	for id, status := range w.Tasks {
 		previousStates[id] = status.State
 	}
-	if !w.ApplyHeartbeat(heartbeat, wm.Membership.FencingToken, now) {
+	if !w.ApplyHeartbeat(heartbeat, wm.Membership.FirstToken(), now) {
 		return
 	}
 	wm.machineIndex.MarkChanged(w.Machine)
--- a/internal/fleet/workers.go
+++ b/internal/fleet/workers.go
@@ -66,13 +66,17 @@
 	return workers
 }
 
-// workerToken returns the highest fencing token that this controller has used for a machine.
-// The lock is held.
+// workerToken returns the highest fencing token that the worker of a machine may have seen
+// under this controller's membership: for its own machines the highest that it has used, for
+// those of others the membership's last. The lock is held.
 func (wm *WorkerManager) workerToken(machine string) uint64 {
+	if wm.ShardOwner(machine) != wm.Self.Label {
+		return wm.Membership.LastToken()
+	}
 	if w := wm.ByMachine[machine]; w != nil {
-		return max(w.FencingToken, wm.Membership.FencingToken)
+		return max(w.FencingToken, wm.Membership.FirstToken())
 	}
-	return wm.Membership.FencingToken
+	return wm.Membership.FirstToken()
 }
 
 // mayStartOn reports whether claimed tasks may be started on a machine: it must be stored, and
--- a/internal/leader/state.go
+++ b/internal/leader/state.go
@@ -63,7 +63,7 @@
 	}
 	old := ld.Term
 	ld.Term = newState(ld.Membership.FencingToken, ld.Membership.LastToken()+1)
-	if old.fencingToken > 0 && old.nextFencingToken == ld.Membership.FencingToken && old.ScalingOut != nil {
+	if old.fencingToken > 0 && old.nextFencingToken == ld.Membership.FirstToken() && old.ScalingOut != nil {
 		ld.Term.inheritFrom(&old)
 	}
 	return &ld.Term
--- a/internal/membership/election.go
+++ b/internal/membership/election.go
@@ -10,12 +10,11 @@
 
 // View is the input of the decisions about the leader and the membership.
 type View struct {
-	Self                          Controller
-	Sessions                      map[string]Controller // stored sessions by label
-	Unreachable                   map[string]bool       // labels of the controllers that have stored that no worker reaches them
-	Leader                        *Controller           // holder of the leader key; nil if there is none
-	Membership                    *Record               // as stored; nil before the first
-	AllSessionsSupportTokenRanges bool                  // every controller with a session supports FormatTokenRanges
+	Self        Controller
+	Sessions    map[string]Controller // stored sessions by label
+	Unreachable map[string]bool       // labels of the controllers that have stored that no worker reaches them
+	Leader      *Controller           // holder of the leader key; nil if there is none
+	Membership  *Record               // as stored; nil before the first
 }
 
 // Action is the next step of a controller concerning the leader and the membership. At most
@@ -37,15 +36,14 @@
 		return Action{}
 	}
 	next := view.desiredMembership()
+	lastToken := uint64(0)
 	if view.Membership != nil {
 		if next.sameMembers(view.Membership) {
 			return Action{}
 		}
-		next.FencingToken = view.Membership.LastToken() + 1
-	}
-	if view.AllSessionsSupportTokenRanges {
-		next.TokenCount = tuning.TokenRange
+		lastToken = view.Membership.LastToken()
 	}
+	next.FencingToken, next.TokensBelow = lastToken+tuning.TokenRange, tuning.TokenRange-1
 	return Action{WriteMembership: next}
 }
 
@@ -57,9 +55,9 @@
 }
 
 // desiredMembership returns the membership of all controllers with a session, led by this
-// one. Its fencing token is 1, the first of all; Decide replaces it if a membership is stored.
+// one, without its fencing tokens.
 func (v *View) desiredMembership() *Record {
-	record := Record{FencingToken: 1, Leader: v.Self}
+	record := Record{Leader: v.Self}
 	record.Members = slices.SortedFunc(maps.Values(v.Sessions), func(a, b Controller) int { return cmp.Compare(a.Label, b.Label) })
 	for _, node := range record.Members {
 		if v.Unreachable[node.Label] {
--- a/internal/membership/election_test.go
+++ b/internal/membership/election_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"wheatspur/internal/tuning"
+	"wheatspur/wire"
 )
 
 func node(label string, incarnation uint64) Controller {
@@ -19,12 +20,12 @@
 }
 
 // requireMembership returns the membership that Decide wants to write, and fails the test
-// unless there is one whose first fencing token is token.
+// unless there is one whose first fencing token is token and that has a whole range of them.
 func requireMembership(t *testing.T, view View, token uint64, when string) *Record {
 	t.Helper()
 	record := Decide(view).WriteMembership
-	if record == nil || record.FencingToken != token {
-		t.Fatalf("%s: %+v, want a membership with first token %d", when, record, token)
+	if record == nil || record.FirstToken() != token || record.FencingToken != token+tuning.TokenRange-1 || record.LastToken() != record.FencingToken {
+		t.Fatalf("%s: %+v, want a membership with %d tokens from %d on", when, record, tuning.TokenRange, token)
 	}
 	return record
 }
@@ -45,36 +46,65 @@
 	// A restarted controller is a new incarnation and needs a new token, because commands
 	// of its former process may still be in flight.
 	view.Sessions["b"] = node("b", 3)
-	record = requireMembership(t, view, 2, "after a restart")
+	record = requireMembership(t, view, tuning.TokenRange+1, "after a restart")
 	if !record.Contains(node("b", 3)) || record.Contains(b) {
 		t.Fatalf("after a restart: %+v", record)
 	}
 	view.Membership = record
 	delete(view.Sessions, "b")
-	if record = requireMembership(t, view, 3, "after a failure"); len(record.Members) != 1 {
+	if record = requireMembership(t, view, 2*tuning.TokenRange+1, "after a failure"); len(record.Members) != 1 {
 		t.Fatalf("after a failure: %+v", record)
 	}
 }
 
 func TestMembershipStartsAfterPreviousTokenRange(t *testing.T) {
 	a := node("a", 1)
-	view := View{Self: a, Sessions: map[string]Controller{"a": a}, Leader: &a, AllSessionsSupportTokenRanges: true}
+	view := View{Self: a, Sessions: map[string]Controller{"a": a}, Leader: &a}
 	first := requireMembership(t, view, 1, "first")
-	if first.TokenCount != tuning.TokenRange || first.LastToken() != tuning.TokenRange {
-		t.Fatalf("first membership: %+v, last token %d", first, first.LastToken())
-	}
 	view.Membership = first
 	view.Sessions["b"] = node("b", 2)
 	second := requireMembership(t, view, tuning.TokenRange+1, "after a join")
 	if !second.ImmediatelyFollows(first) || first.ImmediatelyFollows(second) || second.ImmediatelyFollows(second) {
 		t.Fatalf("%+v must follow only %+v", second, first)
 	}
-	// A controller whose version does not support token ranges has a session.
-	view.Membership, view.AllSessionsSupportTokenRanges = second, false
-	view.Sessions["c"] = node("c", 3)
-	third := requireMembership(t, view, 2*tuning.TokenRange+1, "after an older version's join")
-	if third.TokenCount != 0 || third.LastToken() != third.FencingToken || !third.ImmediatelyFollows(second) || third.ImmediatelyFollows(first) {
-		t.Fatalf("third membership: %+v", third)
+	// An earlier program version wrote a range that begins at the token that names the membership.
+	view.Membership = &Record{FencingToken: 7, TokenCount: 100, Leader: a}
+	third := requireMembership(t, view, 107, "after a membership of an earlier version")
+	if !third.ImmediatelyFollows(view.Membership) {
+		t.Fatalf("%+v must follow %+v", third, view.Membership)
+	}
+}
+
+// Guards against a version without token ranges that takes the lead and gives its membership a token
+// that the owner of a machine has already reached by raising it: commands of both would count at
+// that machine, or the machine would obey nobody.
+func TestVersionWithoutTokenRangesContinuesAboveTheRange(t *testing.T) {
+	// The record as the version in production decodes it.
+	type recordWithoutRange struct {
+		FencingToken uint64       `cbor:"b"`
+		Leader       Controller   `cbor:"d"`
+		Members      []Controller `cbor:"n"`
+	}
+	a, b := node("a", 1), node("b", 2)
+	view := View{Self: a, Sessions: map[string]Controller{"a": a, "b": b}, Leader: &a}
+	ours := requireMembership(t, view, 1, "first")
+	var known recordWithoutRange
+	if err := wire.Unmarshal(wire.MustMarshal(ours), &known); err != nil {
+		t.Fatal(err)
+	}
+	if known.FencingToken != ours.LastToken() {
+		t.Fatalf("a member without token ranges commands with token %d, below the last one %d", known.FencingToken, ours.LastToken())
+	}
+	theirs, err := decode[Record](wire.MustMarshal(recordWithoutRange{known.FencingToken + 1, b, []Controller{a, b}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !theirs.ImmediatelyFollows(ours) || theirs.FirstToken() <= ours.LastToken() || theirs.FirstToken() != theirs.LastToken() {
+		t.Fatalf("%+v must have one token, directly after those of %+v", theirs, ours)
+	}
+	view.Membership = theirs
+	if next := requireMembership(t, view, theirs.LastToken()+1, "after it"); !next.ImmediatelyFollows(theirs) {
+		t.Fatalf("%+v must follow %+v", next, theirs)
 	}
 }
 
--- a/internal/membership/golden_test.go
+++ b/internal/membership/golden_test.go
@@ -17,7 +17,7 @@
 		golden.CBORSample("node", stored),
 		golden.CBORSample("session", Session{Controller: stored, Format: 82, ProgramVersion: "0.2.0"}),
 		golden.CBORSample("membership", Record{FencingToken: 83, Leader: stored, Members: []Controller{node("node-2", 84)},
-			Unreachable: []string{"node-3"}, TokenCount: 85}),
+			Unreachable: []string{"node-3"}, TokensBelow: 82, TokenCount: 85}),
 	}, *update)
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -54,7 +54,9 @@
 // leader writes a new one whenever a member joins, leaves, restarts or changes its
 // reachability. Its first token is the one after the last token of its predecessor.
 type Record struct {
-	// FencingToken is the first token of the membership.
+	// FencingToken names the membership and is the highest token that its members use. Program
+	// versions without token ranges use it as the only one, and give the next membership the
+	// token after it.
 	FencingToken uint64 `cbor:"b"`
 	// Leader is the controller that wrote the record.
 	Leader Controller `cbor:"d"`
@@ -63,19 +65,27 @@
 	// Unreachable lists the labels of the members that no worker reaches, and that
 	// therefore own no machines.
 	Unreachable []string `cbor:"f,omitempty"`
+	// TokensBelow is the number of tokens directly below FencingToken that belong to this
+	// membership, too. The owner of a machine begins with the first of them and raises the
+	// machine's token to fence off commands that may still be in flight.
+	TokensBelow uint64 `cbor:"u,omitempty"`
 	// TokenCount is the number of tokens, starting at FencingToken, that belong to this
-	// membership. Within it, the owner of a machine raises the machine's token to fence
-	// off commands that may still be in flight. Absent means one token; it is set only
-	// if all members support it.
+	// membership, or 0 for one. Only earlier program versions write it. The next membership
+	// begins after them, but no machine's token is raised to one of them: a version without
+	// token ranges may give it to its next membership.
 	TokenCount uint64 `cbor:"t,omitempty"`
 }
 
+// FirstToken returns the lowest token of the membership, with which the owner of a machine
+// begins.
+func (r *Record) FirstToken() uint64 { return r.FencingToken - r.TokensBelow }
+
 // LastToken returns the highest token of the membership.
 func (r *Record) LastToken() uint64 { return r.FencingToken + max(r.TokenCount, 1) - 1 }
 
 // ImmediatelyFollows reports whether the membership is the immediate successor of previous.
 func (r *Record) ImmediatelyFollows(previous *Record) bool {
-	return r.FencingToken == previous.LastToken()+1
+	return r.FirstToken() == previous.LastToken()+1
 }
 
 // Contains reports whether this incarnation of a controller is a member.
--- a/internal/membership/reachability_test.go
+++ b/internal/membership/reachability_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"wheatspur/internal/tuning"
 )
 
 func TestCountsAsUnreachable(t *testing.T) {
@@ -35,7 +37,7 @@
 	view := View{Self: a, Sessions: map[string]Controller{"a": a, "b": b}, Leader: &a}
 	view.Membership = requireMembership(t, view, 1, "first")
 	view.Unreachable = map[string]bool{"b": true}
-	record := requireMembership(t, view, 2, "b is unreachable")
+	record := requireMembership(t, view, tuning.TokenRange+1, "b is unreachable")
 	if !record.Contains(b) || !slices.Equal(record.Unreachable, []string{"b"}) {
 		t.Fatalf("b is unreachable: %+v", record)
 	}
@@ -47,7 +49,7 @@
 	view.Membership = record
 	requireNoAction(t, view, "nothing has changed")
 	view.Unreachable["a"] = true
-	if record = requireMembership(t, view, 3, "all are unreachable"); len(record.Unreachable) != 0 {
+	if record = requireMembership(t, view, 2*tuning.TokenRange+1, "all are unreachable"); len(record.Unreachable) != 0 {
 		t.Fatalf("all are unreachable and nobody owns the machines: %+v", record)
 	}
 }
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -9,11 +9,9 @@
 // compare Controllers correctly.
 const CurrentFormat = 2
 
-// Format versions that members have to support before anything is stored that uses them.
-const (
-	FormatDependencies = 1
-	FormatTokenRanges  = 2
-)
+// FormatDependencies is the format version that all members have to support before a job is
+// stored that waits for others.
+const FormatDependencies = 1
 
 // Session is the stored form of a controller's session.
 type Session struct {
--- a/internal/membership/session_test.go
+++ b/internal/membership/session_test.go
@@ -44,7 +44,7 @@
 		{"one declared it in another incarnation", map[string]Session{"a": withFormat(a, 2), "b": withFormat(node("b", 4), 2)}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := record.AllSupportFormat(FormatTokenRanges, c.sessions); got != c.want {
+			if got := record.AllSupportFormat(2, c.sessions); got != c.want {
 				t.Errorf("%v, want %v", got, c.want)
 			}
 		})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -134,13 +134,9 @@
 	// off from the store may renew and the cancellation limit. It covers network delays of
 	// heartbeats, clock drift and late timers.
 	CancelMargin = 4 * time.Second
-	// FencingStep is the amount by which an owner raises the fencing token of one of its
-	// machines to fence off commands that may still be in flight to it. Program versions
-	// without such steps give the next membership the first token plus one, which must never
-	// equal a raised token.
-	FencingStep = 1 << 10
-	// TokenRange is the number of fencing tokens of one membership. It allows 15 steps.
-	TokenRange = 16 * FencingStep
+	// TokenRange is the number of fencing tokens of one membership. The owner of a machine can
+	// raise the machine's token once less than this.
+	TokenRange = 1 << 24
 	// WorkerCallTimeout bounds a direct call to a worker.
 	WorkerCallTimeout = 2 * time.Second
 	// TokenAnnouncePause is the pause between direct calls that announce the fencing token to
--- a/internal/worker/reconcile_test.go
+++ b/internal/worker/reconcile_test.go
@@ -93,8 +93,8 @@
 		{"a direct start is fenced, the raised token acknowledged", jobs.Cancelled, func(w *Worker) {
 			w.RecordStartsSent(starts, 5)
 			w.FencePendingStarts(5 + tuning.TokenRange)
-			w.ApplyHeartbeat(newHeartbeat(1, 9, 5+tuning.FencingStep), 5, t0)
-			w.RecordHeartbeatAnswered(newHeartbeat(1, 9, 5+tuning.FencingStep), nil, t0)
+			w.ApplyHeartbeat(newHeartbeat(1, 9, 5+1), 5, t0)
+			w.RecordHeartbeatAnswered(newHeartbeat(1, 9, 5+1), nil, t0)
 		}, true},
 		{"a direct start was sent with the raised token", jobs.Cancelled, func(w *Worker) {
 			w.RecordStartsSent(starts, 5)
--- a/internal/worker/starts.go
+++ b/internal/worker/starts.go
@@ -2,7 +2,6 @@
 
 import (
 	"wheatspur/internal/jobs"
-	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -104,10 +103,10 @@
 	if w.FencingToken > pending {
 		return true
 	}
-	if w.FencingToken+tuning.FencingStep > maxToken {
+	if w.FencingToken >= maxToken {
 		return false
 	}
-	w.FencingToken += tuning.FencingStep
+	w.FencingToken++
 	w.NoPendingCommands = false
 	return true
 }
--- a/internal/worker/starts_test.go
+++ b/internal/worker/starts_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -25,9 +24,9 @@
 }
 
 func TestFencingStopsAtLastTokenOfMembership(t *testing.T) {
-	const maxToken = 5 + tuning.TokenRange - 1
+	const firstToken, maxToken = 5, 5 + 15
 	w := NewWorker(testMachine)
-	w.ApplyHeartbeat(newHeartbeat(1, 3, 5), 5, t0)
+	w.ApplyHeartbeat(newHeartbeat(1, 3, firstToken), firstToken, t0)
 	for i := range 20 {
 		w.RecordStartsSent([]Attempt{{testTask, 2}}, w.FencingToken)
 		if w.FencePendingStarts(maxToken); w.FencingToken > maxToken {
