membership: a version with token ranges takes the lead from one without

Since direct starts need a token that can be raised, none was sent while that version led, and starts waited for the next heartbeat.

Change: a controller of this version whose machines are accounted for takes the leader's key from one whose session tells of no ranges; its memberships have a range, whoever is a member. The write is guarded as in any election.

--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -53,6 +53,16 @@
 	return cs.Membership != nil && cs.Membership.AllSupportFormat(membership.FormatDependencies, cs.StoredSessions)
 }
 
+// LeaderLacksTokenRanges reports whether the session of the present leader declares a program
+// version that gives its memberships a single fencing token. The lock is held.
+func (cs *State) LeaderLacksTokenRanges() bool {
+	if cs.Leader == nil {
+		return false
+	}
+	session, stored := cs.StoredSessions[cs.Leader.Label]
+	return stored && session.Controller == *cs.Leader && session.Format < membership.FormatTokenRanges
+}
+
 // SetMembership applies a new membership. The lock is held.
 func (cs *State) SetMembership(record *membership.Record) {
 	cs.Membership = record
--- a/internal/controller/late_starts_test.go
+++ b/internal/controller/late_starts_test.go
@@ -134,6 +134,86 @@
 	})
 }
 
+// holdUpStarts submits jobs one after the other whose only start is a direct call that is held up, and
+// cancels each. It returns the machine whose calls are held up, which has room for one task.
+func (sim *simulation) holdUpStarts(count int) *simMachine {
+	sim.t.Helper()
+	machine := sim.startDirectly("wk-1")
+	sim.mu.Lock()
+	machine.callsDelayed = true
+	sim.mu.Unlock()
+	for i := range count {
+		jobID := fmt.Sprintf("wk-%d", 100+i)
+		for machine.nextHeartbeat.Sub(sim.clock.now()) < 2*time.Second {
+			sim.step()
+		}
+		held := len(machine.delayedCalls)
+		sim.submit(sim.leader(), arrayJob(jobID, 1))
+		sim.runPassesNow()
+		if len(machine.delayedCalls) == held {
+			sim.t.Fatalf("no direct start of %s is held up\n%s", jobID, sim)
+		}
+		if !sim.cancelAt(sim.leader(), jobID) {
+			sim.t.Fatalf("the cancellation of %s is not confirmed", jobID)
+		}
+		sim.run(9 * time.Second)
+		sim.checkClaimsOfRunningTask(machine, fmt.Sprintf("%d starts are held up", i+1))
+	}
+	return machine
+}
+
+// checkClaimsOfRunningTask checks that no claim is left on a machine but that of its running task.
+func (sim *simulation) checkClaimsOfRunningTask(machine *simMachine, when string) {
+	sim.t.Helper()
+	if owner, _ := sim.ownerOf(machine.Machine); owner.claimsOn(machine.Machine) != 1 {
+		sim.t.Fatalf("%s: %d claims on the machine, want that of the running task\n%s", when, owner.claimsOn(machine.Machine), sim)
+	}
+}
+
+// deliverHeldStarts delivers the direct calls that are held up, after the bound on cancellations.
+// onTaskStart fails the test if one of them runs a task.
+func (sim *simulation) deliverHeldStarts(machine *simMachine) {
+	sim.t.Helper()
+	sim.run(cancelBound)
+	sim.mu.Lock()
+	machine.callsDelayed = false
+	sim.mu.Unlock()
+	sim.run(5 * time.Second)
+}
+
+// A controller of a version without token ranges leads until one with ranges is there. Guards against a
+// held start of a cancelled job that runs whenever it arrives, because beside that version no token
+// was raised.
+func TestHeldStartIsFencedBesideAVersionWithoutTokenRanges(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		leaderOld bool
+	}{{"which led before", true}, {"which follows", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 0)
+			old := sim.leader()
+			if !tc.leaderOld {
+				old = sim.otherControllers(old)[0]
+			}
+			sim.storeSessionVersion(old.Self.Label, true)
+			for _, controller := range sim.otherControllers(old) {
+				if controller != sim.leader() {
+					sim.restartController(controller.Self.Label) // which changes the membership
+					break
+				}
+			}
+			sim.run(20 * time.Second)
+			machines := sim.machines
+			for _, machine := range machines {
+				if owner, _ := sim.ownerOf(machine.Machine); owner == old {
+					sim.drainMachine(machine.Machine, "its owner stands for another version")
+				}
+			}
+			sim.deliverHeldStarts(sim.holdUpStarts(1))
+		})
+	}
+}
+
 // A controller of a version without token ranges leads, and its membership has a single token.
 // Guards against a direct start that could not be fenced off: starts go in the answers to heartbeats.
 func TestStartsGoInHeartbeatAnswersWhileTheTokenCannotBeRaised(t *testing.T) {
--- a/internal/election/membershipwrite.go
+++ b/internal/election/membershipwrite.go
@@ -26,11 +26,13 @@
 	now := el.Now()
 	unreachable := el.reachability(now).CountsAsUnreachable()
 	action := membership.Decide(membership.View{
-		Self:        el.Self,
-		Sessions:    el.Sessions,
-		Unreachable: el.Unreachable,
-		Leader:      el.Leader,
-		Membership:  el.Membership,
+		Self:                   el.Self,
+		Sessions:               el.Sessions,
+		Unreachable:            el.Unreachable,
+		Leader:                 el.Leader,
+		Membership:             el.Membership,
+		LeaderLacksTokenRanges: el.LeaderLacksTokenRanges(),
+		MachinesAccounted:      !el.Recovery.Progress.MachinesUnaccounted(),
 	})
 	switch {
 	case unreachable != el.Unreachable[el.Self.Label]:
--- a/internal/membership/election.go
+++ b/internal/membership/election.go
@@ -15,6 +15,12 @@
 	Unreachable map[string]bool       // labels of the controllers that have stored that no worker reaches them
 	Leader      *Controller           // holder of the leader key; nil if there is none
 	Membership  *Record               // as stored; nil before the first
+	// LeaderLacksTokenRanges: the program version of the leader gives its memberships a single
+	// token, with which no machine's token can be raised.
+	LeaderLacksTokenRanges bool
+	// MachinesAccounted: this controller knows what runs on its machines. Until then it would
+	// scale nothing out as the leader.
+	MachinesAccounted bool
 }
 
 // Action is the next step of a controller concerning the leader and the membership. At most
@@ -30,7 +36,7 @@
 	switch {
 	case view.Sessions[view.Self.Label] != view.Self:
 		return Action{}
-	case view.leadershipVacant():
+	case view.leadershipVacant(), view.supersedesLeader():
 		return Action{BecomeLeader: true}
 	case *view.Leader != view.Self:
 		return Action{}
@@ -54,6 +60,12 @@
 	return v.Leader == nil || v.Leader.Label == v.Self.Label && v.Leader.Incarnation != v.Self.Incarnation
 }
 
+// supersedesLeader reports whether this controller takes the leadership from a controller whose
+// program version has no token ranges. Without them, no start is sent in a direct call.
+func (v *View) supersedesLeader() bool {
+	return v.LeaderLacksTokenRanges && v.MachinesAccounted && v.Leader.Label != v.Self.Label
+}
+
 // desiredMembership returns the membership of all controllers with a session, led by this
 // one, without its fencing tokens.
 func (v *View) desiredMembership() *Record {
--- a/internal/membership/election_test.go
+++ b/internal/membership/election_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// Guards against an upgrade in which a version without token ranges leads to its end: until then no
+// machine's token could be raised, and every start would wait for a heartbeat.
+func TestVersionWithTokenRangesTakesLeadFromOneWithout(t *testing.T) {
+	a, b := node("a", 1), node("b", 2)
+	for _, c := range []struct {
+		name string
+		view View
+		want bool
+	}{
+		{"the leader has no ranges", View{Self: b, Leader: &a, LeaderLacksTokenRanges: true, MachinesAccounted: true}, true},
+		{"the leader has ranges", View{Self: b, Leader: &a, MachinesAccounted: true}, false},
+		{"our machines are not accounted for", View{Self: b, Leader: &a, LeaderLacksTokenRanges: true}, false},
+		{"we lead", View{Self: b, Leader: &b, LeaderLacksTokenRanges: true, MachinesAccounted: true}, false},
+		{"our session is not stored", View{Self: node("b", 3), Leader: &a, LeaderLacksTokenRanges: true, MachinesAccounted: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.view.Sessions = map[string]Controller{"a": a, "b": b}
+			if got := Decide(c.view).BecomeLeader; got != c.want {
+				t.Errorf("takes the lead: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 func TestOnlyLeaderWritesMembership(t *testing.T) {
 	a, b := node("a", 1), node("b", 2)
 	requireNoAction(t, View{Self: b, Sessions: map[string]Controller{"a": a, "b": b}, Leader: &a}, "a follower")
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -3,15 +3,22 @@
 import "wheatspur/wire"
 
 // CurrentFormat is the version of the stored formats that this program reads and writes.
-// Version 1 added dependencies (jobs that are stored while they wait), version 2 added
-// memberships with a range of tokens. It is stored only in the controller's session, next to
-// the Controller rather than in it, so that program versions without format versions still
-// compare Controllers correctly.
-const CurrentFormat = 2
+// Version 1 added dependencies (jobs that are stored while they wait). Version 2 added
+// memberships with a range of tokens above the one that names them, version 3 those with a
+// range below it. It is stored only in the controller's session, next to the Controller rather
+// than in it, so that program versions without format versions still compare Controllers
+// correctly.
+const CurrentFormat = 3
 
-// FormatDependencies is the format version that all members have to support before a job is
-// stored that waits for others.
-const FormatDependencies = 1
+// Format versions with a meaning of their own.
+const (
+	// FormatDependencies is what all members have to support before a job is stored that
+	// waits for others.
+	FormatDependencies = 1
+	// FormatTokenRanges is what a leader supports that gives every membership a range of
+	// tokens.
+	FormatTokenRanges = 3
+)
 
 // Session is the stored form of a controller's session.
 type Session struct {
