--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -66,11 +66,7 @@
 		if len(commands) >= tuning.TasksPerMachine {
 			break // the next answer contains the rest
 		}
-		job := claims[id]
-		var task jobs.Task
-		if job != nil {
-			task = job.Claims[id.Task]
-		}
+		job, task := claimOf(claims, id)
 		status, listed := w.Tasks[id]
 		observed.StartPending = listed && w.mayStartArrive(Attempt{id, status.Attempt})
 		observed.TaskStopRequested = w.StopRequested[id]
@@ -98,11 +94,7 @@
 		if !ok || status.State != wire.TaskExited || len(commands) >= tuning.TasksPerMachine {
 			continue
 		}
-		job := claims[id]
-		var task jobs.Task
-		if job != nil {
-			task = job.Claims[id.Task]
-		}
+		job, task := claimOf(claims, id)
 		observed.StartPending = w.mayStartArrive(Attempt{id, status.Attempt})
 		decision := recovery.Commands(desiredTask(job, task), observedTask(status, true), observed)
 		if reap, due := stopCommand(decision.Stop, job, status); due {
@@ -112,6 +104,15 @@
 	return commands
 }
 
+// claimOf returns the claim of a task, and its job; nil and the zero task if it is not claimed.
+func claimOf(claims map[jobs.TaskID]*jobs.Job, id jobs.TaskID) (*jobs.Job, jobs.Task) {
+	job := claims[id]
+	if job == nil {
+		return nil, jobs.Task{}
+	}
+	return job, job.Claims[id.Task]
+}
+
 // taskIDOf returns the task that a status is about. It returns false if its name is not valid.
 func taskIDOf(status wire.TaskStatus) (jobs.TaskID, bool) {
 	jobID, task, ok := jobs.ParseTaskName(status.Task)
--- a/internal/worker/heartbeat.go
+++ b/internal/worker/heartbeat.go
@@ -72,23 +72,6 @@
 	}
 }
 
-// dropFencedStarts forgets the direct starts with a lower fencing token than the worker has
-// acknowledged: it refuses them from now on, and its message shows the effect of those that arrived
-// before. A start with the same token may still arrive: it may have been sent before the
-// acknowledgement and be delayed, or its copy may be.
-func (w *Worker) dropFencedStarts() {
-	for start := range w.pendingStarts {
-		if start.token < w.AcknowledgedToken {
-			delete(w.pendingStarts, start)
-		}
-	}
-	for attempt, token := range w.directStarts {
-		if token < w.AcknowledgedToken {
-			delete(w.directStarts, attempt)
-		}
-	}
-}
-
 func (w *Worker) applyTerminationNotice(noticeS *float64, now time.Time) {
 	if noticeS == nil {
 		w.TerminationAt = time.Time{}
