--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -77,7 +77,8 @@
 		if !decision.Start {
 			continue
 		}
-		if w.isStartInFlight(Attempt{id, task.Attempt}, options) || options.AdmitStart != nil && !options.AdmitStart(job) {
+		if len(commands) >= tuning.TasksPerMachine || w.isStartInFlight(Attempt{id, task.Attempt}, options) ||
+			options.AdmitStart != nil && !options.AdmitStart(job) {
 			postponed = true
 			continue
 		}
--- a/internal/worker/commands_test.go
+++ b/internal/worker/commands_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"wheatspur/internal/jobs"
+	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
 
@@ -53,6 +54,22 @@
 	}
 }
 
+// Guards against an answer that holds more commands than a message has room for: a task of which an
+// older attempt still runs takes two.
+func TestCommandsStayWithinTasksPerMachine(t *testing.T) {
+	const tasks = tuning.TasksPerMachine/2 + 1
+	w := NewWorker(testMachine)
+	heartbeat := newHeartbeat(1, 1, 5, wire.TaskStatus{Task: "wk-0/0", Attempt: 1, State: wire.TaskRunning}) // without a claim
+	for i := range tasks {
+		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: jobs.TaskID{Job: testTask.Job, Task: i}.String(), Attempt: 1, State: wire.TaskRunning})
+	}
+	w.ApplyHeartbeat(heartbeat, 5, t0)
+	commands, postponed := w.Commands(storedClaims(t, tasks, 1, 2, jobs.Open), CommandOptions{Channel: HeartbeatAnswer, AllowStarts: true})
+	if len(commands) != tuning.TasksPerMachine || !postponed {
+		t.Fatalf("%d commands, starts postponed: %v, want %d and some postponed", len(commands), postponed, tuning.TasksPerMachine)
+	}
+}
+
 // Guards against stopping further tasks to free the same capacity: stopped tasks no longer counted as
 // leaving once they had exited, although their claims were not released yet.
 func TestExitedTaskIsLeavingUntilReleaseIsStored(t *testing.T) {
--- a/internal/worker/helpers_test.go
+++ b/internal/worker/helpers_test.go
@@ -20,15 +20,23 @@
 
 // storedClaim returns the claims on testMachine: one of testTask for the given incarnation.
 func storedClaim(t *testing.T, incarnation, attempt uint64, phase jobs.Phase) map[jobs.TaskID]*jobs.Job {
+	t.Helper()
+	return storedClaims(t, 1, incarnation, attempt, phase)
+}
+
+// storedClaims returns the claims on testMachine: those of count tasks of testTask's job.
+func storedClaims(t *testing.T, count int, incarnation, attempt uint64, phase jobs.Phase) map[jobs.TaskID]*jobs.Job {
 	t.Helper()
 	table := jobs.NewTable(func() time.Time { return t0 })
-	spec := wire.JobSpec{ID: testTask.Job, Team: "x", Kind: wire.KindArray, Tasks: 1, CPUs: 1}
-	record := jobs.Record{Phase: phase, Tasks: 1, TasksPerChunk: 8, Spec: &spec}
+	spec := wire.JobSpec{ID: testTask.Job, Team: "x", Kind: wire.KindArray, Tasks: count, CPUs: 1}
+	record := jobs.Record{Phase: phase, Tasks: count, TasksPerChunk: max(count, 8), Spec: &spec}
 	if err := table.ApplyJob(testTask.Job, wire.MustMarshal(record)); err != nil {
 		t.Fatal(err)
 	}
-	task := jobs.Task{State: jobs.Claimed, Attempt: attempt, Machine: testMachine, Incarnation: incarnation}
-	chunk := jobs.ChunkRecord{Tasks: []jobs.Task{task}}
+	var chunk jobs.ChunkRecord
+	for range count {
+		chunk.Tasks = append(chunk.Tasks, jobs.Task{State: jobs.Claimed, Attempt: attempt, Machine: testMachine, Incarnation: incarnation})
+	}
 	if err := table.ApplyChunk(jobs.ChunkKey(testTask.Job, 0), wire.MustMarshal(chunk)); err != nil {
 		t.Fatal(err)
 	}
