--- a/internal/controller/late_starts_test.go
+++ b/internal/controller/late_starts_test.go
@@ -181,6 +181,18 @@
 	sim.run(5 * time.Second)
 }
 
+// Direct starts to one machine are held up one after the other, each with another token, and their jobs
+// are cancelled. Guards against a membership whose tokens are used up after fifteen of them: the
+// sixteenth start was not fenced off, and its claim was kept.
+func TestEveryHeldStartOfACancelledJobIsFenced(t *testing.T) {
+	const heldStarts = 20
+	sim := newSimulation(t, 1, 0)
+	for _, machine := range sim.machines[1:] {
+		sim.drainMachine(machine.Machine, "one machine for all jobs")
+	}
+	sim.deliverHeldStarts(sim.holdUpStarts(heldStarts))
+}
+
 // A controller of a version without token ranges leads until one with ranges is there. Guards against a
 // held start of a cancelled job that runs whenever it arrives, because beside that version no token
 // was raised.
