membership: only a session that tells of token ranges takes the lead from one without

Cause: these tests store sessions as the version in production would, but the controllers behind them run this version, so controllers that stand for the older one took the lead from each other again and again, whenever chance made one of them the leader. The product asked only what the leader's session tells.

Change: a controller takes the lead only while its own stored session tells of ranges. In the product that is the case once the session is stored, so nothing else changes.

TestJobsWithDependenciesWaitWhileAMemberRunsAnOlderVersion left it to chance whether the older version led, and asked that the membership stay.

--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -54,13 +54,15 @@
 }
 
 // LeaderLacksTokenRanges reports whether the session of the present leader declares a program
-// version that gives its memberships a single fencing token. The lock is held.
+// version that gives its memberships a single fencing token, while this controller's session
+// declares one with token ranges. The lock is held.
 func (cs *State) LeaderLacksTokenRanges() bool {
 	if cs.Leader == nil {
 		return false
 	}
-	session, stored := cs.StoredSessions[cs.Leader.Label]
-	return stored && session.Controller == *cs.Leader && session.Format < membership.FormatTokenRanges
+	own, leader := cs.StoredSessions[cs.Self.Label], cs.StoredSessions[cs.Leader.Label]
+	return own.Controller == cs.Self && own.Format >= membership.FormatTokenRanges &&
+		leader.Controller == *cs.Leader && leader.Format < membership.FormatTokenRanges
 }
 
 // SetMembership applies a new membership. The lock is held.
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -176,22 +176,44 @@
 // accepted nor claimed, because that member would stop their tasks. A controller that is down is no
 // member and does not delay them.
 func TestJobsWithDependenciesWaitWhileAMemberRunsAnOlderVersion(t *testing.T) {
+	for _, olderLeads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the older version leads: %v", olderLeads), func(t *testing.T) {
+			checkDependenciesBesideOlderVersion(t, olderLeads)
+		})
+	}
+}
+
+// checkDependenciesBesideOlderVersion checks jobs with dependencies at a controller, a, beside one of an
+// older version, which is the leader at first or not.
+func checkDependenciesBesideOlderVersion(t *testing.T, olderLeads bool) {
 	env := newTestEnv(t, "a", "b")
 	env.addMachine("h1", "batch")
 	env.acknowledgeToken("h1", 1)
-	a := env.controllers["a"]
+	a := env.leader()
+	older := env.otherLabel(a)
+	if olderLeads {
+		a, older = env.controllers[older], a.Self.Label
+	}
 	token := a.fencingToken()
-	env.storeSessionVersion("b", true)
-	env.stepMembership()
-	if a.fencingToken() != token {
-		t.Fatal("a change of the version in a session changes the membership")
+	env.storeSessionVersion(older, true)
+	for range 4 {
+		env.stepMembership()
+	}
+	if env.leader() != a {
+		t.Fatal("the older version leads")
+	}
+	if changed := a.fencingToken() != token; changed != olderLeads {
+		t.Fatalf("the membership changes with the version in a session: %v, want it only if the leader's is older", changed)
+	}
+	if olderLeads {
+		env.acknowledgeToken("h1", 1)
 	}
 	env.submit(a, arrayJob("wk-1", 1))
 	code, _, response := sendRequest(a, "POST", "/work", dependentJob(arrayJob("wk-2", 1), "wk-1"))
 	if code != http.StatusServiceUnavailable || len(response.Response.Header.Peek("Retry-After")) == 0 {
 		t.Fatalf("a submission with dependencies beside a member of an older version: %d", code)
 	}
-	env.storeSessionVersion("b", false)
+	env.storeSessionVersion(older, false)
 	env.submit(a, dependentJob(arrayJob("wk-2", 1), "wk-1"))
 	env.runPasses()
 	env.finishTasks("h1", "wk-1/0")
@@ -204,7 +226,7 @@
 	env.submit(a, dependentJob(arrayJob("wk-3", 1), "wk-1"))
 	env.submit(a, arrayJob("wk-4", 1))
 	env.submit(a, dependentJob(arrayJob("wk-5", 1), "wk-4"))
-	env.storeSessionVersion("b", true)
+	env.storeSessionVersion(older, true)
 	env.runPasses()
 	env.finishTasks("h1", "wk-2/0", "wk-4/0")
 	env.runPasses()
@@ -212,8 +234,8 @@
 		t.Fatalf("a job that is stored as waiting is claimed beside a member of an older version: %v", c)
 	}
 	// A controller that is down leaves the membership and no longer delays the job.
-	env.store.ExpireLease(env.controllers["b"].Self.Incarnation)
-	delete(env.controllers, "b")
+	env.store.ExpireLease(env.controllers[older].Self.Incarnation)
+	delete(env.controllers, older)
 	for range 3 {
 		env.stepMembership()
 	}
--- a/internal/controller/fixture_test.go
+++ b/internal/controller/fixture_test.go
@@ -408,6 +408,18 @@
 	env.runPasses()
 }
 
+// otherLabel returns the label of the other one of two controllers.
+func (env *testEnv) otherLabel(controller *Controller) string {
+	env.t.Helper()
+	for label := range env.controllers {
+		if label != controller.Self.Label {
+			return label
+		}
+	}
+	env.t.Fatal("there is no other controller")
+	return ""
+}
+
 // storeSessionVersion stores a controller's session as an older program version would, without a
 // format version, or as the current version does.
 func (env *testEnv) storeSessionVersion(label string, old bool) {
--- a/internal/membership/election.go
+++ b/internal/membership/election.go
@@ -16,7 +16,7 @@
 	Leader      *Controller           // holder of the leader key; nil if there is none
 	Membership  *Record               // as stored; nil before the first
 	// LeaderLacksTokenRanges: the program version of the leader gives its memberships a single
-	// token, with which no machine's token can be raised.
+	// token, with which no machine's token can be raised; this controller's has token ranges.
 	LeaderLacksTokenRanges bool
 	// MachinesAccounted: this controller knows what runs on its machines. Until then it would
 	// scale nothing out as the leader.
