--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -31,6 +31,7 @@
 	unreachable       map[string]bool       // labels of controllers that its heartbeats don't reach
 	callsDelayed      bool                  // direct calls to it are delayed in the network
 	delayedCalls      []wire.CommandRequest // direct calls that have not arrived yet
+	pastCalls         []wire.CommandRequest // direct calls that were carried out, for late copies
 	lastHeartbeat     wire.Heartbeat        // the last one sent, also if it was lost
 	endedIncarnations []endedIncarnation    // in the order in which they ended
 }
@@ -204,6 +205,9 @@
 			machine.delayedCalls = append(machine.delayedCalls, request)
 		case !machine.inboundCut:
 			code, heartbeat := machine.HandleDirectCall(sim.clock.now(), request)
+			if code == http.StatusOK {
+				machine.pastCalls = append(machine.pastCalls, request)
+			}
 			return code, &heartbeat, nil
 		}
 	}
--- a/internal/controller/worker_leases_test.go
+++ b/internal/controller/worker_leases_test.go
@@ -297,6 +297,7 @@
 		t.Fatalf("commands before a claim is stored: %v", commands)
 	}
 	env.runPasses()
+	controller.awaitDirectCalls()
 	_, body = controller.receiveHeartbeat(env.heartbeat("h1", 1, token))
 	if commands := heartbeatCommands(t, http.StatusOK, body); len(commands) != 1 || commands[0].Verb != wire.VerbStart || commands[0].Attempt != 1 {
 		t.Fatalf("commands for a stored claim: %v, want one start of attempt 1", commands)
@@ -313,12 +314,20 @@
 	if _, status, _ := sendRequest(controller, "GET", "/work/wk-1", nil); status.State != wire.StateDone || status.Done != 1 {
 		t.Fatalf("job after the release: %+v, want it done", status)
 	}
-	// Record a response to the direct call of the pass: without one, the start may still be in
-	// flight, and the task is not reaped.
+	// Record a response to the direct call of the pass. A copy of the call may still arrive until the
+	// worker has shown a higher token, and the task is not reaped before.
 	controller.Lock()
 	controller.Workers.ByMachine["h1"].RecordStartsAnswered([]worker.Attempt{{Task: jobs.TaskID{Job: "wk-1"}, Number: 1}}, token, 1, 1)
 	controller.Unlock()
 	_, body = controller.receiveHeartbeat(env.heartbeat("h1", 1, token, exited))
+	if commands := heartbeatCommands(t, http.StatusOK, body); len(commands) != 0 {
+		t.Fatalf("commands while a copy of the start may arrive: %v", commands)
+	}
+	raised := body.(wire.HeartbeatResponse).FencingToken
+	if raised <= token {
+		t.Fatalf("token %d in the response, want one above %d", raised, token)
+	}
+	_, body = controller.receiveHeartbeat(env.heartbeat("h1", 1, raised, exited))
 	if commands := heartbeatCommands(t, http.StatusOK, body); len(commands) != 1 || commands[0].Verb != wire.VerbReap {
 		t.Fatalf("commands after the release: %v, want one reap", commands)
 	}
--- a/internal/fleet/directcalls.go
+++ b/internal/fleet/directcalls.go
@@ -48,13 +48,14 @@
 // needsCall reports whether there may be commands to send to a worker, or another reason to
 // call it. The lock is held.
 func (wm *WorkerManager) needsCall(w *worker.Worker) bool {
-	return !w.NoPendingCommands || w.State != worker.TokenAcknowledged || w.Unresponsive || wm.isRaisedTokenUnacknowledged(w)
+	return !w.NoPendingCommands || w.State != worker.TokenAcknowledged || w.Unresponsive || wm.isFencingUnacknowledged(w)
 }
 
-// isRaisedTokenUnacknowledged reports whether a worker has yet to acknowledge a fencing token
-// that was raised above the membership's token for this worker only. The lock is held.
-func (wm *WorkerManager) isRaisedTokenUnacknowledged(w *worker.Worker) bool {
-	return w.FencingToken > max(w.AcknowledgedToken, wm.Membership.FirstToken())
+// isFencingUnacknowledged reports whether the release of a claim waits for a worker to
+// acknowledge a fencing token that was raised above the membership's first one for this worker
+// only. Reaps wait for its next heartbeat instead. The lock is held.
+func (wm *WorkerManager) isFencingUnacknowledged(w *worker.Worker) bool {
+	return w.AwaitedToken > max(w.AcknowledgedToken, wm.Membership.FirstToken())
 }
 
 // canCall reports whether a worker may be called now. During recovery it may not be called
@@ -76,7 +77,7 @@
 	}
 	due, postponed := w.Commands(wm.Table.ClaimsByMachine[w.Machine], worker.CommandOptions{
 		Channel:           worker.DirectCall,
-		AllowStarts:       wm.mayStartOn(w.Machine) && !silent,
+		AllowStarts:       wm.mayStartOn(w.Machine) && !silent && wm.canStartDirectly(w),
 		Now:               now,
 		ResendAfterCall:   wm.Settings.HeartbeatInterval(),
 		ResendAfterAnswer: wm.startResendDelay(),
@@ -96,6 +97,12 @@
 	return commands
 }
 
+// canStartDirectly reports whether starts may be sent to a worker in direct calls. The lock is
+// held.
+func (wm *WorkerManager) canStartDirectly(w *worker.Worker) bool {
+	return w.CanStartDirectly(wm.Membership.FirstToken(), wm.Membership.FencingToken)
+}
+
 // canSendDirectly reports whether a command may be sent in a direct call. Reaps are never sent
 // this way; see worker.Worker.Commands. A silent machine is sent kills only: it may merely be
 // unable to reach this controller and still run cancelled tasks.
@@ -117,7 +124,7 @@
 	}
 	// The call speeds up the acknowledgement of the raised token, which voids all starts with
 	// lower tokens.
-	return w.State == worker.TokenAcknowledged && wm.isRaisedTokenUnacknowledged(w)
+	return w.State == worker.TokenAcknowledged && wm.isFencingUnacknowledged(w)
 }
 
 // callSlotLimit returns how many call slots may be in use at most, including the slot of a
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -51,6 +51,7 @@
 		return fasthttp.StatusServiceUnavailable, wire.ErrorResponse{Error: reason}
 	}
 	wm.applyHeartbeat(w, heartbeat, now)
+	wm.fenceExitedAttempts(w, now)
 	commands := wm.responseCommands(w, storeAge, now)
 	wm.recordResponse(w, heartbeat, commands, now)
 	return fasthttp.StatusOK, wire.HeartbeatResponse{FencingToken: w.FencingToken, Commands: commands}
@@ -93,6 +94,19 @@
 	return ""
 }
 
+// fenceExitedAttempts raises the fencing token of a machine, with the response to its
+// heartbeat, if exited attempts wait for that to be reaped. While a direct call has just been
+// sent, it waits for the next heartbeat: the worker may receive the call after the response and
+// would refuse it. The lock is held.
+func (wm *WorkerManager) fenceExitedAttempts(w *worker.Worker, now time.Time) {
+	if w.CallInFlight && now.Sub(w.LastCallAt) < tuning.StartCallGrace {
+		return
+	}
+	if w.FenceExitedAttempts(wm.Membership.FencingToken) {
+		wm.Log.Debug(logging.EventExitedAttemptsFenced, logging.KeyMachine, w.Machine, logging.KeyToken, w.FencingToken)
+	}
+}
+
 // responseCommands returns the commands to send in the response to a heartbeat. The result is
 // never nil. The lock is held.
 func (wm *WorkerManager) responseCommands(w *worker.Worker, storeAge time.Duration, now time.Time) []wire.Command {
--- a/internal/fleet/workers.go
+++ b/internal/fleet/workers.go
@@ -128,6 +128,8 @@
 			delete(wm.ByMachine, machine)
 		} else if !consecutive || previous.ShardOwner(machine) != wm.Self.Label {
 			w.RequireAcknowledgement()
+		} else {
+			w.MarkChanged() // starts that the former membership's tokens did not allow in direct calls may go now
 		}
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -31,6 +31,7 @@
 	EventMetricsNotWritten             = "metrics not written"
 	EventNoProgress                    = "no progress"
 	EventPendingStartFenced            = "pending start fenced"
+	EventExitedAttemptsFenced          = "exited attempts fenced"
 	EventRecordUnreadable              = "stored record not readable"
 	EventRecoveryPhaseChanged          = "recovery phase changed"
 	EventReloadFailed                  = "settings reload failed"
--- a/internal/recovery/state.go
+++ b/internal/recovery/state.go
@@ -67,11 +67,11 @@
 	Incarnation         uint64
 	State               WorkerState
 	AllowStarts         bool // this controller may send starts, because it can read the key-value store
-	StartPending        bool // a direct start of the listed attempt may still arrive
+	StartPending        bool // a direct start of the listed attempt, or a late copy of one, may still arrive
 	AttemptNeverStarted bool // the claimed attempt has not started, and can't without a new start command
 	TaskStopRequested   bool // the task is to be stopped on this machine
 }
 
 // mayReap reports whether an exited task may be removed from the heartbeats. It may if neither
-// a command of a former shard owner nor a pending start of this controller can run it again.
+// a command of a former shard owner nor a late start of this controller can run it again.
 func (w Worker) mayReap() bool { return w.State == TokenAcknowledged && !w.StartPending }
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -72,7 +72,7 @@
 			task = job.Claims[id.Task]
 		}
 		status, listed := w.Tasks[id]
-		observed.StartPending = listed && w.isStartPending(Attempt{id, status.Attempt})
+		observed.StartPending = listed && w.mayStartArrive(Attempt{id, status.Attempt})
 		observed.TaskStopRequested = w.StopRequested[id]
 		decision := recovery.Commands(desiredTask(job, task), observedTask(status, listed), observed)
 		if stop, due := stopCommand(decision.Stop, job, status); due {
@@ -87,7 +87,35 @@
 		}
 		commands = append(commands, wire.Command{Verb: wire.VerbStart, Task: id.String(), Attempt: task.Attempt})
 	}
-	return commands, postponed
+	return w.appendOlderReaps(commands, claims, observed), postponed
+}
+
+// appendOlderReaps appends the reaps of exited attempts of tasks of which a newer attempt is listed as
+// well.
+func (w *Worker) appendOlderReaps(commands []wire.Command, claims map[jobs.TaskID]*jobs.Job, observed recovery.Worker) []wire.Command {
+	for _, status := range w.OlderAttempts {
+		id, ok := taskIDOf(status)
+		if !ok || status.State != wire.TaskExited || len(commands) >= tuning.TasksPerMachine {
+			continue
+		}
+		job := claims[id]
+		var task jobs.Task
+		if job != nil {
+			task = job.Claims[id.Task]
+		}
+		observed.StartPending = w.mayStartArrive(Attempt{id, status.Attempt})
+		decision := recovery.Commands(desiredTask(job, task), observedTask(status, true), observed)
+		if reap, due := stopCommand(decision.Stop, job, status); due {
+			commands = append(commands, reap)
+		}
+	}
+	return commands
+}
+
+// taskIDOf returns the task that a status is about. It returns false if its name is not valid.
+func taskIDOf(status wire.TaskStatus) (jobs.TaskID, bool) {
+	jobID, task, ok := jobs.ParseTaskName(status.Task)
+	return jobs.TaskID{Job: jobID, Task: task}, ok
 }
 
 // noGrace is the grace period of every kill that grants none. All of them share it, and nothing writes
--- a/internal/worker/heartbeat.go
+++ b/internal/worker/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wheatspur/internal/jobs"
 	"wheatspur/internal/tuning"
 	"wheatspur/wire"
 )
@@ -23,8 +22,8 @@
 
 // ApplyHeartbeat updates the view from a message that arrived now, a heartbeat or the answer to a
 // direct call, unless one as new has been applied before, and reports whether it did. membershipToken
-// is the fencing token of our membership: a message that carries it, or a higher one that was raised
-// for this worker alone (FencePendingStarts), acknowledges it.
+// is the first fencing token of our membership: a message that carries it, or a higher one to which
+// the token of this worker alone was raised, acknowledges it.
 func (w *Worker) ApplyHeartbeat(heartbeat *wire.Heartbeat, membershipToken uint64, now time.Time) bool {
 	if w.FirstHeardAt.IsZero() {
 		w.FirstHeardAt = now
@@ -51,6 +50,7 @@
 func (w *Worker) beginIncarnation() {
 	w.State = w.State.Next(EventNewIncarnation)
 	clear(w.pendingStarts)
+	clear(w.directStarts)
 	clear(w.answeredStarts)
 	clear(w.SentCommands)
 	clear(w.StopRequested)
@@ -58,22 +58,35 @@
 	w.HeartbeatSequence = 0
 }
 
-// applyToken applies the fencing token of a message; membershipToken is that of our membership.
+// applyToken applies the fencing token of a message; membershipToken is the first one of our
+// membership.
 func (w *Worker) applyToken(workerToken, membershipToken uint64, now time.Time) {
-	w.AcknowledgedToken = max(w.AcknowledgedToken, workerToken)
+	if workerToken > w.AcknowledgedToken {
+		w.AcknowledgedToken = workerToken
+		w.dropFencedStarts()
+	}
 	w.FencingToken = max(w.FencingToken, membershipToken)
 	if membershipToken > 0 && workerToken >= membershipToken && w.State == TokenUnacknowledged {
 		w.State = w.State.Next(EventTokenAcknowledged)
 		w.AcknowledgedAt = now
 	}
-	// From now on the worker refuses starts with lower tokens, and this message shows the effect of
-	// those that arrived before. A start with the same token may still arrive: it may have been sent
-	// before the acknowledgement and be delayed.
+}
+
+// dropFencedStarts forgets the direct starts with a lower fencing token than the worker has
+// acknowledged: it refuses them from now on, and its message shows the effect of those that arrived
+// before. A start with the same token may still arrive: it may have been sent before the
+// acknowledgement and be delayed, or its copy may be.
+func (w *Worker) dropFencedStarts() {
 	for start := range w.pendingStarts {
-		if start.token < workerToken {
+		if start.token < w.AcknowledgedToken {
 			delete(w.pendingStarts, start)
 		}
 	}
+	for attempt, token := range w.directStarts {
+		if token < w.AcknowledgedToken {
+			delete(w.directStarts, attempt)
+		}
+	}
 }
 
 func (w *Worker) applyTerminationNotice(noticeS *float64, now time.Time) {
@@ -87,17 +100,22 @@
 // applyTasks replaces the listed tasks by those of a message.
 func (w *Worker) applyTasks(tasks []wire.TaskStatus) {
 	clear(w.Tasks)
+	w.OlderAttempts = w.OlderAttempts[:0]
 	for _, status := range tasks {
-		jobID, task, ok := jobs.ParseTaskName(status.Task)
+		id, ok := taskIDOf(status)
 		if !ok {
 			continue
 		}
-		id := jobs.TaskID{Job: jobID, Task: task}
-		// A message may also list an older attempt of the task that has exited and is yet to be
-		// reaped. Only the newest attempt is kept.
-		if other, listed := w.Tasks[id]; listed && other.Attempt > status.Attempt {
+		// A message may also list older attempts of the task, which have exited and are yet to be
+		// reaped.
+		other, listed := w.Tasks[id]
+		if listed && other.Attempt > status.Attempt {
+			w.OlderAttempts = append(w.OlderAttempts, status)
 			continue
 		}
+		if listed {
+			w.OlderAttempts = append(w.OlderAttempts, other)
+		}
 		w.Tasks[id] = status
 	}
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -37,11 +37,15 @@
 	HeartbeatSequence uint64
 	// AcknowledgedToken is the highest fencing token carried by any message of the worker.
 	AcknowledgedToken uint64
-	// FencingToken is the token sent with our commands to this worker: that of our membership, or a
-	// higher one after FencePendingStarts has raised it.
+	// FencingToken is the token sent with our commands to this worker: the first of our membership,
+	// or a higher one after FencePendingStarts or FenceExitedAttempts has raised it.
 	FencingToken uint64
+	// AwaitedToken is the token that the worker has to acknowledge for FencePendingStarts to take
+	// effect; 0 if it was never called.
+	AwaitedToken uint64
 
-	Tasks         map[jobs.TaskID]wire.TaskStatus // as listed in the newest message
+	Tasks         map[jobs.TaskID]wire.TaskStatus // as listed in the newest message: the newest attempt of each task
+	OlderAttempts []wire.TaskStatus               // as listed there: the other attempts of those tasks
 	RunningSince  map[jobs.TaskID]time.Time       // arrival of the first message that showed the task running
 	StopRequested map[jobs.TaskID]bool            // tasks that must leave this machine
 
@@ -70,6 +74,10 @@
 	// pendingStarts counts the direct starts sent to this incarnation and not answered. They may
 	// still be carried out.
 	pendingStarts map[pendingStart]int
+	// directStarts holds the highest fencing token of any direct start of each attempt sent to this
+	// incarnation, until a message of the worker carries a higher one. Until then a late copy of the
+	// start may arrive, even if the call was answered.
+	directStarts map[Attempt]uint64
 	// answeredStarts holds the starts sent to this incarnation in direct calls that it answered and in
 	// our answers to its heartbeats, with the sequence number of the worker's message: its answer to
 	// the call, or the heartbeat. Any heartbeat with a larger sequence number shows their effect.
@@ -90,6 +98,7 @@
 		FailedJobs:     map[string]bool{},
 		SentCommands:   map[CommandKey]time.Time{},
 		pendingStarts:  map[pendingStart]int{},
+		directStarts:   map[Attempt]uint64{},
 		answeredStarts: map[Attempt]uint64{},
 	}
 }
